Log why a task waits

On call could see that a job waited, not for what. The reasons are checked against the decision itself for each cause (test_explanation.py).

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -305,3 +305,10 @@
     "Submissions of final jobs could not be dropped; the next round tries again.",
     "Check the platform's store if it repeats.",
 )
+TASK_WAITS = events.declare(
+    1550,
+    "task-waits",
+    "INFO",
+    "A task has waited for room; executors are counted by what keeps it away.",
+    "See OPERATIONS.md; `processors` or `memory` at all of them: the service is full.",
+)
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -2,7 +2,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import events, jobs, learned, moving, names, state, stops
+from limpetstream.shard import events, jobs, learned, moving, names, state, stops, waits
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
@@ -17,12 +17,16 @@
 async def run(shard: state.Shard) -> None:
     """Look after the shard for ever."""
     next_forget = shard.clock.monotonic() + FORGET_INTERVAL_S
+    next_report = shard.clock.monotonic() + waits.INTERVAL_S
     tidied: set[str] = set()
     while True:
         release_due(shard)
         move_off_leaving(shard)
         moving.move_disturbing(shard)
         now = shard.clock.monotonic()
+        if now >= next_report:
+            next_report = now + waits.INTERVAL_S
+            waits.report(shard)
         if now >= next_forget:
             next_forget = now + FORGET_INTERVAL_S
             learned.keep(shard)
--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -135,7 +135,8 @@
     )
 
 
-def _may_start(shard: state.Shard, task: workflow_state.Task) -> bool:
+def may_start(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether no run of an earlier owner can be in the way."""
     return shard.located or task.job.submission.job_id not in shard.started_before
 
 
@@ -143,7 +144,7 @@
     shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
 ) -> bool:
     now, full = this_pass.now, this_pass.full
-    if not _may_start(shard, task):
+    if not may_start(shard, task):
         return False
     step = task.step
     service = shard.service_of(task.job)
@@ -208,7 +209,7 @@
 ) -> bool:
     """Place all members of a gang at once, or none."""
     first = members[0]
-    if len(members) < first.step.count or not _may_start(shard, first):
+    if len(members) < first.step.count or not may_start(shard, first):
         return False
     around = surroundings(shard, shard.service_of(first.job), now)
     number = max(member.last_run for member in members) + 1
--- /dev/null
+++ b/limpetstream/shard/tests/test_waits.py
@@ -0,0 +1,56 @@
+"""Tests of the log lines that say why tasks wait."""
+
+import asyncio
+
+import pytest
+
+from limpetstream.shard import waits
+from limpetstream.shard.tests import builders
+from limpetstream.telemetry import logs
+from standins import virtual_time
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        logs, "emit", lambda event, **fields: found.append((event.name, fields))
+    )
+    return found
+
+
+def play(shard, loop, seconds):
+    async def passes():
+        while loop.time() < seconds:
+            for executor in shard.executor_by_id.values():
+                executor.looked_at = loop.time()
+            waits.report(shard)
+            await asyncio.sleep(waits.INTERVAL_S)
+
+    virtual_time.run(passes(), loop=loop)
+
+
+def test_a_job_that_waits_is_reported_ever_more_seldom(lines):
+    """Guards against a job that waits without a trace, and against a flood."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    builders.start(
+        shard.executor_by_id["x0"], builders.make_tasks(shard, builders.SERVING)[0]
+    )
+    step = builders.step_of(builders.SHORT, count=20, cpu_millicores=60_000)
+    shard.ready.extend(builders.make_tasks(shard, step))
+    play(shard, loop, 20.0)
+    assert [name for name, _ in lines] == ["task-waits"] * 3
+    assert lines[0][1]["executors"] == {"processors": 1}
+    assert lines[0][1]["tasks"] == 20
+    assert [fields["waited_ms"] for _, fields in lines] == [500, 2000, 8000]
+
+
+def test_lines_are_bounded_when_everything_waits(lines):
+    """Guards against one line for each of hundreds of jobs at once."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=0)
+    for _ in range(300):
+        shard.ready.extend(builders.make_tasks(shard, builders.SHORT))
+    play(shard, loop, 5.0)
+    assert len(lines) <= 10 * waits.MOST_REPORTED
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -9,6 +9,9 @@
 WORKING = "working"
 STOPPING = "stopping"
 
+# A job of one second with an objective of 1.5 is late after it.
+FIRST_WAIT_REPORT_S = 0.5
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
@@ -120,6 +123,8 @@
         occurrence_by_number: Occurrences that have been expanded.
         finished_occurrences: Number of occurrences that have finished.
         stored: Whether the journal holds a record of this job.
+        next_wait_report_s: Waiting time after which the log next says what
+            the job waits for.
     """
 
     submission: messages.Submission
@@ -133,6 +138,7 @@
     )
     finished_occurrences: int = 0
     stored: bool = False
+    next_wait_report_s: float = FIRST_WAIT_REPORT_S
 
     @property
     def shown_state(self) -> str:
--- /dev/null
+++ b/limpetstream/workflow/tests/test_explanation.py
@@ -0,0 +1,75 @@
+"""Tests of the reasons for which a task waits."""
+
+import dataclasses
+
+import pytest
+
+from limpetstream.executors import messages as executor_messages
+from limpetstream.shard import placing
+from limpetstream.shard.tests import builders
+from limpetstream.workflow import eligibility, explanation, messages
+from standins import virtual_time
+
+
+def make(step=builders.SHORT):
+    shard = builders.make_shard(virtual_time.Loop())
+    executor = shard.executor_by_id["x0"]
+    return executor, builders.make_tasks(shard, step)[0], shard
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({}, ""),
+        ({"reached": False}, "not reached yet"),
+        ({"recorded": False}, "not in the journal yet"),
+        ({"listed": False}, "not listed any more"),
+        ({"silent_since": 0.0}, "silent"),
+        ({"strangers": {("t", 1)}}, "holds unknown runs"),
+        ({"looked_at": -10.0}, "look too old"),
+        ({"avoid_until": 9.0}, "avoided after a failed order"),
+    ],
+)
+def test_reason_agrees_with_the_decision(change, reason):
+    """Guards against a log line that contradicts what placing does."""
+    executor, task, shard = make()
+    executor = dataclasses.replace(executor, **change)
+    around = placing.surroundings(shard, "service", 0.0)
+    assert explanation.closed_by(executor, around) == reason
+    assert eligibility.is_open(executor, around) == (reason == "")
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"service": "other"}, "another service"),
+        ({"data_centre": "closed"}, "data centre closed"),
+        ({"state": executor_messages.DRAINING}, "leaving"),
+    ],
+)
+def test_reason_names_what_the_list_says(change, reason):
+    """Guards against a reason that is taken for another one."""
+    executor, task, shard = make()
+    executor.listing = dataclasses.replace(executor.listing, **change)
+    shard.view.closed_data_centres = frozenset({"closed"})
+    around = placing.surroundings(shard, "service", 0.0)
+    assert explanation.closed_by(executor, around) == reason
+    assert not eligibility.is_open(executor, around)
+
+
+@pytest.mark.parametrize(
+    ("step", "reason"),
+    [
+        (messages.Step(1, cpu_millicores=65_000), "processors"),
+        (messages.Step(1, memory_mb=300_000), "memory"),
+        (messages.Step(1, accelerators=1), "accelerators"),
+        (messages.Step(1, required_label="ssd"), "label"),
+        (builders.SHORT, "none"),
+        (builders.FILLING, explanation.PACE_TOO_LOW),
+    ],
+)
+def test_what_is_missing_is_counted(step, reason):
+    """Guards against a task that waits without a cause in the logs."""
+    executor, task, shard = make(step)
+    around = placing.surroundings(shard, "service", 0.0)
+    assert explanation.count_reasons([executor], task, around) == {reason: 1}
