--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON ?= python3.11
 DEPLOYMENT ?= brightwater
 NAME ?= all
+FIRST ?= 1
+SEEDS ?= 50
 BIN = $(VENV)/bin
 
-.PHONY: demo test bench clean
+.PHONY: demo test bench soak clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,5 +25,9 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench --name $(NAME)
 
+soak: $(VENV)/.installed
+	seq $(FIRST) $$(($(FIRST) + $(SEEDS) - 1)) \
+		| xargs -P 3 -I{} $(BIN)/python -m soak --first {}
+
 clean:
 	rm -rf build .venv
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,32 @@
+"""Runs the soak: ``python -m soak --first 1 --seeds 50 --seconds 30``."""
+
+import asyncio
+import dataclasses
+import sys
+
+import fire
+import loguru
+import msgspec
+
+from soak import _run
+
+
+def main(first: int = 1, seeds: int = 1, seconds: float = 30.0) -> None:
+    """Play seeds one after the other; exit 1 if a promise was broken.
+
+    Args:
+        first: First seed.
+        seeds: Number of seeds.
+        seconds: Time of jobs and faults in each.
+    """
+    loguru.logger.remove()
+    broken = 0
+    for seed in range(first, first + seeds):
+        outcome = asyncio.run(_run.run(seed, seconds=seconds))
+        broken += bool(outcome.findings)
+        print(msgspec.json.encode(dataclasses.asdict(outcome)).decode(), flush=True)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,183 @@
+"""Callers: they hand in jobs, ask for them, cancel some, and keep account."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+
+from emulator import deployment
+from limpetstream import errors
+from limpetstream.workflow import messages
+from soak import _world
+
+DEADLINE_MS = 3000
+TIMEOUT_S = 4.0
+TRIES = 8
+ASK_S = 0.5
+CANCEL_SHARE = 0.1
+LASTING_SHARE = 0.1
+NOT_RUN_STATUSES = frozenset({429, 503})
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """What a caller knows of one job.
+
+    Args:
+        job_id: Its id.
+        tasks: Number of tasks of all steps.
+        is_lasting: Whether its tasks run until it is cancelled.
+        accepted: Whether an instance has acknowledged it.
+        unknown: Whether an outcome of handing in is unknown.
+        cancelled: Whether its cancelling has been acknowledged.
+        cancel_asked: Whether its cancelling was ever sent.
+        final: Final state that an instance has told.
+    """
+
+    job_id: str
+    tasks: int
+    is_lasting: bool
+    accepted: bool = False
+    unknown: bool = False
+    cancelled: bool = False
+    cancel_asked: bool = False
+    final: str | None = None
+
+
+class Callers:
+    """All callers of one run.
+
+    Args:
+        world: Deployment that they call.
+    """
+
+    def __init__(self, world: _world.World) -> None:
+        self.job_by_id: dict[str, Job] = {}
+        self._world = world
+
+    async def run(self, seconds: float, *, per_s: float) -> None:
+        """Hand in jobs for a time, and return when all calls have ended."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        async with asyncio.TaskGroup() as running:
+            while loop.time() < until:
+                running.create_task(self._one())
+                await asyncio.sleep(self._world.random.expovariate(per_s))
+
+    async def settle(self, *, limit_s: float) -> None:
+        """Ask until every job stands as it must, or the time is over."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + limit_s
+        while loop.time() < until and any(map(self.is_open, self.job_by_id.values())):
+            for job in list(filter(self.is_open, self.job_by_id.values())):
+                await self._ask(job)
+            await asyncio.sleep(ASK_S)
+
+    def is_open(self, job: Job) -> bool:
+        """Return whether a job does not yet stand as it must."""
+        if not job.accepted or job.final is not None:
+            return False
+        if job.is_lasting and not job.cancelled:
+            # A cancelling without an answer may have taken effect or not.
+            return not job.cancel_asked and self.running(job) < job.tasks
+        return True
+
+    def running(self, job: Job) -> int:
+        """Return how many tasks of a job run on executors."""
+        for advance in self._world.breaches.advance_by_executor.values():
+            advance()
+        return sum(
+            bool(executors)
+            for task, executors in self._world.breaches.running_on.items()
+            if task.startswith(job.job_id)
+        )
+
+    async def _one(self) -> None:
+        source = self._world.random
+        lasting = source.random() < LASTING_SHARE
+        cpu = source.choice([500, 1000, 2000, 4000])
+        count = source.randint(1, 3 if lasting else 6)
+        chain = 1 if lasting else source.randint(1, 3)
+        seconds = 0.0 if lasting else source.uniform(0.1, 1.5)
+        job_id = f"{source.getrandbits(64):016x}"
+        self._world.size_by_spec[job_id] = (cpu, seconds)
+        steps = [
+            messages.Step(
+                count,
+                cpu_millicores=cpu,
+                memory_mb=50,
+                estimate_ms=int(seconds * 1000),
+                after=(number - 1,) if number else (),
+                long_running=lasting,
+            )
+            for number in range(chain)
+        ]
+        job = Job(job_id, count * chain, lasting)
+        self.job_by_id[job_id] = job
+        await self._hand_in(job, deployment.job(job_id, steps))
+        if job.accepted and source.random() < CANCEL_SHARE:
+            await asyncio.sleep(source.uniform(0.0, 3.0))
+            await self._cancel(job)
+
+    async def _hand_in(self, job: Job, body: bytes) -> None:
+        for _ in range(TRIES):
+            status, _answer = await self._call("POST", job, body)
+            if status == 200:
+                job.accepted = True
+                return
+            if status is None or status == 504:
+                job.unknown = True
+            elif status not in NOT_RUN_STATUSES:
+                self._find(job, f"handing in was answered {status}")
+                return
+            await asyncio.sleep(self._world.random.uniform(0.3, 1.2))
+
+    async def _cancel(self, job: Job) -> None:
+        job.cancel_asked = True
+        for _ in range(TRIES):
+            status, _answer = await self._call("DELETE", job)
+            if status == 410:
+                self._find(job, "is unknown when it is cancelled")
+            if status in (200, 410):
+                job.cancelled = True
+                loop = asyncio.get_running_loop()
+                self._world.breaches.cancelled_at[job.job_id] = loop.time()
+                return
+            await asyncio.sleep(self._world.random.uniform(0.3, 1.2))
+
+    async def _ask(self, job: Job) -> None:
+        status, answer = await self._call("GET", job)
+        if status == 410:
+            self._find(job, "was accepted and is not known any more")
+            job.final = "lost"
+        elif status == 200:
+            state = msgspec.json.decode(answer)["state"]
+            if state in messages.FINAL_STATES:
+                job.final = state
+
+    async def _call(
+        self, method: str, job: Job, body: bytes | None = None
+    ) -> tuple[int | None, bytes]:
+        """Call some instance; the status is None when no answer came.
+
+        A connection that could not be made counts as a refusal: nothing was
+        sent.
+        """
+        instance = self._world.random.choice(
+            list(self._world.instance_by_name.values())
+        )
+        url = f"http://127.0.0.1:{instance.front_link.port}"
+        try:
+            answer = await self._world.client.call(
+                method,
+                f"{url}{deployment.PREFIX}{job.job_id}",
+                body,
+                timeout_s=TIMEOUT_S,
+                headers=deployment.headers(DEADLINE_MS),
+            )
+        except errors.PlatformUnavailable as error:
+            return (503 if error.not_applied else None), b""
+        return answer.status, answer.body
+
+    def _find(self, job: Job, text: str) -> None:
+        self._world.findings.append(f"job {job.job_id} {text}")
--- /dev/null
+++ b/soak/_world.py
@@ -0,0 +1,211 @@
+"""One deployment on loopback: instances as processes, all else in here."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+from collections.abc import AsyncIterator
+
+from emulator import deployment, executors, store
+from limpetstream import clock as clock_module
+from limpetstream.border import plain
+from limpetstream.executors import messages
+from limpetstream.platform import http
+from standins import keyed_store, link, processes, step_executors
+
+DIRECTORY = "build/soak"
+DATA_CENTRES = ("a", "b")
+CAPACITY = messages.Capacity(16_000, 64_000, 0)
+READY_S = 20.0
+GRACE_S = 6.0  # From SIGTERM to SIGKILL, as the platform's pages say.
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One instance and what lies between it and the others.
+
+    Args:
+        name: Its name.
+        ip: Its address on loopback.
+        settings_path: Its settings file.
+        client: The store as it reaches it, with switches.
+        store_link: Its connections to the store.
+        front_link: Connections of the callers to it.
+        process: Its process; None while it is away.
+        is_busy: Whether a fault is ending or starting the process.
+    """
+
+    name: str
+    ip: str
+    settings_path: pathlib.Path
+    client: keyed_store.Client
+    store_link: link.Link
+    front_link: link.Link
+    process: processes.Process | None = None
+    is_busy: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """One executor and the link to it."""
+
+    executor: step_executors.Executor
+    link: link.Link
+
+
+class World:
+    """Everything of one run.
+
+    Args:
+        seed: Seed of all choices.
+        group: Starts the processes.
+    """
+
+    def __init__(self, seed: int, group: processes.Group) -> None:
+        loop = asyncio.get_running_loop()
+        self.random = random.Random(seed)
+        self.core = keyed_store.Core(seed=seed)
+        self.breaches = step_executors.Breaches(loop)
+        self.size_by_spec: dict[str, tuple[int, float]] = {}
+        self.instance_by_name: dict[str, Instance] = {}
+        self.machine_by_id: dict[str, Machine] = {}
+        self.findings: list[str] = []
+        self.version = 0
+        self.client = http.Client(base_url="", clock=clock_module.Clock())
+        self.group = group
+        self._stack = contextlib.AsyncExitStack()
+
+    async def build(self, *, instances: int, executors_: int) -> None:
+        """Bring up the platform, then the instances."""
+        self.configure()
+        for number in range(executors_):
+            await self.add_executor(f"x{number}")
+        for number in range(instances):
+            await self._add_instance(number)
+        for instance in self.instance_by_name.values():
+            self.start(instance)
+        async with asyncio.TaskGroup() as waiting:
+            for instance in self.instance_by_name.values():
+                waiting.create_task(self.ready(instance))
+
+    async def close(self) -> None:
+        """Take everything down but the processes."""
+        self.client.close()
+        await self._stack.aclose()
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        deployment.configure(self.core, version=self.version, max_attempts=4)
+
+    async def add_executor(self, executor_id: str) -> None:
+        """Add an executor behind a link of its own and list it."""
+        number = len(self.machine_by_id)
+        executor = step_executors.Executor(
+            messages.Listing(
+                executor_id,
+                "",
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                "service",
+                messages.READY,
+                CAPACITY,
+                ("kind", f"rack-{number % 2}"),
+                born_ms=1000,
+            ),
+            self.breaches,
+            self.size_by_spec,
+            self.random,
+            rate=self.random.choice([0.98, 1.0]),
+            born_at=asyncio.get_running_loop().time(),
+        )
+        between = await self._served(executors.Face(executor).answer)
+        executor.listing.address = f"127.0.0.1:{between.port}"
+        self.machine_by_id[executor_id] = Machine(executor, between)
+        self.breaches.advance_by_executor[executor_id] = executor.advance
+        executors.announce(self.core, executor)
+
+    def restart_executor(self, machine: Machine) -> None:
+        """Begin a new life of an executor; what ran there is gone."""
+        machine.executor.restart()
+        executors.announce(self.core, machine.executor)
+
+    def start(self, instance: Instance) -> None:
+        """Start the process of an instance."""
+        instance.process = self.group.start_script(
+            instance.name,
+            "platform/front.py",
+            value_by_variable=deployment.environment(str(instance.settings_path)),
+        )
+
+    async def ready(self, instance: Instance) -> None:
+        """Wait until an instance says that it is ready.
+
+        Raises:
+            ProcessFailed: It ended, or was not ready in time.
+        """
+        url = f"http://{instance.ip}:{deployment.READY_PORT}"
+        await instance.process.ready(url, timeout_s=READY_S)
+
+    async def stop(self, instance: Instance) -> None:
+        """Stop an instance as planned; note when it does not end in time."""
+        process, instance.process = instance.process, None
+        if process is None:
+            return
+        process.resume()
+        status = await process.stop(timeout_s=GRACE_S)
+        if status != 0:
+            self.findings.append(f"{instance.name} ended with {status} after SIGTERM")
+            process.kill()
+
+    async def _add_instance(self, number: int) -> None:
+        name = f"instance-{number}"
+        pid = os.getpid()  # Runs at the same time use other addresses.
+        ip = f"127.{16 + pid % 200}.{pid // 200 % 250}.{number + 2}"
+        client = keyed_store.Client(self.core)
+        store_link = await self._served(store.Face(client).answer)
+        path = self.group.log_directory / f"{name}.json"
+        path.write_bytes(
+            deployment.settings(
+                name=name,
+                ip=ip,
+                data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+                store_address=f"127.0.0.1:{store_link.port}",
+            )
+        )
+        front_link = await self._stack.enter_async_context(
+            link.open_link(deployment.FRONT_PORT, target_host=ip)
+        )
+        self.instance_by_name[name] = Instance(
+            name, ip, path, client, store_link, front_link
+        )
+
+    async def _served(self, answer: plain.Answer) -> link.Link:
+        """Serve on loopback behind a link."""
+        port = processes.free_port()
+        await self._stack.enter_async_context(plain.serve(f"127.0.0.1:{port}", answer))
+        return await self._stack.enter_async_context(link.open_link(port))
+
+
+@contextlib.asynccontextmanager
+async def opened(seed: int, *, instances: int, executors_: int) -> AsyncIterator[World]:
+    """Give a running deployment whose processes end with the block.
+
+    Args:
+        seed: Seed of all choices.
+        instances: Number of instances.
+        executors_: Number of executors.
+    """
+    with processes.group(f"{DIRECTORY}/{seed}") as group:
+        for old in group.log_directory.glob("*.log"):
+            old.unlink()
+        world = World(seed, group)
+        try:
+            await world.build(instances=instances, executors_=executors_)
+            yield world
+        finally:
+            for instance in world.instance_by_name.values():
+                if instance.process is not None:
+                    instance.process.kill()
+            await world.close()
--- a/standins/link.py
+++ b/standins/link.py
@@ -24,6 +24,8 @@
         delay_ms: One-way delay.
         jitter_ms: Largest random addition to it; order is kept.
         is_paused: While set, bytes wait, and nobody is told.
+        is_mute: While set, only the target's bytes wait, as if the link were
+            cut one way.
         is_cut: While set, new connections end at once.
         port: Port that the relay listens on.
         connections: Connections that were accepted.
@@ -35,6 +37,7 @@
     jitter_ms: float = 0.0
     seed: int = 1
     is_paused: bool = False
+    is_mute: bool = False
     is_cut: bool = False
     port: int = 0
     connections: int = 0
@@ -52,9 +55,10 @@
             _reset(writer)
 
     def restore(self) -> None:
-        """Undo a cut or a pause."""
+        """Undo a cut or a pause, also one way."""
         self.is_cut = False
         self.is_paused = False
+        self.is_mute = False
 
     def pause(self) -> None:
         """Hold all bytes back, as a network partition does."""
@@ -93,8 +97,8 @@
         self._open.add(back_writer)
         try:
             await asyncio.gather(
-                self._direction(reader, back_writer),
-                self._direction(back_reader, writer),
+                self._direction(reader, back_writer, is_back=False),
+                self._direction(back_reader, writer, is_back=True),
             )
         finally:
             for end in (writer, back_writer):
@@ -102,11 +106,15 @@
                 self._open.discard(end)
 
     async def _direction(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_back: bool,
     ) -> None:
         """Pass bytes one way, each chunk at the time it is due."""
         queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue()
-        sending = asyncio.create_task(self._send(queue, writer))
+        sending = asyncio.create_task(self._send(queue, writer, is_back))
         loop = asyncio.get_running_loop()
         due_at = 0.0
         try:
@@ -120,13 +128,16 @@
         await sending
 
     async def _send(
-        self, queue: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter
+        self,
+        queue: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+        is_back: bool,
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
             due_at, chunk = await queue.get()
             await asyncio.sleep(due_at - loop.time())
-            while self.is_paused and not self.is_cut:
+            while self._holds(is_back):
                 await asyncio.sleep(PAUSE_POLL_S)
             try:
                 if not chunk:
@@ -138,6 +149,9 @@
                 _reset(writer)
                 return
 
+    def _holds(self, is_back: bool) -> bool:
+        return not self.is_cut and (self.is_paused or (self.is_mute and is_back))
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """End a connection with a reset in place of an orderly end."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import ctypes
 import dataclasses
+import os
 import pathlib
 import random
 import signal
@@ -57,6 +58,22 @@
         """Exit status, negative for a signal; None while it runs."""
         return self.popen.poll()
 
+    def handles(self, number: signal.Signals) -> bool:
+        """Return whether the process has replaced the default of a signal.
+
+        An interpreter that has just started has not; nothing that the program
+        does can keep the signal from ending it.
+        """
+        try:
+            status = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
+        except OSError:
+            return False
+        value_by_name = dict(
+            line.split(":", 1) for line in status.splitlines() if ":" in line
+        )
+        masks = (value_by_name.get(name, "0") for name in ("SigIgn", "SigCgt"))
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     def terminate(self) -> None:
         """Send SIGTERM and do not wait."""
         self._send(signal.SIGTERM)
@@ -143,14 +160,36 @@
             module: Module of this repository.
             arguments: Its command line.
         """
+        return self._start(name, ["-m", module, *arguments], {}, "wb")
+
+    def start_script(
+        self, name: str, path: str, *, value_by_variable: dict[str, str]
+    ) -> Process:
+        """Start ``python path``; its output is added to the log file.
+
+        Args:
+            name: As in ``start``.
+            path: Script, relative to the root of this repository.
+            value_by_variable: Further variables of its environment.
+        """
+        return self._start(name, [path], value_by_variable, "ab")
+
+    def _start(
+        self,
+        name: str,
+        arguments: list[str],
+        value_by_variable: dict[str, str],
+        mode: str,
+    ) -> Process:
         before = self.process_by_name.get(name)
         if before is not None and before.exit_status is None:
             raise ProcessFailed(f"{name} still runs")
         log_path = self.log_directory / f"{name}.log"
-        with log_path.open("wb") as output:
+        with log_path.open(mode) as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                [sys.executable, *arguments],
                 cwd=ROOT,
+                env=os.environ | value_by_variable,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -41,6 +41,7 @@
         self.noted_done: set[str] = set()
         self.advance_by_executor: dict[str, Callable[[], None]] = {}
         self.starts = 0
+        self.started_jobs: set[str] = set()
         self.cancelled_at: dict[str, float] = {}
         self._loop = loop
 
@@ -51,6 +52,7 @@
     def begin(self, task: str, executor_id: str) -> None:
         """Note a start."""
         self.starts += 1
+        self.started_jobs.add(task.partition(".")[0])
         if task in self.noted_done:
             self.note(f"{task} started on {executor_id} after its noted end")
         # Executors let lapse what is due only when they are called.
