Look at every executor before a task waits for room

Now the next 40 are looked at until one has room; what is compared in one pass stays bounded (2,560, as much as 64 tasks compared before). Deployments of up to 40 executors behave as before.

--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -19,6 +19,7 @@
 FILL_RETRY_S = 0.2  # Weighing all executors for filling work is costly.
 # Bounds the time of one pass: the looks that keep leases wait for it.
 MOST_PLACED = 64
+MOST_WEIGHED = 2560  # About 20 ms; what is left waits for the next pass.
 BACKLOG_WAIT_S = 0.3  # Short work that waits longer misses objectives of 1.5.
 
 
@@ -29,11 +30,13 @@
     Args:
         now: Monotonic time.
         may_displace: Whether a lasting run may be stopped for short work.
+        weighed: Executors that were compared so far.
         full: Shapes of tasks for which no executor had room.
     """
 
     now: float
     may_displace: bool
+    weighed: int = 0
     full: set[tuple[str, int, int, int, str, str, int]] = dataclasses.field(
         default_factory=set
     )
@@ -71,7 +74,7 @@
     this_pass = _Pass(now, preemption.may_displace(shard, now))
     shard.ready = []
     placed = 0
-    while waiting and placed < MOST_PLACED:
+    while waiting and placed < MOST_PLACED and this_pass.weighed < MOST_WEIGHED:
         task = waiting.popleft()
         if task.job.outcome or task.done or task.run is not None:
             continue
@@ -161,6 +164,7 @@
         return False
     around = surroundings(shard, service, now)
     executor = placement.choose(shard.executor_by_id.values(), task, around)
+    this_pass.weighed += around.weighed
     if executor is not None:
         begin(shard, executor, task, task.last_run + 1)
         return True
--- a/limpetstream/shard/tests/test_placing.py
+++ b/limpetstream/shard/tests/test_placing.py
@@ -8,7 +8,7 @@
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import jobs, placing
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import messages, state as workflow_state
+from limpetstream.workflow import messages, placement, state as workflow_state
 from standins import shard_world, virtual_time
 
 
@@ -160,3 +160,50 @@
     virtual_time.run(passes(), loop=loop)
     assert task.run is not None
     assert task.run.executor_id == "x97"
+
+
+def test_tasks_find_the_few_places_of_a_full_service_at_once():
+    """Guards against desk work that waits while executors have room for it.
+
+    Pattern: 246 executors of which 239 are full, as on the calm day of the
+    grown alto: one task looked at 40 of them, found none, and all of its
+    shape waited, up to a second.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=246)
+    places = {f"x{number}" for number in range(3, 246, 35)}
+    for executor in shard.executor_by_id.values():
+        if executor.listing.executor_id not in places:
+            step = builders.step_of(builders.SHORT, cpu_millicores=60_000)
+            builders.start(executor, builders.make_tasks(shard, step)[0])
+    step = builders.step_of(builders.SHORT, count=7, cpu_millicores=50_000)
+    tasks = builders.make_tasks(shard, step)
+    shard.ready.extend(tasks)
+    placing.place(shard)
+    assert {task.run and task.run.executor_id for task in tasks} == places
+
+
+def test_a_pass_that_finds_nothing_is_bounded_and_goes_on():
+    """Guards against a pass that weighs every executor for every task.
+
+    Pattern: filling jobs of many images on a service that is full of other
+    filling work, so that none keeps its pace anywhere.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=246)
+    for executor in shard.executor_by_id.values():
+        step = builders.step_of(builders.FILLING, cpu_millicores=64_000)
+        builders.start(executor, builders.make_tasks(shard, step)[0])
+    for number in range(30):
+        step = builders.step_of(builders.FILLING, image=f"press-{number}")
+        shard.ready.extend(builders.make_tasks(shard, step))
+    weighed = []
+    choose = placement.choose
+
+    def counted(executors, task, around):
+        chosen = choose(executors, task, around)
+        weighed.append(around.weighed)
+        return chosen
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placement, "choose", counted)
+        placing.place(shard)
+    assert sum(weighed) < placing.MOST_WEIGHED + 246
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -23,6 +23,7 @@
             monotonic time.
         learned: What is known of images beside each other.
         outlooks: Outlooks for filling work.
+        weighed: Executors that were compared with others so far.
     """
 
     now: float
@@ -31,6 +32,7 @@
     fresh_after: float
     learned: interference.Interference
     outlooks: outlook.Outlooks
+    weighed: int = 0
 
 
 def is_open(executor: room.Executor, around: Surroundings) -> bool:
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -1,7 +1,7 @@
 """Where a task runs: which executors may, and which one is best."""
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from limpetstream.executors import room
 from limpetstream.workflow import eligibility, filling, messages, state
@@ -15,7 +15,7 @@
 # Weighing one executor costs 5 us and more (bench filling_cost); hundreds for
 # each task would hold up the looks that keep leases.
 MOST_WEIGHED = 40
-WINDOW_S = 0.2  # How long a task looks at the same executors.
+WINDOW_S = 0.2  # How long a task begins at the same executor.
 
 
 def choose(
@@ -31,35 +31,48 @@
         around: What else decides.
     """
     executors = list(executors)
-    candidates = executors
-    if not _is_bound(task.step):
-        candidates = window(executors, task.name, around.now)
-    allowed = eligibility.allowed(candidates, task, around)
-    if task.step.fills:
-        return filling.choose(allowed, task, around)
     racks: frozenset[str] = frozenset()
     if task.step.rack_sensitive:
         racks = _labels_of_step(executors, task)
-    return max(
-        allowed, key=lambda executor: _score(executor, task, racks), default=None
-    )
-
-
-def window(
+    groups = [executors]
+    if not _is_bound(task.step):
+        groups = windows(executors, task.name, around.now)
+    for group in groups:
+        allowed = eligibility.allowed(group, task, around)
+        around.weighed += len(allowed)
+        if task.step.fills:
+            chosen = filling.choose(allowed, task, around)
+        else:
+            chosen = max(
+                allowed,
+                key=lambda executor: _score(executor, task, racks),
+                default=None,
+            )
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def windows(
     executors: list[room.Executor], name: str, now: float
-) -> list[room.Executor]:
-    """Return the executors that a task looks at now, others a moment later.
+) -> Iterator[list[room.Executor]]:
+    """Yield the executors in groups, in the order in which a task looks.
+
+    A task is content with the best one of the first group that has any, so
+    the whole service is only weighed for a task that fits nowhere.
 
     Args:
         executors: All executors.
-        name: Name of the task; tasks look at different ones.
+        name: Name of the task; tasks begin at different ones.
         now: Monotonic time.
     """
     if len(executors) <= MOST_WEIGHED:
-        return executors
+        yield executors
+        return
     start = zlib.crc32(f"{name} {int(now / WINDOW_S)}".encode()) % len(executors)
-    chosen = executors[start : start + MOST_WEIGHED]
-    return chosen + executors[: MOST_WEIGHED - len(chosen)]
+    turned = executors[start:] + executors[:start]
+    for first in range(0, len(turned), MOST_WEIGHED):
+        yield turned[first : first + MOST_WEIGHED]
 
 
 def _is_bound(step: messages.Step) -> bool:
