--- a/limpetstream/shard/tests/test_faults.py
+++ b/limpetstream/shard/tests/test_faults.py
@@ -186,6 +186,26 @@
     play(scenario)
 
 
+def test_work_of_an_executor_that_stays_silent_goes_elsewhere():
+    """Guards against runs that wait for an executor which never comes back.
+
+    Every look that had no answer extended the lease, so it never lapsed.
+    """
+
+    async def scenario(world):
+        world.start("m0")
+        await asyncio.sleep(2)
+        for number in range(3):
+            assert await world.submit(job_id(number), steps(), seconds=1.0)
+        await asyncio.sleep(0.5)
+        world.executor_by_id["x1"].cut = True
+        for number in range(3):
+            assert await world.until_final(job_id(number), limit_s=9) == "completed"
+
+    world = play(scenario)
+    assert not world.breaches.found
+
+
 def test_frozen_owner_starts_nothing_after_it_wakes():
     """Guards against a woken owner that starts what its successor has."""
 
