--- /dev/null
+++ b/standins/tests/test_step_executors.py
@@ -0,0 +1,59 @@
+"""Tests of what the executors in memory count as a broken promise."""
+
+import asyncio
+import random
+
+from limpetstream.executors import messages
+from standins import shard_world, step_executors, virtual_time
+
+LEASE_MS = 2000
+
+
+def play(scenario):
+    loop = virtual_time.Loop()
+
+    async def run():
+        breaches = step_executors.Breaches(loop)
+        executor = step_executors.Executor(
+            messages.Listing("x", "x", "a", "s", "ready", shard_world.CAPACITY, ()),
+            breaches,
+            {"spec": (1000, 1.0)},
+            random.Random(0),
+        )
+        await scenario(executor)
+        return breaches.found
+
+    return virtual_time.run(run(), loop=loop)
+
+
+def start(executor, number):
+    deadline_ms = executor.clock_ms() + LEASE_MS
+    executor.start(messages.StartOrder("t.0.0.0", number, "spec", deadline_ms, 1))
+
+
+def test_a_start_after_an_acknowledged_end_is_a_breach():
+    """Guards against a stand-in that lets finished work run again."""
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(1.5)
+        executor.look(1, 1, executor.clock_ms() + LEASE_MS)
+        start(executor, 2)
+
+    assert play(scenario)
+
+
+def test_an_end_before_a_lapse_does_not_count():
+    """Guards against a stand-in that is stricter than the platform.
+
+    An owner that has not heard of an executor until its lease has lapsed runs
+    the work again, and acknowledges the end when it learns of it.
+    """
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(3.0)
+        executor.look(1, 1, executor.clock_ms() + LEASE_MS)
+        start(executor, 2)
+
+    assert not play(scenario)
