Give up the first load of a topic after 0.5 s, later ones after up to 2 s

A store fifty times slower than usual answers in 0.2 s. Both tests fail before (also at a store that needs 1.5 s, which never loaded).

--- a/limpetstream/store/follower.py
+++ b/limpetstream/store/follower.py
@@ -6,7 +6,10 @@
 from limpetstream import clock as clock_module, errors
 from limpetstream.store import messages
 
-LOAD_TIMEOUT_S = 1.5
+# A call that meets a silent store should not hold up a start for long; twice
+# the answer of a store that is fifty times slower than usual fits.
+FIRST_LOAD_TIMEOUT_S = 0.5
+LONGEST_LOAD_TIMEOUT_S = 2.0
 ANSWER_SLACK_S = 0.7  # What a read may take beyond the wait that it asks for.
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 0.5
@@ -32,6 +35,7 @@
         restored: Called with the seconds since then when it works again.
         position: Offset from which the next read goes on; None to load all.
         read_at: Monotonic time before the newest read that was answered.
+        load_timeout_s: Time limit of the next load; it grows with failures.
     """
 
     store: messages.Store
@@ -46,6 +50,7 @@
     position: int | None = None
     read_at: float = float("-inf")
     failing_since: float | None = None
+    load_timeout_s: float = FIRST_LOAD_TIMEOUT_S
 
     async def load(self) -> None:
         """Read the newest value of every key.
@@ -54,9 +59,10 @@
             PlatformUnavailable: No usable answer came.
         """
         sent_at = self.clock.monotonic()
-        page = await self.store.newest(
-            self.topic, self.partition, timeout_s=LOAD_TIMEOUT_S
-        )
+        timeout_s = self.load_timeout_s
+        self.load_timeout_s = min(LONGEST_LOAD_TIMEOUT_S, 2 * timeout_s)
+        page = await self.store.newest(self.topic, self.partition, timeout_s=timeout_s)
+        self.load_timeout_s = FIRST_LOAD_TIMEOUT_S
         self.apply(page.entries, True)
         self.position = page.end
         self.read_at = sent_at
--- /dev/null
+++ b/limpetstream/store/tests/test_follower.py
@@ -0,0 +1,64 @@
+"""Tests of the follower of a keyed topic."""
+
+import asyncio
+
+from limpetstream.store import follower, messages
+from standins import keyed_store, virtual_time
+
+TOPIC = "keyed.topic"
+
+
+def test_a_first_call_without_an_answer_costs_half_a_second():
+    """Guards against a start that waits long for one unanswered call.
+
+    Seen in inc-5c14: after all instances were killed, each one waited 1.5 s
+    for its first call, and the second one was answered in 0.1 s.
+    """
+    loop = virtual_time.Loop()
+    loaded_at = []
+
+    async def scenario():
+        core = keyed_store.Core()
+        core.append(TOPIC, 0, [messages.Entry("key", b"value")], None, None)
+        client = keyed_store.Client(core)
+        client.faults.cut = True
+        following = follower.Follower(
+            client,
+            TOPIC,
+            0,
+            virtual_time.make_clock(loop),
+            lambda entries, complete: loaded_at.append(loop.time()),
+            wait_s=1.0,
+        )
+        task = asyncio.create_task(following.run())
+        await asyncio.sleep(0.3)
+        client.faults.cut = False
+        await asyncio.sleep(2.0)
+        task.cancel()
+
+    virtual_time.run(scenario(), loop=loop)
+    assert loaded_at[0] < 0.7
+
+
+def test_a_slow_store_is_given_more_time():
+    """Guards against a load that never succeeds while the store is slow."""
+    loop = virtual_time.Loop()
+    loaded_at = []
+
+    async def scenario():
+        client = keyed_store.Client(keyed_store.Core())
+        client.faults.delay_s = 1.5
+        following = follower.Follower(
+            client,
+            TOPIC,
+            0,
+            virtual_time.make_clock(loop),
+            lambda entries, complete: loaded_at.append(loop.time()),
+            wait_s=1.0,
+        )
+        task = asyncio.create_task(following.run())
+        await asyncio.sleep(6.0)
+        task.cancel()
+
+    virtual_time.run(scenario(), loop=loop)
+    assert loaded_at
