Drop the trace of a silent executor on which nothing can run

The name is dropped once the executor is silent, was looked at by this owner and holds nothing (or its lease has lapsed), and written again before its next order.

--- a/limpetstream/shard/listing.py
+++ b/limpetstream/shard/listing.py
@@ -1,25 +1,10 @@
 """Executors of a shard, by the platform's list and by the journal."""
 
-import dataclasses
-
-import msgspec
-
 from limpetstream.executors import messages, room
-from limpetstream.shard import events, names, sessions, state
+from limpetstream.shard import events, names, sessions, state, traces
 from limpetstream.telemetry import logs
 
 
-@dataclasses.dataclass(slots=True)
-class Known:
-    """Durable trace of an executor that may have got orders.
-
-    Args:
-        listing: What it said of itself.
-    """
-
-    listing: messages.Listing
-
-
 def apply_listings(
     shard: state.Shard,
     listing_by_id: dict[str, messages.Listing | None],
@@ -57,20 +42,11 @@
     executor = room.Executor(listing, listed=listed, recorded=not listed)
     executor.lease.length_s = min(executor.lease.length_s, shard.timing.longest_lease_s)
     shard.executor_by_id[listing.executor_id] = executor
+    if not listed:
+        traces.inherit(shard, listing.executor_id)
     shard.spawn(sessions.run(shard, executor))
     if listed:
-        shard.spawn(_record(shard, executor))
-
-
-async def _record(shard: state.Shard, executor: room.Executor) -> None:
-    """Leave a durable trace of an executor before it gets any order."""
-    shard.journal.put(
-        names.EXECUTOR_PREFIX + executor.listing.executor_id,
-        lambda: msgspec.json.encode(Known(executor.listing)),
-    )
-    await shard.journal.flushed()
-    executor.recorded = True
-    shard.changed.set()
+        shard.spawn(traces.write(shard, executor))
 
 
 def _list(shard: state.Shard, listing: messages.Listing) -> None:
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -6,12 +6,11 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import events, jobs, learned, listing, names, state
-from limpetstream.store import messages as store_messages
+from limpetstream.shard import events, jobs, learned, names, state, traces
+from limpetstream.store import follower, messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records, state as workflow_state
 
-LOAD_TIMEOUT_S = 1.5
 RETRY_S = 0.1
 
 
@@ -43,7 +42,7 @@
             if entry.key == names.LEARNED_KEY:
                 learned.load(shard, entry.value)
             elif entry.key.startswith(names.EXECUTOR_PREFIX):
-                known = msgspec.json.decode(entry.value, type=listing.Known)
+                known = msgspec.json.decode(entry.value, type=traces.Known)
                 listings.append(known.listing)
             else:
                 progress_by_id[entry.key] = records.decode_progress(entry.value)
@@ -146,11 +145,11 @@
 
 
 async def _newest(shard: state.Shard, topic: str) -> store_messages.Page:
+    timeout_s = follower.FIRST_LOAD_TIMEOUT_S
     while True:
         try:
-            return await shard.store.newest(
-                topic, shard.number, timeout_s=LOAD_TIMEOUT_S
-            )
+            return await shard.store.newest(topic, shard.number, timeout_s=timeout_s)
         except errors.PlatformUnavailable as error:
             logs.emit(events.LIST_READ_FAILED, topic=topic, error=str(error))
+        timeout_s = min(follower.LONGEST_LOAD_TIMEOUT_S, 2 * timeout_s)
         await shard.clock.sleep(RETRY_S)
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -4,7 +4,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import leases, room
-from limpetstream.shard import events, looks, names, pacing, state
+from limpetstream.shard import events, looks, pacing, state, traces
 from limpetstream.telemetry import logs
 
 WAIT_S = 1.0  # A quarter of the lease, so that two renewals may be lost.
@@ -23,18 +23,14 @@
     """Return whether this owner may extend leases.
 
     Either the journal has confirmed an append lately, or more than half of
-    the executors have accepted this owner's token lately. A later owner that
-    has reached more than half of them thereby knows when all leases that it
-    can not see have lapsed.
+    the executors that the journal names have accepted this owner's token
+    lately. A later owner that has reached half of them thereby knows when all
+    leases that it can not see have lapsed.
     """
     now = shard.clock.monotonic()
-    shard.proof_at = max(shard.proof_at, shard.journal.confirmed_at)
-    looked = sorted(
-        (executor.looked_at for executor in shard.executor_by_id.values()),
-        reverse=True,
+    shard.proof_at = max(
+        shard.proof_at, shard.journal.confirmed_at, traces.majority_looked_at(shard)
     )
-    if looked:
-        shard.proof_at = max(shard.proof_at, looked[len(looked) // 2])
     return now - shard.proof_at < PROOF_S
 
 
@@ -56,6 +52,8 @@
                 if not executor.listed:
                     _remove(shard, executor)
                     return
+            if _is_vacant(shard, executor):
+                shard.spawn(traces.drop(shard, executor))
             await shard.clock.sleep(RETRY_S)
 
 
@@ -132,6 +130,8 @@
     )
     executor.reached = True
     executor.silent_since = None
+    if not executor.recorded:
+        shard.spawn(traces.write(shard, executor))
     locate(shard)
     shard.changed.set()
 
@@ -172,11 +172,19 @@
         looks.lose_all(shard, executor, "lapsed")
 
 
+def _is_vacant(shard: state.Shard, executor: room.Executor) -> bool:
+    """Return whether nothing can run on an executor that does not answer."""
+    if executor.run_by_task or executor.strangers or not executor.recorded:
+        return False
+    # Before its first look the runs of an earlier owner are unknown.
+    return executor.reached or _has_lapsed(shard, executor)
+
+
 def _remove(shard: state.Shard, executor: room.Executor) -> None:
     executor_id = executor.listing.executor_id
     if shard.executor_by_id.get(executor_id) is executor:
         del shard.executor_by_id[executor_id]
-        shard.journal.put(names.EXECUTOR_PREFIX + executor_id, lambda: None)
+        shard.spawn(traces.drop(shard, executor))
     locate(shard)
 
 
@@ -184,20 +192,21 @@
     """Note when every run of earlier owners is known or has lapsed."""
     if shard.located or not shard.recovered:
         return
-    executors = shard.executor_by_id.values()
-    reached = sum(executor.reached for executor in executors)
+    inherited = len(shard.inherited)
+    reached = traces.count_settled(shard)
     now = shard.clock.monotonic()
-    if shard.majority_at is None and reached * 2 >= len(executors):
+    if shard.majority_at is None and reached * 2 >= inherited:
         shard.majority_at = now
     waiting = shard.majority_at is None or now <= _unseen_lapse(shard)
-    if reached == len(executors) or not waiting:
+    if reached == inherited or not waiting:
         shard.located = True
         shard.changed.set()
         logs.emit(
             events.SHARD_LOCATED,
             shard=shard.number,
             epoch=shard.epoch,
-            executors=len(executors),
+            executors=len(shard.executor_by_id),
+            inherited=inherited,
             reached=reached,
             after_ms=round((now - shard.claimed_at) * 1000),
         )
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -16,6 +16,11 @@
     state as workflow_state,
 )
 
+# What the journal holds of an executor.
+WRITING = "writing"
+KEPT = "kept"
+DROPPING = "dropping"
+
 
 @dataclasses.dataclass(slots=True)
 class Timing:
@@ -68,12 +73,15 @@
         spawn: Starts a task that ends with the ownership.
         job_by_id: Open jobs, and final ones that can still be asked for.
         executor_by_id: Executors of this shard.
+        trace_by_id: What the journal holds of executors: ``writing``,
+            ``kept`` or ``dropping``.
+        inherited: Executors that the journal named when this owner loaded it.
         ready: Tasks that wait for room.
         changed: Set when something may have become placeable.
         proof_at: Monotonic time at which the ownership was proven last.
         claimed_at: Monotonic time of the claim.
         recovered: Whether jobs and executors have been loaded.
-        majority_at: Monotonic time from which more than half of the executors
+        majority_at: Monotonic time from which half of the inherited executors
             were reached; None before.
         started_before: Ids of jobs that an earlier owner may have started.
         located: Whether every run of earlier owners is known or has lapsed.
@@ -98,6 +106,8 @@
     spawn: Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]]
     job_by_id: dict[str, workflow_state.Job] = dataclasses.field(default_factory=dict)
     executor_by_id: dict[str, room.Executor] = dataclasses.field(default_factory=dict)
+    trace_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    inherited: set[str] = dataclasses.field(default_factory=set)
     ready: list[workflow_state.Task] = dataclasses.field(default_factory=list)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     proof_at: float = 0.0
--- a/limpetstream/shard/tests/test_faults.py
+++ b/limpetstream/shard/tests/test_faults.py
@@ -186,6 +186,36 @@
     play(scenario)
 
 
+def test_new_owner_does_not_wait_for_an_executor_that_was_empty():
+    """Guards against seconds without starts after a change of owner.
+
+    Pattern: an executor is gone, its runs were given up, and later all
+    instances are killed. Seen in inc-5c14: one executor of 24 that was dark
+    and empty held back every job that had begun, for 8 s.
+    """
+    starts_after = []
+
+    async def scenario(world):
+        world.start("m0")
+        await asyncio.sleep(2)
+        for number in range(3):
+            assert await world.submit(job_id(number), steps(chain=16), seconds=1.0)
+        world.executor_by_id["x1"].cut = True
+        await asyncio.sleep(6.0)
+        await world.kill("m0")
+        world.start("m1")
+        await asyncio.sleep(3.0)  # Until the group gives the shard to it.
+        before = world.breaches.starts
+        await asyncio.sleep(2.0)
+        starts_after.append(world.breaches.starts - before)
+        for number in range(3):
+            assert await world.until_final(job_id(number), limit_s=60) == "completed"
+
+    world = play(scenario)
+    assert not world.breaches.found
+    assert starts_after[0] > 0
+
+
 def test_work_of_an_executor_that_stays_silent_goes_elsewhere():
     """Guards against runs that wait for an executor which never comes back.
 
@@ -206,6 +236,28 @@
     assert not world.breaches.found
 
 
+def test_executor_that_comes_back_gets_work_again():
+    """Guards against an executor without a trace that is never used again."""
+
+    async def scenario(world):
+        world.start("m0")
+        await asyncio.sleep(2)
+        for executor in world.executor_by_id.values():
+            executor.cut = True
+        await asyncio.sleep(6.0)
+        for executor in world.executor_by_id.values():
+            executor.cut = False
+        assert await world.submit(job_id(1), steps(8), seconds=0.5)
+        assert await world.until_final(job_id(1), limit_s=5) == "completed"
+        await world.kill("m0")
+        world.start("m1")
+        assert await world.submit(job_id(2), steps(8), seconds=0.5)
+        assert await world.until_final(job_id(2), limit_s=10) == "completed"
+
+    world = play(scenario)
+    assert not world.breaches.found
+
+
 def test_frozen_owner_starts_nothing_after_it_wakes():
     """Guards against a woken owner that starts what its successor has."""
 
