--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -29,13 +29,13 @@
 
     Args:
         now: Monotonic time.
-        displaceable: Lasting runs that may be stopped for short work.
+        may_displace: Whether a lasting run may be stopped for short work.
         weighed: Executors that were compared so far.
         full: Shapes of tasks for which no executor had room.
     """
 
     now: float
-    displaceable: int
+    may_displace: bool
     weighed: int = 0
     full: set[tuple[str, int, int, int, str, str, int]] = dataclasses.field(
         default_factory=set
@@ -71,7 +71,7 @@
     due = [task for task in shard.ready if task.not_before <= now]
     kept = [task for task in shard.ready if task.not_before > now]
     waiting = collections.deque(_in_order(shard, due, _has_backlog(due, now)))
-    this_pass = _Pass(now, preemption.displaceable(shard, now))
+    this_pass = _Pass(now, preemption.may_displace(shard, now))
     shard.ready = []
     placed = 0
     while waiting and placed < MOST_PLACED and this_pass.weighed < MOST_WEIGHED:
@@ -173,8 +173,8 @@
     if preemption.may_preempt(shard, task, now):
         if task.step.long_running:
             preemption.make_room(shard, task, around)
-        elif this_pass.displaceable:
-            this_pass.displaceable -= preemption.make_room(shard, task, around)
+        elif this_pass.may_displace:
+            this_pass.may_displace = not preemption.make_room(shard, task, around)
     return False
 
 
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -1,7 +1,5 @@
 """Room that is made for waiting work by stopping other work."""
 
-import math
-
 from limpetstream.executors import room
 from limpetstream.shard import objectives, state, stops
 from limpetstream.workflow import eligibility, state as workflow_state
@@ -10,13 +8,7 @@
 SHORT_PREEMPT_AFTER_S = 1.0  # Most short work runs for less than two seconds.
 SOON_S = 1.5  # Room that is free sooner is not worth the work thrown away.
 LASTING_WAIT_S = 2.0  # Lasting work has to run again 6 s after its last run.
-DISPLACE_INTERVAL_S = 0.3  # Room of the last ones shows after a stop of 0.2 s.
-# One run at a time serves a service of 24 executors; larger ones get as much
-# more desk work in the same time.
-EXECUTORS_FOR_EACH = 24
-# Lasting work that comes back late stops displacing. In a large and full
-# service some always does; no user of a small one is to wait for another.
-MOST_LONG_WAITS = 0.005
+DISPLACE_INTERVAL_S = 0.3  # Room of the last one shows after a stop of 0.2 s.
 PREEMPT_AFTER_S = 0.1  # Room that is about to be free is waited for first.
 # Short work earns about four times as much for a core as work that lasts, on
 # both of the users' deployments; the share bounds what lasting work loses.
@@ -68,10 +60,7 @@
     if best is None or best_executor is None:
         return False
     if not task.step.long_running:
-        if around.now - shard.displaced_at >= DISPLACE_INTERVAL_S:
-            shard.displaced_at = around.now
-            shard.displaced = 0
-        shard.displaced += 1
+        shard.displaced_at = around.now
     for run in best:
         stops.begin(shard, best_executor, run, f"room for {task.name}")
     task.room_asked_at = around.now
@@ -130,27 +119,24 @@
     return run.ordered_at + run_s - shard.clock.monotonic() > SOON_S
 
 
-def displaceable(shard: state.Shard, now: float) -> int:
-    """Return how many lasting runs may be stopped for short work now."""
-    at_once = max(1, len(shard.executor_by_id) // EXECUTORS_FOR_EACH)
+def may_displace(shard: state.Shard, now: float) -> bool:
+    """Return whether one more lasting run may be stopped for short work."""
     if now - shard.displaced_at < DISPLACE_INTERVAL_S:
-        at_once -= shard.displaced
-    if at_once <= 0 or not any(
+        return False
+    if not any(
         is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
         for task in shard.ready
     ):
-        return 0
+        return False
     waiting = [task for task in shard.ready if task.step.long_running]
+    if any(has_waited_long(shard, task) for task in waiting):
+        return False
     lasting = sum(
         run.task.step.long_running
         for executor in shard.executor_by_id.values()
         for run in executor.run_by_task.values()
     )
-    long_waits = sum(has_waited_long(shard, task) for task in waiting)
-    if long_waits > MOST_LONG_WAITS * lasting:
-        return 0
-    left = math.ceil(MOST_DISPLACED * lasting) - len(waiting)
-    return max(0, min(at_once, left))
+    return len(waiting) < MOST_DISPLACED * lasting
 
 
 def _loss(run: workflow_state.Run, now: float) -> float:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -88,9 +88,8 @@
         due_occurrences: Next occurrence of each scheduled job, by job id.
         learned: What is known of images beside each other.
         outlooks: What filling work can expect on each executor.
-        displaced_at: Monotonic time at which lasting runs were last begun to
-            be stopped for short work.
-        displaced: How many have been since then.
+        displaced_at: Monotonic time at which a lasting run was last stopped
+            for short work.
         run_s_by_queue: Mean seconds of a run that ended as done, by queue.
         submissions: Position in the topic of submissions.
     """
@@ -123,7 +122,6 @@
     )
     outlooks: outlook.Outlooks = dataclasses.field(default_factory=outlook.Outlooks)
     displaced_at: float = float("-inf")
-    displaced: int = 0
     run_s_by_queue: dict[str, float] = dataclasses.field(default_factory=dict)
     submissions: follower.Follower | None = None
 
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -7,7 +7,7 @@
 import loguru
 import pytest
 
-from limpetstream.shard import moving, placing, preemption
+from limpetstream.shard import moving, placing
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import interference, state as workflow_state
 from standins import virtual_time
@@ -184,26 +184,6 @@
     assert len(stopping(shard)) == 1
 
 
-def test_a_large_service_displaces_as_much_more_lasting_work():
-    """Guards against desk work that waits 12 s on a service that has grown.
-
-    Pattern: 176 executors, reserved by lasting work, and a burst of desk work,
-    as on trouble-1 of the grown bwc; one run every 0.3 s was stopped. Some
-    lasting work is late in a full service of that size at any time.
-    """
-    shard = builders.make_shard(virtual_time.Loop(), executors=176)
-    for number in range(176):
-        serve(shard, f"x{number}", "tough")
-    short = builders.step_of(builders.SHORT, cpu_millicores=13_000)
-    wait(shard, short, 60, waited_s=1.2, queue="desk")
-    large = builders.step_of(builders.SERVING, cpu_millicores=50_000)
-    wait(shard, large, 3, waited_s=2.5, queue="desk")
-    placing.place(shard)
-    assert len(stopping(shard)) == 176 // preemption.EXECUTORS_FOR_EACH
-    placing.place(shard)
-    assert len(stopping(shard)) == 176 // preemption.EXECUTORS_FOR_EACH
-
-
 def test_lasting_work_that_may_not_be_missed_is_never_displaced():
     """Guards against AVAIL: tasks of a step away by our own doing."""
     shard = builders.make_shard(virtual_time.Loop())
