Let filling tasks look at one group of executors again

Cause: to weigh an executor for filling work costs about 15 us, and hundreds of jobs of their own shape wait in an overload. Other tasks still look at every executor: where nothing is free that is cheap.

--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -1,5 +1,6 @@
 """Where a task runs: which executors may, and which one is best."""
 
+import itertools
 import zlib
 from collections.abc import Iterable, Iterator
 
@@ -34,9 +35,12 @@
     racks: frozenset[str] = frozenset()
     if task.step.rack_sensitive:
         racks = _labels_of_step(executors, task)
-    groups = [executors]
+    groups: Iterable[list[room.Executor]] = [executors]
     if not _is_bound(task.step):
         groups = windows(executors, task.name, around.now)
+    if task.step.fills:
+        # It is costly to weigh, and tried again 0.2 s later elsewhere.
+        groups = itertools.islice(groups, 1)
     for group in groups:
         allowed = eligibility.allowed(group, task, around)
         around.weighed += len(allowed)
@@ -58,8 +62,8 @@
 ) -> Iterator[list[room.Executor]]:
     """Yield the executors in groups, in the order in which a task looks.
 
-    A task is content with the best one of the first group that has any, so
-    the whole service is only weighed for a task that fits nowhere.
+    A task is content with the best one of the first group that has any. Where
+    a task has no room, finding that out costs little.
 
     Args:
         executors: All executors.
