--- a/limpetstream/report/stages.py
+++ b/limpetstream/report/stages.py
@@ -16,7 +16,7 @@
 from limpetstream.telemetry import events as telemetry_events
 
 LONGEST_MS = 3_600_000  # An hour; longer stages count as one.
-SIGNIFICANT_DIGITS = 2
+SIGNIFICANT_DIGITS = 3
 UNKNOWN = "(unknown)"  # Queue of a job whose first lines are not in the logs.
 
 
