--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -14,6 +14,7 @@
 TIMEOUT_S = 4.0
 TRIES = 8
 ASK_S = 0.5
+WATCH_S = 0.2
 CANCEL_SHARE = 0.1
 LASTING_SHARE = 0.1
 NOT_RUN_STATUSES = frozenset({429, 503})
@@ -54,6 +55,7 @@
     def __init__(self, world: _world.World) -> None:
         self.job_by_id: dict[str, Job] = {}
         self._world = world
+        self._choices = world.caller_choices
 
     async def run(self, seconds: float, *, per_s: float) -> None:
         """Hand in jobs for a time, and return when all calls have ended."""
@@ -62,7 +64,17 @@
         async with asyncio.TaskGroup() as running:
             while loop.time() < until:
                 running.create_task(self._one())
-                await asyncio.sleep(self._world.random.expovariate(per_s))
+                await asyncio.sleep(self._choices.expovariate(per_s))
+
+    async def watch(self, seconds: float) -> None:
+        """Ask for accepted jobs at any instance while faults are injected."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            accepted = [job for job in self.job_by_id.values() if job.accepted]
+            if accepted:
+                await self._ask(self._choices.choice(accepted))
+            await asyncio.sleep(WATCH_S)
 
     async def settle(self, *, limit_s: float) -> None:
         """Ask until every job stands as it must, or the time is over."""
@@ -93,7 +105,7 @@
         )
 
     async def _one(self) -> None:
-        source = self._world.random
+        source = self._choices
         lasting = source.random() < LASTING_SHARE
         cpu = source.choice([500, 1000, 2000, 4000])
         count = source.randint(1, 3 if lasting else 6)
@@ -130,7 +142,7 @@
             elif status not in NOT_RUN_STATUSES:
                 self._find(job, f"handing in was answered {status}")
                 return
-            await asyncio.sleep(self._world.random.uniform(0.3, 1.2))
+            await asyncio.sleep(self._choices.uniform(0.3, 1.2))
 
     async def _cancel(self, job: Job) -> None:
         job.cancel_asked = True
@@ -143,7 +155,7 @@
                 loop = asyncio.get_running_loop()
                 self._world.breaches.cancelled_at[job.job_id] = loop.time()
                 return
-            await asyncio.sleep(self._world.random.uniform(0.3, 1.2))
+            await asyncio.sleep(self._choices.uniform(0.3, 1.2))
 
     async def _ask(self, job: Job) -> None:
         status, answer = await self._call("GET", job)
@@ -152,6 +164,8 @@
             job.final = "lost"
         elif status == 200:
             state = msgspec.json.decode(answer)["state"]
+            if job.final is not None and state != job.final:
+                self._find(job, f"was {job.final} and is {state}")
             if state in messages.FINAL_STATES:
                 job.final = state
 
@@ -163,10 +177,8 @@
         A connection that could not be made counts as a refusal: nothing was
         sent.
         """
-        instance = self._world.random.choice(
-            list(self._world.instance_by_name.values())
-        )
-        url = f"http://127.0.0.1:{instance.front_link.port}"
+        instance = self._choices.choice(list(self._world.instance_by_name.values()))
+        url = f"http://127.0.0.1:{instance.caller_link.port}"
         try:
             answer = await self._world.client.call(
                 method,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -73,9 +73,9 @@
     await _disturb(world, _any(world, world.instance_by_name).store_link)
 
 
-async def front_link(world: _world.World) -> None:
+async def caller_link(world: _world.World) -> None:
     """Disturb the connections of the callers to an instance."""
-    await _disturb(world, _any(world, world.instance_by_name).front_link)
+    await _disturb(world, _any(world, world.instance_by_name).caller_link)
 
 
 async def executor_link(world: _world.World) -> None:
@@ -93,7 +93,7 @@
 async def store_writes(world: _world.World) -> None:
     """Lose answers of writes, or carry writes out seconds later."""
     faults = _any(world, world.instance_by_name).client.faults
-    faults.lose_share = world.random.choice([0.0, 0.3])
+    faults.lose_share = world.fault_choices.choice([0.0, 0.3])
     faults.late_share = 0.3 - faults.lose_share
     await _while(world)
     faults.lose_share = faults.late_share = 0.0
@@ -138,7 +138,7 @@
     reload,
     kill_all,
     store_link,
-    front_link,
+    caller_link,
     executor_link,
     store_down,
     store_writes,
@@ -159,7 +159,7 @@
     ]
     if not free:
         return None
-    instance = world.random.choice(free)
+    instance = world.fault_choices.choice(free)
     instance.is_busy = True
     return instance
 
@@ -174,13 +174,13 @@
 
 async def _restart(world: _world.World, instance: _world.Instance) -> None:
     instance.process = None
-    await asyncio.sleep(world.random.uniform(0.2, 2.0))
+    await asyncio.sleep(world.fault_choices.uniform(0.2, 2.0))
     world.start(instance)
     instance.is_busy = False
 
 
 async def _disturb(world: _world.World, between: link.Link) -> None:
-    how = world.random.choice(["pause", "mute", "cut", "reset", "delay"])
+    how = world.fault_choices.choice(["pause", "mute", "cut", "reset", "delay"])
     if how == "pause":
         between.is_paused = True
     elif how == "mute":
@@ -196,8 +196,8 @@
 
 
 async def _while(world: _world.World) -> None:
-    await asyncio.sleep(world.random.uniform(0.3, LONGEST_S))
+    await asyncio.sleep(world.fault_choices.uniform(0.3, LONGEST_S))
 
 
 def _any(world: _world.World, value_by_name: dict) -> object:
-    return world.random.choice(list(value_by_name.values()))
+    return world.fault_choices.choice(list(value_by_name.values()))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -50,6 +50,7 @@
         played: list[str] = []
         async with asyncio.TaskGroup() as running:
             running.create_task(callers.run(seconds, per_s=PER_S))
+            running.create_task(callers.watch(seconds))
             running.create_task(_inject(world, seconds, played))
         await callers.settle(limit_s=SETTLE_S)
         _judge(world, callers)
@@ -75,19 +76,19 @@
     await asyncio.sleep(QUIET_S)
     async with asyncio.TaskGroup() as running:
         while loop.time() - began < seconds:
-            fault = world.random.choice(_faults.ALL)
+            fault = world.fault_choices.choice(_faults.ALL)
             running.create_task(_series(world, fault, began, played))
-            await asyncio.sleep(world.random.expovariate(1 / SERIES_EVERY_S))
+            await asyncio.sleep(world.fault_choices.expovariate(1 / SERIES_EVERY_S))
 
 
 async def _series(
     world: _world.World, fault: _faults.Fault, began: float, played: list[str]
 ) -> None:
-    for _ in range(world.random.randint(1, MOST_IN_SERIES)):
+    for _ in range(world.fault_choices.randint(1, MOST_IN_SERIES)):
         at = asyncio.get_running_loop().time() - began
         played.append(f"{fault.__name__} at {at:.1f} s")
         await fault(world)
-        await asyncio.sleep(world.random.uniform(0.0, 2.0))
+        await asyncio.sleep(world.fault_choices.uniform(0.0, 2.0))
 
 
 def _judge(world: _world.World, callers: _callers.Callers) -> None:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -37,7 +37,7 @@
         settings_path: Its settings file.
         client: The store as it reaches it, with switches.
         store_link: Its connections to the store.
-        front_link: Connections of the callers to it.
+        caller_link: Connections of the callers to it.
         process: Its process; None while it is away.
         is_busy: Whether a fault is ending or starting the process.
     """
@@ -47,7 +47,7 @@
     settings_path: pathlib.Path
     client: keyed_store.Client
     store_link: link.Link
-    front_link: link.Link
+    caller_link: link.Link
     process: processes.Process | None = None
     is_busy: bool = False
 
@@ -70,7 +70,10 @@
 
     def __init__(self, seed: int, group: processes.Group) -> None:
         loop = asyncio.get_running_loop()
+        # Apart, so that what callers and executors draw moves no fault.
         self.random = random.Random(seed)
+        self.fault_choices = random.Random(seed)
+        self.caller_choices = random.Random(seed)
         self.core = keyed_store.Core(seed=seed)
         self.breaches = step_executors.Breaches(loop)
         self.size_by_spec: dict[str, tuple[int, float]] = {}
@@ -141,7 +144,7 @@
         """Start the process of an instance."""
         instance.process = self.group.start_script(
             instance.name,
-            "platform/front.py",
+            deployment.PROGRAM,
             value_by_variable=deployment.environment(str(instance.settings_path)),
         )
 
@@ -179,11 +182,11 @@
                 store_address=f"127.0.0.1:{store_link.port}",
             )
         )
-        front_link = await self._stack.enter_async_context(
-            link.open_link(deployment.FRONT_PORT, target_host=ip)
+        caller_link = await self._stack.enter_async_context(
+            link.open_link(deployment.CALLERS_PORT, target_host=ip)
         )
         self.instance_by_name[name] = Instance(
-            name, ip, path, client, store_link, front_link
+            name, ip, path, client, store_link, caller_link
         )
 
     async def _served(self, answer: plain.Answer) -> link.Link:
