--- a/limpetstream/shard/tests/test_faults.py
+++ b/limpetstream/shard/tests/test_faults.py
@@ -5,15 +5,15 @@
 """
 
 import asyncio
-import random
 
 import loguru
 import pytest
 
 from limpetstream import errors
 from limpetstream.shard import names, ownership
+from limpetstream.shard.tests import schedules
 from limpetstream.workflow import messages
-from standins import keyed_store, shard_world, virtual_time
+from standins import keyed_store, virtual_time
 
 SCHEDULES = 60
 
@@ -23,35 +23,6 @@
     loguru.logger.remove()
 
 
-def play(scenario, **options):
-    random.seed(0)  # Back-off with jitter draws from it.
-    loop = virtual_time.Loop()
-    asyncio.set_event_loop(loop)
-
-    async def bounded():
-        world = shard_world.World(loop, **options)
-        async with asyncio.timeout(150):
-            await scenario(world)
-        for member in list(world.instance_by_member):
-            await world.kill(member)
-        return world
-
-    return virtual_time.run(bounded(), loop=loop)
-
-
-def steps(count=4, *, chain=1, cpu=4000):
-    return [
-        messages.Step(
-            count, cpu_millicores=cpu, memory_mb=100, after=(n - 1,) if n else ()
-        )
-        for n in range(chain)
-    ]
-
-
-def job_id(number):
-    return f"{number:016x}"
-
-
 def test_jobs_of_two_steps_complete_once():
     """Guards against a path that loses or repeats work without any fault."""
 
@@ -59,11 +30,16 @@
         world.start("m0")
         world.start("m1")
         for number in range(6):
-            assert await world.submit(job_id(number), steps(chain=2), seconds=0.5)
+            assert await world.submit(
+                schedules.job_id(number), schedules.steps(chain=2), seconds=0.5
+            )
         for number in range(6):
-            assert await world.until_final(job_id(number), limit_s=30) == "completed"
+            assert (
+                await world.until_final(schedules.job_id(number), limit_s=30)
+                == "completed"
+            )
 
-    world = play(scenario)
+    world = schedules.play(scenario)
     assert not world.breaches.found
     assert world.breaches.starts == 6 * 8
 
@@ -79,13 +55,13 @@
         world.start("m0")
         world.start("m1")
         await asyncio.sleep(2)
-        assert await world.submit(job_id(1), steps(8), seconds=1.0)
+        assert await world.submit(schedules.job_id(1), schedules.steps(8), seconds=1.0)
         await asyncio.sleep(1.0)
         await world.kill(world.owner_member())
-        assert await world.until_final(job_id(1), limit_s=30) == "completed"
+        assert await world.until_final(schedules.job_id(1), limit_s=30) == "completed"
 
     for seed in range(4):
-        world = play(scenario, seed=seed)
+        world = schedules.play(scenario, seed=seed)
         assert not world.breaches.found
         assert world.breaches.starts == 8
 
@@ -104,7 +80,7 @@
         await asyncio.sleep(1.5)
         assert world.owner_member() in ("m0", "m2", "m3")
 
-    play(scenario)
+    schedules.play(scenario)
 
 
 def test_two_claims_at_once_get_different_epochs():
@@ -139,16 +115,16 @@
         world.start("weak1", reserve=True)
         await asyncio.sleep(2)
         assert world.owner_member() in ("weak0", "weak1")
-        assert await world.submit(job_id(1), steps(8), seconds=6.0)
+        assert await world.submit(schedules.job_id(1), schedules.steps(8), seconds=6.0)
         world.start("strong")
         await asyncio.sleep(5)
         assert world.owner_member() == "strong"
         await world.kill("strong")
         await asyncio.sleep(5)
         assert world.owner_member() in ("weak0", "weak1")
-        assert await world.until_final(job_id(1), limit_s=30) == "completed"
+        assert await world.until_final(schedules.job_id(1), limit_s=30) == "completed"
 
-    world = play(scenario)
+    world = schedules.play(scenario)
     assert not world.breaches.found
     assert world.breaches.starts == 8
 
@@ -183,7 +159,7 @@
         assert group.generation == generation
         assert world.owner_member() == "weak0"
 
-    play(scenario)
+    schedules.play(scenario)
 
 
 def test_new_owner_does_not_wait_for_an_executor_that_was_empty():
@@ -199,7 +175,9 @@
         world.start("m0")
         await asyncio.sleep(2)
         for number in range(3):
-            assert await world.submit(job_id(number), steps(chain=16), seconds=1.0)
+            assert await world.submit(
+                schedules.job_id(number), schedules.steps(chain=16), seconds=1.0
+            )
         world.executor_by_id["x1"].cut = True
         await asyncio.sleep(6.0)
         await world.kill("m0")
@@ -209,9 +187,12 @@
         await asyncio.sleep(2.0)
         starts_after.append(world.breaches.starts - before)
         for number in range(3):
-            assert await world.until_final(job_id(number), limit_s=60) == "completed"
+            assert (
+                await world.until_final(schedules.job_id(number), limit_s=60)
+                == "completed"
+            )
 
-    world = play(scenario)
+    world = schedules.play(scenario)
     assert not world.breaches.found
     assert starts_after[0] > 0
 
@@ -226,13 +207,18 @@
         world.start("m0")
         await asyncio.sleep(2)
         for number in range(3):
-            assert await world.submit(job_id(number), steps(), seconds=1.0)
+            assert await world.submit(
+                schedules.job_id(number), schedules.steps(), seconds=1.0
+            )
         await asyncio.sleep(0.5)
         world.executor_by_id["x1"].cut = True
         for number in range(3):
-            assert await world.until_final(job_id(number), limit_s=9) == "completed"
+            assert (
+                await world.until_final(schedules.job_id(number), limit_s=9)
+                == "completed"
+            )
 
-    world = play(scenario)
+    world = schedules.play(scenario)
     assert not world.breaches.found
 
 
@@ -247,14 +233,14 @@
         await asyncio.sleep(6.0)
         for executor in world.executor_by_id.values():
             executor.cut = False
-        assert await world.submit(job_id(1), steps(8), seconds=0.5)
-        assert await world.until_final(job_id(1), limit_s=5) == "completed"
+        assert await world.submit(schedules.job_id(1), schedules.steps(8), seconds=0.5)
+        assert await world.until_final(schedules.job_id(1), limit_s=5) == "completed"
         await world.kill("m0")
         world.start("m1")
-        assert await world.submit(job_id(2), steps(8), seconds=0.5)
-        assert await world.until_final(job_id(2), limit_s=10) == "completed"
+        assert await world.submit(schedules.job_id(2), schedules.steps(8), seconds=0.5)
+        assert await world.until_final(schedules.job_id(2), limit_s=10) == "completed"
 
-    world = play(scenario)
+    world = schedules.play(scenario)
     assert not world.breaches.found
 
 
@@ -266,12 +252,17 @@
         world.start("m1")
         await asyncio.sleep(2)
         for number in range(10):
-            assert await world.submit(job_id(number), steps(), seconds=1.5)
+            assert await world.submit(
+                schedules.job_id(number), schedules.steps(), seconds=1.5
+            )
         await world.freeze(world.owner_member(), 4.0)
         for number in range(10):
-            assert await world.until_final(job_id(number), limit_s=60) == "completed"
+            assert (
+                await world.until_final(schedules.job_id(number), limit_s=60)
+                == "completed"
+            )
 
-    assert not play(scenario).breaches.found
+    assert not schedules.play(scenario).breaches.found
 
 
 def test_refused_job_never_runs_and_unknown_job_is_certain():
@@ -280,19 +271,23 @@
     async def scenario(world):
         instance = world.start("m0")
         await asyncio.sleep(2)
-        assert await world.state(job_id(7)) is None
+        assert await world.state(schedules.job_id(7)) is None
         world.core.down = True
-        world.size_by_spec[job_id(1)] = (1000, 1.0)
+        world.size_by_spec[schedules.job_id(1)] = (1000, 1.0)
         submission = messages.Submission(
-            job_id(1), "desk", "service", job_id(1), steps()
+            schedules.job_id(1),
+            "desk",
+            "service",
+            schedules.job_id(1),
+            schedules.steps(),
         )
         with pytest.raises(Exception, match="refused"):
             await instance.access.submit(submission, wait_s=3.0)
         world.core.down = False
         await asyncio.sleep(10)
-        assert await world.state(job_id(1)) is None
+        assert await world.state(schedules.job_id(1)) is None
 
-    assert play(scenario).breaches.starts == 0
+    assert schedules.play(scenario).breaches.starts == 0
 
 
 def test_job_is_refused_at_once_while_the_store_is_down():
@@ -307,7 +302,7 @@
         async def call(number):
             await asyncio.sleep(number * 0.05)
             submission = messages.Submission(
-                job_id(number), "desk", "service", "", steps()
+                schedules.job_id(number), "desk", "service", "", schedules.steps()
             )
             begun = loop.time()
             with pytest.raises(errors.NotRun) as caught:
@@ -319,7 +314,7 @@
         # The first second tells that it is down; then one in ten probes.
         assert sum(wait < 0.01 for wait in waits) >= 65
 
-    play(scenario)
+    schedules.play(scenario)
 
 
 def test_cancelled_job_stops_and_starts_no_more():
@@ -328,15 +323,17 @@
     async def scenario(world):
         instance = world.start("m0")
         await asyncio.sleep(2)
-        assert await world.submit(job_id(1), steps(40), seconds=1.0)
+        assert await world.submit(schedules.job_id(1), schedules.steps(40), seconds=1.0)
         await asyncio.sleep(0.5)
-        assert await instance.access.cancel(job_id(1), wait_s=3.0)
-        world.breaches.cancelled_at[job_id(1)] = asyncio.get_running_loop().time()
+        assert await instance.access.cancel(schedules.job_id(1), wait_s=3.0)
+        world.breaches.cancelled_at[schedules.job_id(1)] = (
+            asyncio.get_running_loop().time()
+        )
         await asyncio.sleep(6.0)
-        assert await world.state(job_id(1)) == "cancelled"
+        assert await world.state(schedules.job_id(1)) == "cancelled"
         assert not any(x.work_by_task for x in world.executor_by_id.values())
 
-    assert not play(scenario).breaches.found
+    assert not schedules.play(scenario).breaches.found
 
 
 def test_owner_without_a_configuration_fails_no_job():
@@ -349,7 +346,7 @@
     async def scenario(world):
         world.start("m0")
         await asyncio.sleep(2)
-        assert await world.submit(job_id(1), steps(1), seconds=2.0)
+        assert await world.submit(schedules.job_id(1), schedules.steps(1), seconds=2.0)
         await asyncio.sleep(0.5)
         configuration, world.view.configuration = world.view.configuration, None
         for executor in world.executor_by_id.values():
@@ -362,126 +359,13 @@
         for executor in world.executor_by_id.values():
             executor.fail_all = False
         world.view.configuration = configuration
-        assert await world.until_final(job_id(1), limit_s=30) == "completed"
+        assert await world.until_final(schedules.job_id(1), limit_s=30) == "completed"
 
-    assert not play(scenario).breaches.found
+    assert not schedules.play(scenario).breaches.found
 
 
 @pytest.mark.parametrize("seed", range(SCHEDULES))
 def test_random_faults_break_no_promise(seed):
     """Guards against lost, doubled or oversized work under pairs of faults."""
-    world = play(lambda world: random_schedule(world, seed), seed=seed)
+    world = schedules.random_world(seed)
     assert not world.breaches.found
-
-
-async def random_schedule(world, seed):
-    chance = random.Random(seed)
-    for number in range(3):
-        # Every other schedule has one strong instance and two of the reserve.
-        world.start(f"m{number}", reserve=bool(seed % 2 and number))
-    await asyncio.sleep(2)
-    accepted = []
-    faults = asyncio.create_task(inject(world, chance))
-    for number in range(16):
-        seconds = chance.choice([0.3, 1.0, 2.5])
-        name = job_id(number)
-        if await world.submit(name, steps(3, chain=2), seconds=seconds):
-            accepted.append(name)
-        await asyncio.sleep(chance.uniform(0.1, 0.8))
-    await faults
-    for name in accepted:
-        assert await world.until_final(name, limit_s=40) == "completed", name
-
-
-async def inject(world, chance):
-    for round_ in range(4):
-        await asyncio.sleep(chance.uniform(0.3, 2.0))
-        fault = chance.choice(FAULTS)
-        await fault(world, chance, round_)
-
-
-async def kill_owner(world, chance, round_):
-    owner = world.owner_member()
-    if owner:
-        await world.kill(owner)
-        world.start(f"r{round_}")
-
-
-async def freeze_owner(world, chance, round_):
-    owner = world.owner_member()
-    if owner:
-        await world.freeze(owner, chance.uniform(1.0, 5.0))
-
-
-async def cut_owner_from_store(world, chance, round_):
-    owner = world.owner_member()
-    if owner:
-        instance = world.instance_by_member[owner]
-        instance.store.faults.cut = True
-        await asyncio.sleep(chance.uniform(1.0, 5.0))
-        instance.store.faults.cut = False
-
-
-async def cut_executor(world, chance, round_):
-    executor = chance.choice(list(world.executor_by_id.values()))
-    executor.cut = True
-    await asyncio.sleep(chance.uniform(0.5, 8.0))
-    executor.cut = False
-
-
-async def restart_executor(world, chance, round_):
-    executor = chance.choice(list(world.executor_by_id.values()))
-    executor.cut = True
-    executor.restart()
-    await asyncio.sleep(0.5)  # A process can not start in less.
-    executor.cut = False
-    world.list_executor(executor)
-
-
-async def lose_answers(world, chance, round_):
-    for instance in world.instance_by_member.values():
-        instance.store.faults.lose_share = 0.3
-        instance.store.faults.late_share = 0.2
-    await asyncio.sleep(3.0)
-    for instance in world.instance_by_member.values():
-        instance.store.faults.lose_share = 0.0
-        instance.store.faults.late_share = 0.0
-
-
-async def store_down(world, chance, round_):
-    world.core.down = True
-    await asyncio.sleep(chance.uniform(1.0, 6.0))
-    world.core.down = False
-
-
-async def late_orders(world, chance, round_):
-    for executor in world.executor_by_id.values():
-        executor.late_share = 0.3
-    await asyncio.sleep(3.0)
-    for executor in world.executor_by_id.values():
-        executor.late_share = 0.0
-
-
-async def forget_history(world, chance, round_):
-    world.core.forget_history()
-
-
-async def kill_all(world, chance, round_):
-    for member in list(world.instance_by_member):
-        await world.kill(member)
-    for number in range(2):
-        world.start(f"a{round_}-{number}")
-
-
-FAULTS = [
-    kill_owner,
-    freeze_owner,
-    cut_owner_from_store,
-    cut_executor,
-    restart_executor,
-    lose_answers,
-    store_down,
-    late_orders,
-    forget_history,
-    kill_all,
-]
