--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -19,7 +19,7 @@
 FILL_RETRY_S = 0.2  # Weighing all executors for filling work is costly.
 # Bounds the time of one pass: the looks that keep leases wait for it.
 MOST_PLACED = 64
-MOST_WEIGHED = 2560  # About 20 ms; what is left waits for the next pass.
+MOST_WEIGHED = 2560  # Forty executors for each of these tasks.
 BACKLOG_WAIT_S = 0.3  # Short work that waits longer misses objectives of 1.5.
 
 
