--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -10,13 +10,13 @@
 from limpetstream.workflow import messages
 from soak import _world
 
-DEADLINE_MS = 3000
-TIMEOUT_S = 4.0
-TRIES = 8
+DEADLINE_MS = 3000  # Deadline of most of the users' requests.
+TIMEOUT_S = 4.0  # A second more: an answer may come late.
+TRIES = 8  # About 6 s apart in all, as long as most faults last.
 ASK_S = 0.5
 WATCH_S = 0.2
-CANCEL_SHARE = 0.1
-LASTING_SHARE = 0.1
+CANCEL_SHARE = 0.1  # Of the accepted jobs.
+LASTING_SHARE = 0.1  # Of all jobs.
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -9,8 +9,8 @@
 
 Fault = Callable[[_world.World], Awaitable[None]]
 
-LONGEST_S = 6.0
-DELAY_MS = 120.0
+LONGEST_S = 6.0  # Longer than a lease and than the store forgives a member.
+DELAY_MS = 120.0  # Thirty times the way between two data centres.
 POLL_S = 0.01
 RESTART_S = 0.5  # A process of an executor can not start in less.
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -7,8 +7,8 @@
 
 INSTANCES = 5
 EXECUTORS = 6
-PER_S = 4.0
-QUIET_S = 2.0
+PER_S = 4.0  # Jobs; they take about half of the executors' processors.
+QUIET_S = 2.0  # Until the first fault.
 SERIES_EVERY_S = 2.5  # Mean time between two series of faults.
 MOST_IN_SERIES = 4
 SETTLE_S = 30.0  # Recovery takes up to 12 s, an executor's silence 6 s more.
