Do not send the order of a run that was given up

A run that was lost meanwhile kept the phase "starting", so its order was sent all the same. Since leases of silent executors lapse this can happen more often; before, it could with an executor that was replaced.

A lost run is now gone. The test fails before and passes after.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -182,6 +182,7 @@
 ) -> None:
     """Note that a run is gone without an end, and let its task run again."""
     executor.release(run)
+    run.phase = workflow_state.GONE  # An order that still waits is not sent.
     shard.changed.set()
     task = run.task
     logs.emit(
--- a/limpetstream/shard/tests/test_starts.py
+++ b/limpetstream/shard/tests/test_starts.py
@@ -6,7 +6,7 @@
 import pytest
 
 from limpetstream.executors import messages as executor_messages, room
-from limpetstream.shard import starts
+from limpetstream.shard import looks, starts
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import state as workflow_state
 from standins import virtual_time
@@ -28,6 +28,36 @@
         return executor_messages.StartReply(executor_messages.STARTED)
 
 
+def test_start_that_waits_is_dropped_when_its_run_is_lost():
+    """Guards against two runs of one task, one of them long given up.
+
+    Seen in the soak, seed 26: the store was away, so an order waited for the
+    journal; the executor fell silent, its runs were given up as lapsed, and
+    27 s later the order was sent and its end was taken for an old one.
+    """
+    shard = builders.make_shard(virtual_time.Loop())
+    shard.orders = Recorder()
+    executor = shard.executor_by_id["x0"]
+    executor.lease.observe(0, 0.0, 0.0)
+    task = builders.make_tasks(shard, builders.SHORT)[0]
+    shard.started_before.add(task.job.submission.job_id)
+    task.job.marked = True
+    run = builders.start(executor, task)
+    run.phase = workflow_state.STARTING
+
+    async def scenario():
+        for _ in range(room.MAX_STARTS_AT_ONCE):
+            await executor.start_slots.acquire()
+        order = asyncio.create_task(starts.order(shard, executor, run))
+        await asyncio.sleep(0.1)
+        looks.lose_all(shard, executor, "lapsed")
+        executor.start_slots.release()
+        await order
+
+    virtual_time.run(scenario(), loop=virtual_time.Loop())
+    assert not shard.orders.started
+
+
 def test_start_that_waits_for_its_turn_is_dropped_with_its_job():
     """Guards against starts of a cancelled job, after its text was forgotten.
 
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -8,6 +8,7 @@
 STARTING = "starting"
 WORKING = "working"
 STOPPING = "stopping"
+GONE = "gone"
 
 # A job of one second with an objective of 1.5 is late after it.
 FIRST_WAIT_REPORT_S = 0.5
@@ -22,7 +23,7 @@
         number: Number of the run; later runs have higher ones.
         executor_id: Executor that got the order.
         ordered_at: Monotonic time of the first order.
-        phase: ``starting``, ``working`` or ``stopping``.
+        phase: ``starting``, ``working``, ``stopping`` or ``gone``.
         stop_reason: Why it is being stopped.
         stop_confirmed_at: Monotonic time of the stop's answer.
         seen_at: Monotonic time of the look that listed it last.
