--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -13,9 +13,6 @@
 SAME_LIFE_S = 0.25  # An executor needs longer than this to start again.
 DURABLE_WAIT_S = 0.4  # Then the lease is renewed without acknowledging.
 UNACKNOWLEDGED_PAUSE_S = 0.3
-# Answers that are lost may come from an executor that gets all extensions, so
-# a lease is not extended for longer than one more look.
-SILENT_EXTENSION_S = 0.5
 PROOF_S = 2.0  # An owner without a newer proof extends no lease.
 
 
@@ -64,9 +61,7 @@
     stale = sent_at - executor.answered_at > SAME_LIFE_S
     if unacknowledged or stale or not executor.reached:
         wait_s = 0.0
-    deadline_ms = None
-    if prove(shard) and not _is_silent(executor, sent_at):
-        deadline_ms = executor.lease.extend(sent_at)
+    deadline_ms = executor.lease.extend(sent_at) if prove(shard) else None
     look = await shard.orders.look(
         executor.listing,
         token=shard.epoch,
@@ -85,12 +80,6 @@
         await _acknowledge(shard, executor)
 
 
-def _is_silent(executor: room.Executor, now: float) -> bool:
-    """Return whether an executor has been silent for too long to be kept."""
-    since = executor.silent_since
-    return since is not None and now - since > SILENT_EXTENSION_S
-
-
 def _cursor(executor: room.Executor, now: float) -> int:
     """Return the number of the last end to acknowledge.
 
