Reproduce two runs of a task while an owner is cut off

The stand-in of the executors could only lose all calls of an instance, so no test had an owner whose calls arrive while their answers are lost, or two owners that reach different executors.

--- a/limpetstream/shard/tests/schedules.py
+++ b/limpetstream/shard/tests/schedules.py
@@ -38,19 +38,21 @@
     return f"{number:016x}"
 
 
-def run_random_schedule(seed: int) -> shard_cluster.ShardCluster:
+def run_random_schedule(seed: int, faults=None) -> shard_cluster.ShardCluster:
     """Run one random schedule; return its cluster with the breaches found."""
-    return run_scenario(lambda cluster: random_schedule(cluster, seed), seed=seed)
+    return run_scenario(
+        lambda cluster: random_schedule(cluster, seed, faults or FAULTS), seed=seed
+    )
 
 
-async def random_schedule(cluster, seed):
+async def random_schedule(cluster, seed, fault_functions):
     generator = random.Random(seed)
     for number in range(3):
         # Odd seeds have one instance in the main group and two in the reserve.
         cluster.start(f"m{number}", reserve=bool(seed % 2 and number))
     await asyncio.sleep(2)
     accepted = []
-    faults = asyncio.create_task(inject(cluster, generator))
+    faults = asyncio.create_task(inject(cluster, generator, fault_functions))
     for number in range(16):
         seconds = generator.choice([0.3, 1.0, 2.5])
         name = job_id(number)
@@ -62,10 +64,10 @@
         assert await cluster.wait_until_final(name, limit_s=40) == "completed", name
 
 
-async def inject(cluster, generator):
+async def inject(cluster, generator, fault_functions):
     for round_ in range(4):
         await asyncio.sleep(generator.uniform(0.3, 2.0))
-        fault = generator.choice(FAULTS)
+        fault = generator.choice(fault_functions)
         await fault(cluster, generator, round_)
 
 
@@ -142,6 +144,56 @@
         cluster.start(f"a{round_}-{number}")
 
 
+def isolate(cluster, member, executor_ids, *, one_way):
+    """Cut an instance off from the store and from some executors.
+
+    Args:
+        cluster: Cluster to change.
+        member: Instance that is cut off.
+        executor_ids: Executors whose answers it does not get.
+        one_way: Whether its calls to them arrive.
+    """
+    instance = cluster.instance_by_member[member]
+    instance.store.faults.cut = True
+    client = instance.executor_client
+    (client.unanswered_ids if one_way else client.unreachable_ids).update(executor_ids)
+
+
+def join_again(cluster, member):
+    """End what ``isolate`` did to an instance, if it still runs."""
+    instance = cluster.instance_by_member.get(member)
+    if instance is not None:
+        instance.store.faults.cut = False
+        instance.executor_client.unanswered_ids.clear()
+        instance.executor_client.unreachable_ids.clear()
+
+
+async def isolate_owner(cluster, generator, round_):
+    """Isolate the owner; the others do not reach the executors beside it."""
+    owner = cluster.owner_member()
+    if owner is None:
+        return
+    ids = list(cluster.executor_by_id)
+    far = set(generator.sample(ids, generator.randint(1, len(ids))))
+    isolate(cluster, owner, far, one_way=generator.random() < 0.5)
+    others_reach_all = generator.random() < 0.5
+    others = [m for m in cluster.instance_by_member if m != owner]
+    if not others_reach_all:
+        for member in others:
+            client = cluster.instance_by_member[member].executor_client
+            client.unreachable_ids.update(set(ids) - far)
+    await asyncio.sleep(generator.uniform(2.0, 9.0))
+    for member in [owner, *others]:
+        join_again(cluster, member)
+
+
+async def isolate_owners_in_turn(cluster, generator, round_):
+    """Isolate one owner after another, each by a cut of its own."""
+    for _ in range(2):
+        await isolate_owner(cluster, generator, round_)
+        await asyncio.sleep(generator.uniform(0.0, 2.0))
+
+
 FAULTS = [
     kill_owner,
     freeze_owner,
@@ -154,3 +206,4 @@
     drop_history,
     kill_all,
 ]
+PARTITION_FAULTS = [*FAULTS, *[isolate_owner, isolate_owners_in_turn] * 5]
--- a/limpetstream/shard/tests/test_faults.py
+++ b/limpetstream/shard/tests/test_faults.py
@@ -423,3 +423,10 @@
     """Guards against lost, doubled or too large work under pairs of faults."""
     cluster = schedules.run_random_schedule(seed)
     assert not cluster.breaches.found
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES))
+def test_random_partitions_breach_no_guarantee(seed):
+    """Guards against doubled work while two instances act as the owner."""
+    cluster = schedules.run_random_schedule(seed, schedules.PARTITION_FAULTS)
+    assert not cluster.breaches.found
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from limpetstream import errors
 from limpetstream.executors import messages
@@ -275,6 +276,10 @@
 class ExecutorClient:
     """Client through which one instance calls the executors.
 
+    ``cut`` loses all calls of the instance, ``unreachable_ids`` those to some
+    executors. Calls to the executors in ``unanswered_ids`` take effect, but
+    their answers are lost.
+
     Args:
         executor_by_id: All executors.
     """
@@ -282,6 +287,8 @@
     def __init__(self, executor_by_id: dict[str, Executor]) -> None:
         self.executor_by_id = executor_by_id
         self.cut = False
+        self.unreachable_ids: set[str] = set()
+        self.unanswered_ids: set[str] = set()
         self._delayed_starts: set[asyncio.Task[None]] = set()
 
     async def start(
@@ -302,7 +309,8 @@
             self._start_later(executor, request)
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("start delayed, no answer in time")
-        return executor.start(request)
+        async with self._answering(listing, timeout_s):
+            return executor.start(request)
 
     async def stop(
         self,
@@ -320,7 +328,8 @@
             TokenOutdated: The executor has seen a higher fencing token.
         """
         executor = await self._connect(listing, timeout_s)
-        executor.stop(task, run, token)
+        async with self._answering(listing, timeout_s):
+            executor.stop(task, run, token)
 
     async def poll(
         self,
@@ -340,14 +349,16 @@
         """
         executor = await self._connect(listing, timeout_s)
         born_at = executor.born_at
-        status = executor.poll(token, acknowledged, deadline_ms)
+        async with self._answering(listing, timeout_s):
+            status = executor.poll(token, acknowledged, deadline_ms)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_ms / 1000
         while not status.ended and loop.time() < deadline:
             await asyncio.sleep(0.02)
-            if executor.cut or self.cut or executor.born_at != born_at:
+            if self._is_cut_off(executor) or executor.born_at != born_at:
                 raise errors.PlatformUnavailable("executor is cut off")
-            status = executor.poll(token, acknowledged, None)
+            async with self._answering(listing, deadline - loop.time()):
+                status = executor.poll(token, acknowledged, None)
         return status
 
     async def pace(
@@ -381,8 +392,28 @@
 
     async def _connect(self, listing: messages.Listing, timeout_s: float) -> Executor:
         executor = self.executor_by_id[listing.executor_id]
-        if self.cut or executor.cut:
+        if self._is_cut_off(executor):
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("executor is cut off")
         await asyncio.sleep(RESPONSE_DELAY_S)
         return executor
+
+    def _is_cut_off(self, executor: Executor) -> bool:
+        executor_id = executor.listing.executor_id
+        return self.cut or executor.cut or executor_id in self.unreachable_ids
+
+    @contextlib.asynccontextmanager
+    async def _answering(
+        self, listing: messages.Listing, timeout_s: float
+    ) -> AsyncIterator[None]:
+        """Apply a call to an executor; lose the answer if that is simulated.
+
+        Raises:
+            PlatformUnavailable: The answer was lost, also if it was an error.
+        """
+        try:
+            yield
+        finally:
+            if listing.executor_id in self.unanswered_ids:
+                await asyncio.sleep(max(timeout_s, RESPONSE_DELAY_S))
+                raise errors.PlatformUnavailable("the answer was lost")
