Log when an owner can no longer prove its ownership

Cause: the logs of the incident do not say whether the owner that started the second run still had a proof of its ownership, nor for how long it had had no answer.

The predicate moves to a module of its own. No decision changes.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -312,3 +312,17 @@
     "A task is waiting for capacity; executors are counted by why they do not fit.",
     "See OPERATIONS.md; `processors` or `memory` at all of them: the service is full.",
 )
+OWNERSHIP_UNPROVEN = events.declare(
+    1551,
+    "ownership-unproven",
+    "WARNING",
+    "This instance cannot prove that it owns the shard; it changes nothing there.",
+    "Check its network path to the platform's store and to the executors.",
+)
+OWNERSHIP_PROVEN = events.declare(
+    1552,
+    "ownership-proven",
+    "INFO",
+    "This instance has proven again that it owns the shard.",
+    "None.",
+)
--- /dev/null
+++ b/limpetstream/shard/proof.py
@@ -0,0 +1,72 @@
+"""Decides whether an instance can prove that it owns its shard.
+
+Another instance can take the shard over at any moment, and an owner that gets
+no answers does not learn of it. What an instance may do without a proof is
+listed in design.md, section 11.3.
+"""
+
+from limpetstream.shard import events, executor_records, state
+from limpetstream.telemetry import logs
+
+VALIDITY_S = 2.0  # A new owner waits as long for the proof of an earlier one.
+
+
+def is_proven(shard: state.Shard) -> bool:
+    """Return whether this instance has proven lately that it owns the shard.
+
+    The proof is either an append that the journal has confirmed, or replies
+    to polls with this owner's token (the shard's epoch) from more than half
+    of the executors recorded in the journal. It counts from the sending of
+    the append or the polls, and is noted in ``ownership_proven_at``.
+
+    A later owner ends both: when it claims the shard, it fences the journal,
+    and the executors that it has reached reject lower tokens. Once it has
+    reached half of them, no earlier owner gets replies from more than half.
+    It can then compute when the leases on the executors that it cannot reach
+    have expired.
+    """
+    polled_at = executor_records.majority_polled_at(shard)
+    shard.ownership_proven_at = max(
+        shard.ownership_proven_at, shard.journal.confirmed_at, polled_at
+    )
+    proven = age_s(shard) < VALIDITY_S
+    if proven == (shard.unproven_since is not None):
+        _log_change(shard, proven, polled_at)
+    return proven
+
+
+def age_s(shard: state.Shard) -> float:
+    """Return the age in seconds of the newest proof of ownership."""
+    return shard.clock.monotonic() - shard.ownership_proven_at
+
+
+def _log_change(shard: state.Shard, proven: bool, polled_at: float) -> None:
+    now = shard.clock.monotonic()
+    if proven:
+        logs.emit(
+            events.OWNERSHIP_PROVEN,
+            shard=shard.number,
+            epoch=shard.epoch,
+            after_s=round(now - (shard.unproven_since or now), 3),
+        )
+        shard.unproven_since = None
+        return
+    shard.unproven_since = now
+    logs.emit(
+        events.OWNERSHIP_UNPROVEN,
+        shard=shard.number,
+        epoch=shard.epoch,
+        proven_ms_ago=round(age_s(shard) * 1000),
+        append_ms_ago=_ms_since(now, shard.journal.confirmed_at),
+        majority_ms_ago=_ms_since(now, polled_at),
+        silent=sum(
+            executor.silent_since is not None
+            for executor in shard.executor_by_id.values()
+        ),
+        executors=len(shard.executor_by_id),
+    )
+
+
+def _ms_since(now: float, then: float) -> int | None:
+    """Return the milliseconds since a time; None if that time never was."""
+    return round((now - then) * 1000) if then > float("-inf") else None
--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -1,7 +1,7 @@
 """Answers requests about the jobs of a shard at its owner."""
 
 from limpetstream import errors
-from limpetstream.shard import events, jobs, sessions, state
+from limpetstream.shard import events, jobs, proof, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages
 
@@ -52,7 +52,7 @@
         NotOwner: This instance may not be the owner, or is still loading.
     """
     _require_recovered(shard)
-    if not sessions.is_ownership_proven(shard):
+    if not proof.is_proven(shard):
         raise errors.NotOwner("the ownership of the shard is not proven")
     return sum(
         not job.outcome
@@ -72,6 +72,6 @@
     """Read all submissions, so that a job not found cannot exist."""
     if shard.submissions_follower is not None:
         await shard.submissions_follower.advance(wait_s=0.0)
-    if not sessions.is_ownership_proven(shard):
+    if not proof.is_proven(shard):
         raise errors.NotOwner("the ownership of the shard is not proven")
     _require_recovered(shard)
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -10,7 +10,14 @@
 
 from limpetstream import errors
 from limpetstream.executors import leases, tracking
-from limpetstream.shard import events, executor_records, pacing, state, status_reports
+from limpetstream.shard import (
+    events,
+    executor_records,
+    pacing,
+    proof,
+    state,
+    status_reports,
+)
 from limpetstream.telemetry import logs
 
 # A quarter of ``leases.LEASE_S``, so that two renewals in a row may be lost.
@@ -22,31 +29,6 @@
 # the lease without acknowledging them.
 FLUSH_TIMEOUT_S = 0.4
 UNACKNOWLEDGED_PAUSE_S = 0.3  # Before a poll that follows such a time-out.
-PROOF_VALIDITY_S = 2.0  # Without a newer proof of ownership no lease is extended.
-
-
-def is_ownership_proven(shard: state.Shard) -> bool:
-    """Return whether this instance has proven lately that it owns the shard.
-
-    Only an owner with a recent proof may extend leases. The proof is either
-    an append that the journal has confirmed, or replies to polls with this
-    owner's token (the shard's epoch) from more than half of the executors
-    recorded in the journal. It counts from the sending of the append or the
-    polls, and is noted in ``ownership_proven_at``.
-
-    A later owner ends both: when it claims the shard, it fences the journal,
-    and the executors that it has reached reject lower tokens. Once it has
-    reached half of them, no earlier owner gets replies from more than half.
-    It can then compute when the leases on the executors that it cannot reach
-    have expired.
-    """
-    now = shard.clock.monotonic()
-    shard.ownership_proven_at = max(
-        shard.ownership_proven_at,
-        shard.journal.confirmed_at,
-        executor_records.majority_polled_at(shard),
-    )
-    return now - shard.ownership_proven_at < PROOF_VALIDITY_S
 
 
 async def run(shard: state.Shard, executor: tracking.Executor) -> None:
@@ -84,7 +66,7 @@
     if unacknowledged or may_have_restarted or not executor.reached:
         # The executor replies at once, and a missing reply is noticed sooner.
         wait_s = 0.0
-    deadline_ms = executor.lease.extend(sent_at) if is_ownership_proven(shard) else None
+    deadline_ms = executor.lease.extend(sent_at) if proof.is_proven(shard) else None
     reply = await shard.executor_client.poll(
         executor.listing,
         token=shard.epoch,
@@ -189,15 +171,19 @@
         Monotonic time, valid once ``half_reached_at`` is set.
     """
     lease_s = leases.LEASE_S / leases.MIN_CLOCK_RATE + leases.EXPIRY_MARGIN_S
-    return (shard.half_reached_at or 0.0) + PROOF_VALIDITY_S + lease_s
+    return (shard.half_reached_at or 0.0) + proof.VALIDITY_S + lease_s
 
 
 def _note_expired_lease(shard: state.Shard, executor: tracking.Executor) -> None:
     if executor.run_by_task:
+        now = shard.clock.monotonic()
         logs.emit(
             events.EXECUTOR_LAPSED,
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
+            silent_s=round(now - (executor.silent_since or now), 3),
+            expired_ms_ago=round((now - executor.lease.expires_at) * 1000),
+            proven_ms_ago=round(proof.age_s(shard) * 1000),
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -2,7 +2,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import events, jobs, pacing, state, stops
+from limpetstream.shard import events, jobs, pacing, proof, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -82,6 +82,7 @@
         waited_ms=round((run.start_requested_at - run.task.ready_at) * 1000),
         placed_ms_ago=round((now - run.start_requested_at) * 1000),
         looked_ms_ago=round((now - executor.polled_at) * 1000),
+        proven_ms_ago=round(proof.age_s(shard) * 1000),
         free_cpu=executor.listing.capacity.cpu_millicores
         - executor.reserved_millicores,
     )
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -83,6 +83,8 @@
         changed: Set when a waiting task may have become placeable; starts a
             scheduling pass.
         ownership_proven_at: Time at which the ownership was last proven.
+        unproven_since: Time at which the last proof was found to be too old;
+            None while there is a recent one.
         claimed_at: Time of the claim.
         recovered: Whether jobs and executors have been loaded.
         half_reached_at: Time at which half of the inherited executors had
@@ -124,6 +126,7 @@
     waiting_tasks: list[workflow_state.Task] = dataclasses.field(default_factory=list)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     ownership_proven_at: float = 0.0
+    unproven_since: float | None = None
     claimed_at: float = 0.0
     recovered: bool = False
     half_reached_at: float | None = None
