Send orders to executors only with a proof of ownership

Cause: an owner asked for a proof of its ownership before a poll extended a lease, but not before a start, a stop or a pace. Cut off, it took the leases of executors without an answer for expired and started their tasks again beside itself, while its successor had reached these executors and kept the runs. Class: an effect that rests on a belief which a later owner may have made untrue.

Change: starts (each try), stops and paces are sent only with a proof that is at most 2 s old; nothing is placed, preempted, moved or paced without one; a start that was not sent is withdrawn, one that was sent is stopped once there is a proof. The state of an open job is told only with a proof. An owner whose proof has expired queues an empty append, so that an idle one proves itself.

Why it works: a proof ends at most 2 s after a successor has claimed and reached half of the recorded executors, and the successor waits for that, and for the leases after it, before it starts a task that may run elsewhere.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -326,3 +326,10 @@
     "This instance has proven again that it owns the shard.",
     "None.",
 )
+START_WITHDRAWN = events.declare(
+    1553,
+    "start-withdrawn",
+    "INFO",
+    "A start that was decided is not sent; its task waits again.",
+    "See the reason.",
+)
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -11,6 +11,7 @@
     events,
     jobs,
     names,
+    proof,
     relocation,
     state,
     stops,
@@ -35,8 +36,9 @@
     dropped_submissions: set[str] = set()
     while True:
         release_due_occurrences(shard)
-        stop_runs_on_draining_executors(shard)
-        relocation.relocate_paused_runs(shard)
+        if proof.is_proven(shard):
+            stop_runs_on_draining_executors(shard)
+            relocation.relocate_paused_runs(shard)
         now = shard.clock.monotonic()
         if now >= next_report_at:
             next_report_at = now + wait_reports.REPORT_INTERVAL_S
--- a/limpetstream/shard/journal.py
+++ b/limpetstream/shard/journal.py
@@ -69,6 +69,11 @@
         self._put_count += 1
         self._wake.set()
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether something that was queued is not durable yet."""
+        return self._durable_count < self._put_count
+
     async def wait_until_durable(self) -> None:
         """Wait until everything queued so far is durable.
 
--- a/limpetstream/shard/names.py
+++ b/limpetstream/shard/names.py
@@ -11,6 +11,7 @@
 WRITER = "limpetstream"
 OWNER_KEY = "!owner"  # Sorts before every job id and executor key.
 ESTIMATES_KEY = "!learned"
+PROOF_KEY = "!proof"  # Never holds a value; see shard/proof.py.
 EXECUTOR_KEY_PREFIX = "!executor/"
 
 
--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -12,7 +12,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import tracking
-from limpetstream.shard import events, objectives, state
+from limpetstream.shard import events, objectives, proof, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -328,6 +328,9 @@
     for _ in range(PACE_TRIES):
         if executor.run_by_task.get(run.task.name) is not run or run.pace != pace:
             return
+        if not proof.is_proven(shard):
+            reason = "ownership not proven"
+            break
         try:
             await shard.executor_client.pace(
                 executor.listing,
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -5,7 +5,7 @@
 listed in design.md, section 11.3.
 """
 
-from limpetstream.shard import events, executor_records, state
+from limpetstream.shard import events, executor_records, names, state
 from limpetstream.telemetry import logs
 
 VALIDITY_S = 2.0  # A new owner waits as long for the proof of an earlier one.
@@ -32,9 +32,16 @@
     proven = age_s(shard) < VALIDITY_S
     if proven == (shard.unproven_since is not None):
         _log_change(shard, proven, polled_at)
+    if not proven and not shard.journal.is_pending:
+        _queue_empty_append(shard)
     return proven
 
 
+def _queue_empty_append(shard: state.Shard) -> None:
+    """Queue an append that changes nothing; its confirmation is a proof."""
+    shard.journal.put(names.PROOF_KEY, lambda: None)
+
+
 def age_s(shard: state.Shard) -> float:
     """Return the age in seconds of the newest proof of ownership."""
     return shard.clock.monotonic() - shard.ownership_proven_at
--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -9,6 +9,9 @@
 async def job_state(shard: state.Shard, job_id: str) -> str | None:
     """Return the state of a job; None if the job certainly does not exist.
 
+    A final state that is durable stays true. Any other state needs a proof of
+    ownership, since a later owner may have changed it.
+
     Raises:
         NotOwner: This instance may not be the owner, or is still loading.
         PlatformUnavailable: The submissions cannot be read.
@@ -18,6 +21,8 @@
     if job is None:
         await _read_all_submissions(shard)
         job = shard.job_by_id.get(job_id)
+    if job is not None and not job.visible_outcome:
+        _require_proof(shard)
     return job.reported_state if job else None
 
 
@@ -52,8 +57,7 @@
         NotOwner: This instance may not be the owner, or is still loading.
     """
     _require_recovered(shard)
-    if not proof.is_proven(shard):
-        raise errors.NotOwner("the ownership of the shard is not proven")
+    _require_proof(shard)
     return sum(
         not job.outcome
         and not job.started
@@ -68,10 +72,14 @@
         raise errors.NotOwner("the shard is being loaded")
 
 
+def _require_proof(shard: state.Shard) -> None:
+    if not proof.is_proven(shard):
+        raise errors.NotOwner("the ownership of the shard is not proven")
+
+
 async def _read_all_submissions(shard: state.Shard) -> None:
     """Read all submissions, so that a job not found cannot exist."""
     if shard.submissions_follower is not None:
         await shard.submissions_follower.advance(wait_s=0.0)
-    if not proof.is_proven(shard):
-        raise errors.NotOwner("the ownership of the shard is not proven")
+    _require_proof(shard)
     _require_recovered(shard)
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from limpetstream.executors import tracking
-from limpetstream.shard import objectives, preemption, sessions, starts, state
+from limpetstream.shard import objectives, preemption, proof, sessions, starts, state
 from limpetstream.workflow import (
     best_effort,
     eligibility,
@@ -75,6 +75,8 @@
     sessions.check_earlier_runs(shard)
     if shard.view.configuration is None or not shard.recovered:
         return
+    if not proof.is_proven(shard):
+        return  # Nothing that is decided now could be sent.
     now = shard.clock.monotonic()
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
     postponed = [task for task in shard.waiting_tasks if task.not_before > now]
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -80,7 +80,8 @@
     status_reports.apply_report(shard, executor, reply, sent_at)
     executor.lease.observe(reply.clock_ms, sent_at, shard.clock.monotonic())
     _note_reply(shard, executor)
-    pacing.adjust(shard, executor)
+    if proof.is_proven(shard):
+        pacing.adjust(shard, executor)
     if executor.applied_end > executor.acked_end:
         await _acknowledge(shard, executor)
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -17,6 +17,9 @@
 ) -> None:
     """Start a run for which capacity is reserved.
 
+    Nothing is sent without a proof of ownership: an owner that has lost its
+    shard may take a run for ended that its successor keeps.
+
     The first start of a job waits until the journal records that the job may
     have started. That append is fenced, so no earlier owner can start a job
     that a later owner considers not started.
@@ -24,48 +27,63 @@
     A start without an answer is retried. If it stays in doubt, the run is
     stopped before the task can run again.
     """
-    job = run.task.job
-    if not job.start_recorded:
-        job.start_recorded = True
-        jobs.save_progress(shard, job)
-    if job.submission.job_id not in shard.maybe_started_job_ids:
-        await shard.journal.wait_until_durable()
-        shard.maybe_started_job_ids.add(job.submission.job_id)
-    if run.phase != workflow_state.STARTING:
-        return
-    for try_number in range(START_TRIES):
+    await _record_job(shard, run.task.job)
+    is_sent = False
+    for _ in range(START_TRIES):
         try:
             async with executor.start_slots:
                 if run.phase != workflow_state.STARTING:
                     return  # Stopped, or reported by a poll, while it waited.
-                if not try_number:
+                if not proof.is_proven(shard):
+                    break
+                if not is_sent:
                     _log_start(shard, executor, run)
+                is_first_try, is_sent = not is_sent, True
                 reply = await _send(shard, executor, run)
         except errors.ExecutorReplaced:
             return  # The executor's polling task detects the same.
         except errors.PlatformUnavailable as error:
-            logs.emit(
-                events.ORDER_UNANSWERED,
-                order="start",
-                task=run.task.name,
-                run=run.number,
-                executor=executor.listing.executor_id,
-                tried=try_number + 1,
-                error=str(error),
-            )
+            _log_unanswered(executor, run, error)
             continue
-        if try_number and reply.outcome != executor_messages.STARTED:
+        if not is_first_try and reply.outcome != executor_messages.STARTED:
             break  # The unanswered try may still take effect.
         _apply_reply(shard, executor, run, reply)
         return
-    if run.phase == workflow_state.STARTING:
-        logs.emit(
-            events.START_IN_DOUBT,
-            task=run.task.name,
-            run=run.number,
-            executor=executor.listing.executor_id,
-        )
-        stops.stop_run(shard, executor, run, "start in doubt")
+    if run.phase != workflow_state.STARTING:
+        return
+    if not is_sent:
+        _withdraw(shard, executor, run, "ownership not proven")
+        return
+    logs.emit(
+        events.START_IN_DOUBT,
+        task=run.task.name,
+        run=run.number,
+        executor=executor.listing.executor_id,
+    )
+    stops.stop_run(shard, executor, run, "start in doubt")
+
+
+async def _record_job(shard: state.Shard, job: workflow_state.Job) -> None:
+    """Wait until the journal records that the job may have started."""
+    if not job.start_recorded:
+        job.start_recorded = True
+        jobs.save_progress(shard, job)
+    if job.submission.job_id not in shard.maybe_started_job_ids:
+        await shard.journal.wait_until_durable()
+        shard.maybe_started_job_ids.add(job.submission.job_id)
+
+
+def _log_unanswered(
+    executor: tracking.Executor, run: workflow_state.Run, error: Exception
+) -> None:
+    logs.emit(
+        events.ORDER_UNANSWERED,
+        order="start",
+        task=run.task.name,
+        run=run.number,
+        executor=executor.listing.executor_id,
+        error=str(error),
+    )
 
 
 def _log_start(
@@ -139,19 +157,48 @@
         executor=executor.listing.executor_id,
         reason=reply.outcome,
     )
-    executor.release(run)
-    task = run.task
-    if task.run is not run:
-        return
-    task.run = None
-    task.ended_run = max(task.ended_run, run.number)
     pause_s = 0.0
     if reply.outcome == executor_messages.UNWILLING:
         executor.avoid_until = now + UNWILLING_PAUSE_S
     elif reply.outcome == executor_messages.OUTDATED_RUN:
-        task.last_run += jobs.UNRECORDED_RUNS
+        run.task.last_run += jobs.UNRECORDED_RUNS
     else:
         executor.avoid_until = now + REFUSED_PAUSE_S
         pause_s = jobs.RETRY_PAUSE_S
+    _requeue(shard, executor, run, pause_s)
+
+
+def _withdraw(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    reason: str,
+) -> None:
+    """Drop a run of which no start request was sent; queue its task again."""
+    logs.emit(
+        events.START_WITHDRAWN,
+        task=run.task.name,
+        run=run.number,
+        executor=executor.listing.executor_id,
+        reason=reason,
+        proven_ms_ago=round(proof.age_s(shard) * 1000),
+    )
+    _requeue(shard, executor, run)
+
+
+def _requeue(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    pause_s: float = 0.0,
+) -> None:
+    """Release a run that cannot have started, and queue its task again."""
+    executor.release(run)
+    run.phase = workflow_state.GONE
+    task = run.task
+    if task.run is not run:
+        return
+    task.run = None
+    task.ended_run = max(task.ended_run, run.number)
     if not task.job.outcome and not task.done:
         jobs.enqueue(shard, task, pause_s)
--- a/limpetstream/shard/stops.py
+++ b/limpetstream/shard/stops.py
@@ -2,7 +2,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import tracking
-from limpetstream.shard import events, state
+from limpetstream.shard import events, proof, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -56,6 +56,9 @@
     while shard.executor_by_id.get(executor.listing.executor_id) is executor:
         if run is not None and executor.run_by_task.get(task) is not run:
             return
+        if not proof.is_proven(shard):
+            await shard.clock.sleep(STOP_RETRY_S)
+            continue  # A later owner may need the run.
         try:
             await shard.executor_client.stop(
                 executor.listing,
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -1,9 +1,11 @@
 """Test data: a recovered shard, its executors, tasks and runs."""
 
+import asyncio
 import dataclasses
 from collections.abc import Coroutine
 from typing import Any
 
+from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.shard import journal, state
 from limpetstream.workflow import messages, state as workflow_state
@@ -24,6 +26,42 @@
 SHORT = messages.Step(1, cpu_millicores=6_000, memory_mb=8_000)
 
 
+class RecordingClient:
+    """Client of executors that records the calls and answers at once.
+
+    ``fail`` leaves every call without an answer. ``deadlines`` holds the
+    deadlines of the polls, on the executor's clock.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.deadlines = []
+        self.fail = False
+
+    async def start(self, listing, request, *, timeout_s):
+        await self._record("start", timeout_s)
+        return executor_messages.StartReply(executor_messages.STARTED)
+
+    async def stop(self, listing, task, run, token, *, timeout_s):
+        await self._record("stop", timeout_s)
+
+    async def pace(self, listing, task, run, percent, token, *, timeout_s):
+        await self._record("pace", timeout_s)
+
+    async def poll(
+        self, listing, *, token, acknowledged, deadline_ms, wait_ms, timeout_s
+    ):
+        self.deadlines.append(deadline_ms)
+        await self._record("poll", timeout_s)
+        return executor_messages.PollReply(1000, 1, [], [])
+
+    async def _record(self, call, timeout_s):
+        self.calls.append(call)
+        if self.fail:
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("no answer")
+
+
 def make_executor(executor_id: str, *, data_centre: str = "a") -> tracking.Executor:
     """Return an executor that was polled at time 0."""
     listing = executor_messages.Listing(
