Give up silent executors' runs after a confirmed append

Cause: each poll without an answer moved the expiry of the lease, so it never came. To let it expire is safe only if no later owner extends it: an owner that a majority of executors still answers has a proof of its ownership, while a successor that it does not know of may have reached the silent executor. The same belief settled earlier runs by time, and counted an executor that was not listed as gone. An owner that had reached an executor and never extended its lease knew of no lease at all there.

Change: after 1 s of silence polls extend the lease no more. Runs are given up, an unlisted executor is removed and earlier runs are settled by time only once an append that began after the expiry is confirmed; a reply that comes first counts instead. Leases of earlier owners count from the first reply.

Why it works: the append is fenced, so no other instance had claimed the shard when the lease expired, and a claim after it reads what the append recorded.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -28,6 +28,10 @@
         reached: Whether it has answered a poll with this owner's token.
         polled_at: Monotonic time at which the newest answered poll was sent.
         answered_at: Monotonic time at which its answer was received.
+        earlier_leases_expire_at: Monotonic time at which every lease that
+            earlier owners granted before it was reached has expired; minus
+            infinity before it was reached.
+        giving_up: Whether its runs are given up once an append is confirmed.
         silent_since: Monotonic time of the first of the consecutive calls that
             have failed; None while calls are answered.
         failure_score: Decaying number of recent failures on it, of runs of
@@ -57,6 +61,8 @@
     reached: bool = False
     polled_at: float = float("-inf")
     answered_at: float = float("-inf")
+    earlier_leases_expire_at: float = float("-inf")
+    giving_up: bool = False
     silent_since: float | None = None
     failure_score: float = 0.0
     avoid_until: float = float("-inf")
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -37,6 +37,20 @@
     return proven
 
 
+async def confirm(shard: state.Shard) -> None:
+    """Wait until an append that began after this call is confirmed.
+
+    Until this call, then, no other instance had claimed the shard. What has
+    expired by time before the call has not been extended by a later owner.
+
+    Raises:
+        WriterFenced: Another owner has taken over.
+        NotOwner: The ownership has ended.
+    """
+    _queue_empty_append(shard)
+    await shard.journal.wait_until_durable()
+
+
 def _queue_empty_append(shard: state.Shard) -> None:
     """Queue an append that changes nothing; its confirmation is a proof."""
     shard.journal.put(names.PROOF_KEY, lambda: None)
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -29,6 +29,9 @@
 # the lease without acknowledging them.
 FLUSH_TIMEOUT_S = 0.4
 UNACKNOWLEDGED_PAUSE_S = 0.3  # Before a poll that follows such a time-out.
+# A poll without an answer may have arrived, so each one moves the expiry of
+# the lease. After this silence polls extend it no more, and it expires.
+MAX_EXTENDED_SILENCE_S = 1.0
 
 
 async def run(shard: state.Shard, executor: tracking.Executor) -> None:
@@ -49,10 +52,7 @@
         except errors.PlatformUnavailable as error:
             _note_silence(shard, executor, str(error))
             if _have_leases_expired(shard, executor):
-                _note_expired_lease(shard, executor)
-                if not executor.listed:
-                    _remove(shard, executor)
-                    return
+                _give_up(shard, executor)
             if _is_idle(shard, executor):
                 shard.spawn(executor_records.delete(shard, executor))
             await shard.clock.sleep(POLL_RETRY_S)
@@ -66,7 +66,9 @@
     if unacknowledged or may_have_restarted or not executor.reached:
         # The executor replies at once, and a missing reply is noticed sooner.
         wait_s = 0.0
-    deadline_ms = executor.lease.extend(sent_at) if proof.is_proven(shard) else None
+    deadline_ms = None
+    if proof.is_proven(shard) and not _is_silent_long(executor, sent_at):
+        deadline_ms = executor.lease.extend(sent_at)
     reply = await shard.executor_client.poll(
         executor.listing,
         token=shard.epoch,
@@ -128,7 +130,9 @@
         runs=len(executor.run_by_task),
         first=not executor.reached,
     )
-    executor.reached = True
+    if not executor.reached:
+        executor.reached = True
+        executor.earlier_leases_expire_at = shard.clock.monotonic() + _max_lease_s()
     executor.silent_since = None
     if not executor.recorded:
         shard.spawn(executor_records.write(shard, executor))
@@ -151,12 +155,14 @@
 def _have_leases_expired(shard: state.Shard, executor: tracking.Executor) -> bool:
     """Return whether every lease on an executor has expired.
 
-    Once the executor has replied, this owner's lease counts; before that, the
-    leases that earlier owners may have granted.
+    Once the executor has replied, it rejects earlier owners. Their leases of
+    before count, and those of this owner; until then, all leases that earlier
+    owners may still grant.
     """
     now = shard.clock.monotonic()
     if executor.reached:
-        return now > executor.lease.expires_at
+        expire_at = max(executor.lease.expires_at, executor.earlier_leases_expire_at)
+        return now > expire_at
     return shard.half_reached_at is not None and now > _earlier_leases_expire_at(shard)
 
 
@@ -171,22 +177,59 @@
     Returns:
         Monotonic time, valid once ``half_reached_at`` is set.
     """
-    lease_s = leases.LEASE_S / leases.MIN_CLOCK_RATE + leases.EXPIRY_MARGIN_S
-    return (shard.half_reached_at or 0.0) + proof.VALIDITY_S + lease_s
+    return (shard.half_reached_at or 0.0) + proof.VALIDITY_S + _max_lease_s()
 
 
-def _note_expired_lease(shard: state.Shard, executor: tracking.Executor) -> None:
+def _max_lease_s() -> float:
+    """Return how long a lease can last on the local clock."""
+    return leases.LEASE_S / leases.MIN_CLOCK_RATE + leases.EXPIRY_MARGIN_S
+
+
+def _give_up(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Give up a silent executor whose leases have expired.
+
+    Its runs are lost, and it is removed if the list does not contain it.
+    """
+    if executor.giving_up or (executor.listed and not executor.run_by_task):
+        return
+    executor.giving_up = True
+    shard.spawn(_give_up_once_confirmed(shard, executor))
+
+
+async def _give_up_once_confirmed(
+    shard: state.Shard, executor: tracking.Executor
+) -> None:
+    """Give up an executor, unless it replies before an append is confirmed.
+
+    A later owner may have reached the executor and extended its lease. The
+    append shows that none had claimed the shard when the lease expired.
+    """
+    silent_since = executor.silent_since
+    try:
+        await proof.confirm(shard)
+    finally:
+        executor.giving_up = False
+    if executor.silent_since != silent_since:
+        return
     if executor.run_by_task:
         now = shard.clock.monotonic()
         logs.emit(
             events.EXECUTOR_LAPSED,
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
-            silent_s=round(now - (executor.silent_since or now), 3),
+            silent_s=round(now - (silent_since or now), 3),
             expired_ms_ago=round((now - executor.lease.expires_at) * 1000),
             proven_ms_ago=round(proof.age_s(shard) * 1000),
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
+    if not executor.listed:
+        _remove(shard, executor)
+
+
+def _is_silent_long(executor: tracking.Executor, now: float) -> bool:
+    """Return whether an executor has been silent for too long for a lease."""
+    silent_since = executor.silent_since
+    return silent_since is not None and now - silent_since > MAX_EXTENDED_SILENCE_S
 
 
 def _is_idle(shard: state.Shard, executor: tracking.Executor) -> bool:
@@ -225,15 +268,32 @@
     may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
         shard
     )
-    if reached == inherited or not may_be_leased:
-        shard.earlier_runs_settled = True
-        shard.changed.set()
-        logs.emit(
-            events.SHARD_LOCATED,
-            shard=shard.number,
-            epoch=shard.epoch,
-            executors=len(shard.executor_by_id),
-            inherited=inherited,
-            reached=reached,
-            after_ms=round((now - shard.claimed_at) * 1000),
-        )
+    if reached == inherited:
+        _settle_earlier_runs(shard, reached)
+    elif not may_be_leased and not shard.settling:
+        shard.settling = True
+        shard.spawn(_settle_once_confirmed(shard))
+
+
+async def _settle_once_confirmed(shard: state.Shard) -> None:
+    """Settle runs whose leases have expired, if this is still the owner.
+
+    A later owner may have extended these leases.
+    """
+    await proof.confirm(shard)
+    if not shard.earlier_runs_settled:
+        _settle_earlier_runs(shard, executor_records.count_reached_or_gone(shard))
+
+
+def _settle_earlier_runs(shard: state.Shard, reached: int) -> None:
+    shard.earlier_runs_settled = True
+    shard.changed.set()
+    logs.emit(
+        events.SHARD_LOCATED,
+        shard=shard.number,
+        epoch=shard.epoch,
+        executors=len(shard.executor_by_id),
+        inherited=len(shard.inherited_executors),
+        reached=reached,
+        after_ms=round((shard.clock.monotonic() - shard.claimed_at) * 1000),
+    )
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -94,6 +94,7 @@
             started or that this owner has started.
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
+        settling: Whether earlier runs are settled once an append is confirmed.
         next_occurrence_by_job: Number of the next occurrence of each
             scheduled job, by job id.
         interference_model: Learned effect of best-effort images on serving
@@ -132,6 +133,7 @@
     half_reached_at: float | None = None
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
+    settling: bool = False
     next_occurrence_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
