Delete the record of an executor as soon as its runs are lost

Cause: the record that names the executor was deleted only at the next poll without an answer, up to 0.75 s after its runs were given up; an owner killed in between leaves it.

Change: giving up the runs deletes the record.

--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -224,6 +224,8 @@
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
     if not executor.listed:
         _remove(shard, executor)
+    elif _is_idle(shard, executor):
+        await executor_records.delete(shard, executor)
 
 
 def _is_silent_long(executor: tracking.Executor, now: float) -> bool:
