Count a proof of ownership from before the call that gave it

Cause: a claim counted as a proof from the time at which the shard was set up, seconds after it was read back if the process was frozen in between. An append that was confirmed at a repeat counted from that repeat, although the store answers a repeat like the first try and another instance may have claimed the shard between the two.

Change: the claim carries the time before it was read back; an append counts from its first try.

Result: test_the_proof_of_a_claim_counts_from_before_it_was_read_back and test_an_append_proves_the_ownership_at_its_first_try fail with the former times. The test of two claims compares the epochs in the claims, as strictly as before.

--- a/limpetstream/shard/journal.py
+++ b/limpetstream/shard/journal.py
@@ -43,7 +43,9 @@
     ) -> None:
         self.append_count = 0
         self.appended_bytes = 0
-        self.confirmed_at = float("-inf")  # Start of the newest confirmed append.
+        # Start of the first try of the newest confirmed append: the store may
+        # answer a repeat like the first try, also after a claim by another.
+        self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
         self._store = store
         self._partition = partition
@@ -140,6 +142,7 @@
         """Append until the store confirms it, under one sequence number."""
         writer = messages.Writer(names.WRITER, self._epoch, self._sequence)
         backoff_s = INITIAL_BACKOFF_S
+        first_started_at = self._clock.monotonic()
         while True:
             started_at = self._clock.monotonic()
             try:
@@ -168,11 +171,11 @@
                     self._timeout_s = min(MAX_TIMEOUT_S, self._timeout_s * 2)
             await self._clock.sleep(backoff_s * random.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+        self.confirmed_at = first_started_at
         self._note_success(started_at, len(entries))
 
     def _note_success(self, started_at: float, count: int) -> None:
         self._sequence += 1
-        self.confirmed_at = started_at
         self.append_count += 1
         now = self._clock.monotonic()
         if now - started_at <= FAST_APPEND_S:
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -33,7 +33,22 @@
 STANDBY_INTERVAL_S = 1.0  # As long as a membership in the main group.
 ACTIVE_INTERVAL_S = 2.0  # Shards are being served, so half as often is enough.
 
-Serve = Callable[[int, int], Awaitable[None]]
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """A claim that was read back from the journal.
+
+    Args:
+        epoch: Epoch and fencing token of the owner.
+        proven_at: Monotonic time in seconds before the claim was read back;
+            until then no other instance had claimed the shard.
+    """
+
+    epoch: int
+    proven_at: float
+
+
+Serve = Callable[[int, Claim], Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +72,7 @@
         store: Store of keyed topics.
         member: Name of this member, which begins with its peer address.
         shard_count: Number of shards in use.
-        serve: Serves one shard under an epoch until cancelled or fenced.
+        serve: Serves one claimed shard until cancelled or fenced.
         clock: Source of time.
         reserve: Whether this member belongs to the reserve.
         membership_ttl_s: Seconds after which the group drops a member that
@@ -208,11 +223,12 @@
         try:
             await self._wait_until_vacant(shard)
             self.claimed_shards.add(shard)
-            epoch = await claim(self._store, shard, self._member, self._clock)
+            claimed = await claim(self._store, shard, self._member, self._clock)
+            epoch = claimed.epoch
             logs.emit(events.SHARD_CLAIMED, shard=shard, epoch=epoch)
             announcing = asyncio.create_task(self._announce(shard))
             try:
-                await self._serve(shard, epoch)
+                await self._serve(shard, claimed)
             finally:
                 announcing.cancel()
         except (errors.WriterFenced, errors.TokenOutdated) as error:
@@ -306,8 +322,8 @@
 
 async def claim(
     store: messages.Store, shard: int, member: str, clock: clock_module.Clock
-) -> int:
-    """Become the only writer of a shard and return the epoch.
+) -> Claim:
+    """Become the only writer of a shard.
 
     The append is conditional on the partition's end. Its success alone does
     not prove the claim: the store takes two claims of the same epoch for one
@@ -323,7 +339,7 @@
         clock: Source of time.
 
     Returns:
-        The epoch of the claim.
+        The claim that the store holds.
     """
     while True:
         try:
@@ -340,12 +356,13 @@
                 at=page.end,
                 timeout_s=CLAIM_TIMEOUT_S,
             )
+            proven_at = clock.monotonic()
             page = await store.newest(
                 names.PROGRESS_TOPIC, shard, timeout_s=CLAIM_TIMEOUT_S
             )
             winner = newest_claim(page.entries)
             if winner == record:
-                return epoch
+                return Claim(epoch, proven_at)
             logs.emit(
                 events.CLAIM_FAILED, shard=shard, error=f"another claim won: {winner}"
             )
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -13,6 +13,7 @@
     housekeeping,
     journal,
     names,
+    ownership,
     recovery,
     scheduling,
     sessions,
@@ -66,12 +67,12 @@
         self._executors_topic = executors_topic
         self._decode_listing = decode_listing
 
-    async def serve(self, number: int, epoch: int) -> None:
+    async def serve(self, number: int, claim: ownership.Claim) -> None:
         """Serve a claimed shard until cancelled.
 
         Args:
             number: Number of the shard.
-            epoch: Epoch of the claim.
+            claim: Its claim.
 
         Raises:
             WriterFenced: Another instance has claimed the shard.
@@ -79,7 +80,7 @@
         """
         try:
             async with asyncio.TaskGroup() as group:
-                shard = self._make_shard(number, epoch, group.create_task)
+                shard = self._make_shard(number, claim, group.create_task)
                 async with self._registered(shard):
                     await self._load_and_serve(shard)
         except* (errors.WriterFenced, errors.TokenOutdated) as caught:
@@ -97,23 +98,22 @@
     def _make_shard(
         self,
         number: int,
-        epoch: int,
+        claim: ownership.Claim,
         spawn: Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]],
     ) -> state.Shard:
-        now = self._clock.monotonic()
         return state.Shard(
             number=number,
             shard_count=self._shard_count,
-            epoch=epoch,
+            epoch=claim.epoch,
             store=self._store,
             executor_client=self._executor_client,
             clock=self._clock,
             view=self._view,
             timing=self._timing,
-            journal=journal.Journal(self._store, number, epoch, self._clock),
+            journal=journal.Journal(self._store, number, claim.epoch, self._clock),
             spawn=spawn,
-            ownership_proven_at=now,
-            claimed_at=now,
+            ownership_proven_at=claim.proven_at,
+            claimed_at=self._clock.monotonic(),
         )
 
     async def _load_and_serve(self, shard: state.Shard) -> None:
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -7,9 +7,10 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal, state
+from limpetstream.shard import journal, names, state
+from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, state as workflow_state
-from standins import shard_cluster, virtual_time
+from standins import keyed_store, shard_cluster, virtual_time
 
 CAPACITY = executor_messages.Capacity(64_000, 256_000, 0)
 SERVING = messages.Step(
@@ -145,3 +146,56 @@
 def copy_step(step: messages.Step, **changes: Any) -> messages.Step:
     """Return a copy of a step with some fields changed."""
     return dataclasses.replace(step, **changes)
+
+
+class JournaledShard:
+    """A shard with a journal in a store, and the tasks that it has spawned."""
+
+    def __init__(self, *, executors=1):
+        self.loop = virtual_time.Loop()
+        asyncio.set_event_loop(self.loop)
+        self.shard = make_shard(self.loop, executors=executors)
+        self.client = RecordingClient()
+        self.shard.executor_client = self.client
+        self.store = keyed_store.Store()
+        self.store_client = keyed_store.Client(self.store)
+        self.shard.journal = journal.Journal(
+            self.store_client, 0, self.shard.epoch, self.shard.clock
+        )
+        self.errors = []
+        self._tasks = []
+        self.shard.spawn = self._spawn
+        self.shard.spawn(self.shard.journal.run())
+
+    def _spawn(self, coroutine):
+        async def guarded():
+            try:
+                await coroutine
+            except errors.LimpetstreamError as error:
+                self.errors.append(type(error))
+
+        self._tasks.append(self.loop.create_task(guarded()))
+
+    def close(self):
+        """Cancel the tasks and close the loop."""
+        for task in self._tasks:
+            task.cancel()
+        self.loop.run_until_complete(
+            asyncio.gather(*self._tasks, return_exceptions=True)
+        )
+        asyncio.set_event_loop(None)
+        self.loop.close()
+
+    def advance(self, seconds):
+        """Advance virtual time and run what is due."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def claim_elsewhere(self):
+        """Let another instance claim the shard."""
+        self.store.append(
+            names.PROGRESS_TOPIC,
+            0,
+            [store_messages.Entry(names.OWNER_KEY, b"{}")],
+            store_messages.Writer(names.WRITER, self.shard.epoch + 1, 0),
+            None,
+        )
--- a/limpetstream/shard/tests/test_faults.py
+++ b/limpetstream/shard/tests/test_faults.py
@@ -105,8 +105,8 @@
             ]
         )
 
-    epochs = virtual_time.run(claims(), loop=virtual_time.Loop())
-    assert len(set(epochs)) == 3
+    found = virtual_time.run(claims(), loop=virtual_time.Loop())
+    assert len({claim.epoch for claim in found}) == 3
 
 
 def test_reserve_owns_only_while_nobody_else_does():
--- a/limpetstream/shard/tests/test_proof.py
+++ b/limpetstream/shard/tests/test_proof.py
@@ -8,11 +8,14 @@
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import (
     housekeeping,
+    journal,
+    ownership,
     pacing,
     proof,
     queries,
     scheduling,
     sessions,
+    shard_server,
     starts,
     state,
     stops,
@@ -20,7 +23,7 @@
 from limpetstream.shard.tests import builders
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
-from standins import virtual_time
+from standins import keyed_store, virtual_time
 
 
 @pytest.fixture(autouse=True)
@@ -227,3 +230,49 @@
     queued = shard.journal._put_count
     assert not proof.is_proven(shard)
     assert shard.journal._put_count == queued
+
+
+def test_the_proof_of_a_claim_counts_from_before_it_was_read_back():
+    """Guards against a proof by an instance that was frozen after a claim."""
+    loop = virtual_time.Loop()
+    asyncio.set_event_loop(loop)
+    client = keyed_store.Client(keyed_store.Store())
+    clock = virtual_time.make_clock(loop)
+    server = shard_server.ShardServer(
+        store=client,
+        executor_client=builders.RecordingClient(),
+        clock=clock,
+        view=state.DeploymentView(),
+        timing=state.Timing(),
+        shard_count=1,
+        executors_topic="executors",
+        decode_listing=None,
+    )
+
+    async def claim_and_freeze():
+        claim = await ownership.claim(client, 0, "m0", clock)
+        await asyncio.sleep(proof.VALIDITY_S)
+        return server._make_shard(0, claim, None)
+
+    shard = loop.run_until_complete(claim_and_freeze())
+    assert not proof.is_proven(shard)
+
+
+def test_an_append_proves_the_ownership_at_its_first_try():
+    """Guards against a proof by the repeat of an append from before a claim.
+
+    The store answers a repeat like the first try.
+    """
+    loop = virtual_time.Loop()
+    asyncio.set_event_loop(loop)
+    client = keyed_store.Client(keyed_store.Store())
+    client.faults.lost_answer_share = 1.0
+    journaled = journal.Journal(client, 0, 1, virtual_time.make_clock(loop))
+    journaled.put("key", lambda: b"")
+    running = loop.create_task(journaled.run())
+    advance(loop, 2.5)
+    client.faults.lost_answer_share = 0.0
+    advance(loop, 3.0)
+    assert not journaled.is_pending
+    assert journaled.confirmed_at == 0.0
+    running.cancel()
--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -1,16 +1,12 @@
 """Tests of what an owner concludes from executors that do not reply."""
 
-import asyncio
-
 import loguru
 import pytest
 
 from limpetstream import errors
 from limpetstream.executors import leases
-from limpetstream.shard import journal, names, proof, sessions, state
+from limpetstream.shard import proof, sessions, state
 from limpetstream.shard.tests import builders
-from limpetstream.store import messages as store_messages
-from standins import keyed_store, virtual_time
 
 LEASE_EXPIRY_S = leases.LEASE_S / leases.MIN_CLOCK_RATE + leases.EXPIRY_MARGIN_S
 
@@ -20,46 +16,17 @@
     loguru.logger.remove()
 
 
-class Scene:
-    """A shard with a journal in a store, and the tasks that it has spawned."""
-
-    def __init__(self, *, executors=1):
-        self.loop = virtual_time.Loop()
-        asyncio.set_event_loop(self.loop)
-        self.shard = builders.make_shard(self.loop, executors=executors)
-        self.client = builders.RecordingClient()
-        self.shard.executor_client = self.client
-        self.store = keyed_store.Store()
-        self.store_client = keyed_store.Client(self.store)
-        self.shard.journal = journal.Journal(
-            self.store_client, 0, self.shard.epoch, self.shard.clock
-        )
-        self.errors = []
-        self.shard.spawn = self._spawn
-        self.shard.spawn(self.shard.journal.run())
-
-    def _spawn(self, coroutine):
-        async def guarded():
-            try:
-                await coroutine
-            except errors.LimpetstreamError as error:
-                self.errors.append(type(error))
-
-        return self.loop.create_task(guarded())
-
-    def advance(self, seconds):
-        """Advance virtual time and run what is due."""
-        self.loop.run_until_complete(asyncio.sleep(seconds))
-
-    def claim_elsewhere(self):
-        """Let another instance claim the shard."""
-        self.store.append(
-            names.PROGRESS_TOPIC,
-            0,
-            [store_messages.Entry(names.OWNER_KEY, b"{}")],
-            store_messages.Writer(names.WRITER, self.shard.epoch + 1, 0),
-            None,
-        )
+@pytest.fixture
+def open_scene():
+    scenes = []
+
+    def open_one(**options):
+        scenes.append(builders.JournaledShard(**options))
+        return scenes[-1]
+
+    yield open_one
+    for scene in scenes:
+        scene.close()
 
 
 def make_silent(scene):
@@ -74,9 +41,9 @@
     return executor, run
 
 
-def test_expired_runs_are_given_up_after_a_confirmed_append():
+def test_expired_runs_are_given_up_after_a_confirmed_append(open_scene):
     """Guards against runs that wait for ever for a silent executor."""
-    scene = Scene()
+    scene = open_scene()
     executor, run = make_silent(scene)
     sessions._give_up(scene.shard, executor)
     assert run.task.run is run
@@ -85,9 +52,9 @@
     assert not executor.run_by_task
 
 
-def test_expired_runs_are_kept_while_no_append_is_confirmed():
+def test_expired_runs_are_kept_while_no_append_is_confirmed(open_scene):
     """Guards against a second run while a later owner extends the lease."""
-    scene = Scene()
+    scene = open_scene()
     scene.store.down = True
     executor, run = make_silent(scene)
     sessions._give_up(scene.shard, executor)
@@ -100,12 +67,12 @@
     assert errors.WriterFenced in scene.errors
 
 
-def test_an_append_from_before_the_expiry_gives_up_nothing():
+def test_an_append_from_before_the_expiry_gives_up_nothing(open_scene):
     """Guards against an append that began before the lease expired.
 
     It shows nothing about a claim between its start and the expiry.
     """
-    scene = Scene()
+    scene = open_scene()
     scene.store_client.faults.delay_s = 0.1
     executor, run = make_silent(scene)
     scene.shard.journal.put("earlier", lambda: b"")
@@ -117,9 +84,9 @@
     assert run.task.run is None
 
 
-def test_a_reply_that_comes_first_keeps_the_runs():
+def test_a_reply_that_comes_first_keeps_the_runs(open_scene):
     """Guards against runs that are given up although the executor is back."""
-    scene = Scene()
+    scene = open_scene()
     scene.store.down = True
     executor, run = make_silent(scene)
     sessions._give_up(scene.shard, executor)
@@ -130,9 +97,9 @@
     assert run.task.run is run
 
 
-def test_an_unlisted_executor_is_removed_after_a_confirmed_append():
+def test_an_unlisted_executor_is_removed_after_a_confirmed_append(open_scene):
     """Guards against an executor that counts as gone while its runs go on."""
-    scene = Scene()
+    scene = open_scene()
     scene.store.down = True
     executor = scene.shard.executor_by_id["x0"]
     executor.reached = executor.listed = False
@@ -157,9 +124,9 @@
     return shard
 
 
-def test_earlier_runs_are_settled_by_time_after_a_confirmed_append():
+def test_earlier_runs_are_settled_by_time_after_a_confirmed_append(open_scene):
     """Guards against a second run by an owner that was replaced meanwhile."""
-    scene = Scene(executors=2)
+    scene = open_scene(executors=2)
     shard = make_successor(scene)
     scene.store.down = True
     scene.advance(proof.VALIDITY_S + LEASE_EXPIRY_S + 0.1)
@@ -171,9 +138,9 @@
     assert shard.earlier_runs_settled
 
 
-def test_earlier_runs_are_not_settled_before_their_leases_expire():
+def test_earlier_runs_are_not_settled_before_their_leases_expire(open_scene):
     """Guards against a second run while an earlier lease still holds."""
-    scene = Scene(executors=2)
+    scene = open_scene(executors=2)
     shard = make_successor(scene)
     scene.advance(proof.VALIDITY_S + LEASE_EXPIRY_S - 0.1)
     sessions.check_earlier_runs(shard)
@@ -181,12 +148,12 @@
     assert not shard.earlier_runs_settled
 
 
-def test_leases_of_earlier_owners_count_after_the_first_reply():
+def test_leases_of_earlier_owners_count_after_the_first_reply(open_scene):
     """Guards against runs that are given up while an inherited lease holds.
 
     A new owner that extends no lease after the first reply knows of none.
     """
-    scene = Scene()
+    scene = open_scene()
     executor = scene.shard.executor_by_id["x0"]
     executor.reached = False
     scene.advance(1.0)
@@ -197,17 +164,17 @@
     assert sessions._have_leases_expired(scene.shard, executor)
 
 
-def test_polls_of_a_silent_executor_stop_extending_its_lease():
+def test_polls_of_a_silent_executor_stop_extending_its_lease(open_scene):
     """Guards against runs on an executor that stays silent and listed.
 
     Each poll without an answer moved the expiry of its lease.
     """
-    scene = Scene()
+    scene = open_scene()
     executor = scene.shard.executor_by_id["x0"]
     executor.lease.observe(0, 0.0)
     scene.client.fail = True
     scene.shard.journal.put("fresh", lambda: b"")
-    scene.loop.create_task(sessions.run(scene.shard, executor))
+    scene.shard.spawn(sessions.run(scene.shard, executor))
     for _ in range(4):
         scene.advance(1.0)
         scene.shard.journal.put("fresh", lambda: b"")
