Count only executors that cannot have forgotten a later token

Cause: replies of a majority of the recorded executors prove the ownership, since those that a successor has reached reject the owner. An executor that restarts under its id forgets the token and answers the owner again. And a successor that has not reached half could record new executors, so that the next one reaches half of all records while the first owner keeps its majority.

Change: an incarnation counts once an append that began after its first answer is confirmed; no executor is recorded before half of the inherited ones were reached.

Why it works: that append shows that no other instance had claimed the shard when the incarnation first answered; and the set of records that later owners inherit shrinks only by executors that were reached or are gone until the majority has ended.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -26,6 +26,9 @@
         acked_end: Number of the last end that is durable at the owner.
         applied_end: Number of the last end that has been applied.
         reached: Whether it has answered a poll with this owner's token.
+        first_answered_at: Monotonic time of the first answer of the present
+            incarnation to a poll of this owner; minus infinity if there was
+            none yet.
         polled_at: Monotonic time at which the newest answered poll was sent.
         answered_at: Monotonic time at which its answer was received.
         earlier_leases_expire_at: Monotonic time at which every lease that
@@ -59,6 +62,7 @@
     acked_end: int = 0
     applied_end: int = 0
     reached: bool = False
+    first_answered_at: float = float("-inf")
     polled_at: float = float("-inf")
     answered_at: float = float("-inf")
     earlier_leases_expire_at: float = float("-inf")
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -40,8 +40,13 @@
 async def write(shard: state.Shard, executor: tracking.Executor) -> None:
     """Write the record of an executor; runs may be started on it afterwards.
 
-    Does nothing if a record exists or is being written or deleted.
+    Does nothing if a record exists or is being written or deleted. Until half
+    of the inherited executors were reached, an earlier owner may still get
+    replies from a majority of them; new records would let the next owner reach
+    half of all without ending that majority.
     """
+    if shard.half_reached_at is None:
+        return
     executor_id = executor.listing.executor_id
     if executor_id in shard.record_state_by_id:
         return
@@ -84,7 +89,9 @@
     More than half of the recorded executors have replied to a poll that was
     sent at this monotonic time or later. Executors whose record is being
     written or deleted count as members of the quorum that did not reply,
-    because the journal may or may not hold the record.
+    because the journal may or may not hold the record. So do executors whose
+    present incarnation answered first after the newest confirmed append: after
+    a restart an executor has forgotten the token of a later owner.
 
     Returns:
         The time in seconds; minus infinity without such a majority.
@@ -92,8 +99,12 @@
     polled_at = []
     for executor_id, record_state in shard.record_state_by_id.items():
         executor = shard.executor_by_id.get(executor_id)
-        is_recorded = record_state == state.KEPT and executor is not None
-        polled_at.append(executor.polled_at if is_recorded else float("-inf"))
+        votes = (
+            record_state == state.KEPT
+            and executor is not None
+            and executor.first_answered_at <= shard.journal.confirmed_at
+        )
+        polled_at.append(executor.polled_at if votes else float("-inf"))
     if not polled_at:
         return float("-inf")
     return sorted(polled_at, reverse=True)[len(polled_at) // 2]
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -132,7 +132,8 @@
     )
     if not executor.reached:
         executor.reached = True
-        executor.earlier_leases_expire_at = shard.clock.monotonic() + _max_lease_s()
+        executor.first_answered_at = shard.clock.monotonic()
+        executor.earlier_leases_expire_at = executor.first_answered_at + _max_lease_s()
     executor.silent_since = None
     if not executor.recorded:
         shard.spawn(executor_records.write(shard, executor))
@@ -267,6 +268,9 @@
     now = shard.clock.monotonic()
     if shard.half_reached_at is None and reached * 2 >= inherited:
         shard.half_reached_at = now
+        for executor in shard.executor_by_id.values():
+            if not executor.recorded:
+                shard.spawn(executor_records.write(shard, executor))
     may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
         shard
     )
