Bound leases by what owners grant, also after a restart

Cause: an executor that a new owner reached without a proof has no lease of its own, so the log line of its expiry failed (cannot convert float infinity to integer) and ended the shard. After a restart the owner assumes the longest lease that executors allow, for requests that were under way, and the next polls granted that much.

Change: the line tells the expiry that was decided on; an extension grants its own deadline, not the assumed one.

Result: test_runs_of_an_earlier_owner_outlive_its_lease_by_no_more and test_a_lease_assumed_at_a_restart_is_not_granted fail before and pass.

--- a/limpetstream/executors/leases.py
+++ b/limpetstream/executors/leases.py
@@ -33,8 +33,8 @@
         clock_ms: Newest reading of the executor's clock; None before the
             first.
         received_at: Monotonic time after the call that returned the reading.
-        deadline_ms: Latest deadline that has been sent, on the executor's
-            clock; 0 before the first.
+        deadline_ms: Latest deadline that the executor can have been sent, on
+            its clock; 0 before the first.
         expires_at: Monotonic time after which the lease has certainly expired
             and the executor has killed its runs; minus infinity until a
             deadline has been sent and the clock has been read.
@@ -88,7 +88,7 @@
         if new_deadline_ms > self.deadline_ms:
             self.deadline_ms = new_deadline_ms
             self.expires_at = self._latest_expiry()
-        return self.deadline_ms
+        return new_deadline_ms
 
     def _latest_expiry(self) -> float:
         """Return the latest monotonic time at which the lease can expire."""
--- a/limpetstream/executors/tests/test_leases.py
+++ b/limpetstream/executors/tests/test_leases.py
@@ -56,3 +56,16 @@
         assert deadline_ms >= (now + leases.LEASE_S - 0.1) * 1000
 
     play([(0.004, 1.0, 0.004, 0.0)] * 8, 1.0, check)
+
+
+def test_a_lease_assumed_at_a_restart_is_not_granted():
+    """Guards against a lease as long as the longest that executors allow.
+
+    A request from before a restart may have been granted that much.
+    """
+    lease = leases.Lease()
+    lease.deadline_ms = 10_000
+    lease.observe(0, 0.0)
+    assert lease.expires_at >= 10.0
+    assert lease.extend(1.0) <= 1000 + leases.LEASE_S * 1000
+    assert lease.expires_at >= 10.0
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 
 from limpetstream import errors
 from limpetstream.executors import leases, tracking
@@ -154,17 +155,22 @@
 
 
 def _have_leases_expired(shard: state.Shard, executor: tracking.Executor) -> bool:
-    """Return whether every lease on an executor has expired.
+    """Return whether every lease on an executor has expired."""
+    return shard.clock.monotonic() > _leases_expire_at(shard, executor)
+
+
+def _leases_expire_at(shard: state.Shard, executor: tracking.Executor) -> float:
+    """Return the monotonic time at which every lease on it has expired.
 
     Once the executor has replied, it rejects earlier owners. Their leases of
     before count, and those of this owner; until then, all leases that earlier
     owners may still grant.
     """
-    now = shard.clock.monotonic()
     if executor.reached:
-        expire_at = max(executor.lease.expires_at, executor.earlier_leases_expire_at)
-        return now > expire_at
-    return shard.half_reached_at is not None and now > _earlier_leases_expire_at(shard)
+        return max(executor.lease.expires_at, executor.earlier_leases_expire_at)
+    if shard.half_reached_at is None:
+        return math.inf
+    return _earlier_leases_expire_at(shard)
 
 
 def _earlier_leases_expire_at(shard: state.Shard) -> float:
@@ -219,7 +225,7 @@
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
             silent_s=round(now - (silent_since or now), 3),
-            expired_ms_ago=round((now - executor.lease.expires_at) * 1000),
+            expired_ms_ago=round((now - _leases_expire_at(shard, executor)) * 1000),
             proven_ms_ago=round(proof.age_s(shard) * 1000),
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -28,15 +28,17 @@
 
 
 class RecordingClient:
-    """Client of executors that records the calls and answers at once.
+    """Client of executors that records the calls and answers them.
 
     ``fail`` leaves every call without an answer. ``deadlines`` holds the
-    deadlines of the polls, on the executor's clock.
+    deadlines of the polls, on the executor's clock, and ``rows`` the runs that
+    their replies list.
     """
 
     def __init__(self):
         self.calls = []
         self.deadlines = []
+        self.rows = []
         self.fail = False
 
     async def start(self, listing, request, *, timeout_s):
@@ -54,7 +56,8 @@
     ):
         self.deadlines.append(deadline_ms)
         await self._record("poll", timeout_s)
-        return executor_messages.PollReply(1000, 1, [], [])
+        await asyncio.sleep(max(wait_ms / 1000, 0.004))
+        return executor_messages.PollReply(1000, 1, self.rows, [])
 
     async def _record(self, call, timeout_s):
         self.calls.append(call)
@@ -171,7 +174,7 @@
         async def guarded():
             try:
                 await coroutine
-            except errors.LimpetstreamError as error:
+            except Exception as error:
                 self.errors.append(type(error))
 
         self._tasks.append(self.loop.create_task(guarded()))
--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -4,7 +4,7 @@
 import pytest
 
 from limpetstream import errors
-from limpetstream.executors import leases
+from limpetstream.executors import leases, messages as executor_messages
 from limpetstream.shard import proof, sessions, state
 from limpetstream.shard.tests import builders
 
@@ -183,3 +183,31 @@
     assert executor.lease.deadline_ms <= 1000 * (
         sessions.MAX_EXTENDED_SILENCE_S + 1.0 + leases.LEASE_S
     )
+
+
+def test_runs_of_an_earlier_owner_outlive_its_lease_by_no_more(open_scene):
+    """Guards against adopted runs that are given up at once, or never.
+
+    The new owner has no proof when it reaches the executor, so it extends no
+    lease, and the executor never answers again.
+    """
+    scene = open_scene()
+    shard, client = scene.shard, scene.client
+    scene.store.down = True
+    executor = shard.executor_by_id["x0"]
+    executor.reached = False
+    shard.record_state_by_id = {"x0": state.KEPT, "x1": state.KEPT}
+    task = builders.make_tasks(shard, builders.SHORT)[0]
+    client.rows = [executor_messages.RunningRow(task.name, 1, "", 50, 0)]
+    scene.advance(3.0)
+    shard.spawn(sessions.run(shard, executor))
+    scene.advance(0.1)
+    assert task.run is not None
+    client.fail = True
+    scene.advance(LEASE_EXPIRY_S - 0.2)
+    scene.store.down = False
+    scene.advance(0.01)
+    assert task.run is not None
+    scene.advance(4.0)
+    assert task.run is None
+    assert not scene.errors
