Finish a task by any run of it that is listed as done

Cause: an end was ignored if its run had been given up, or if the task had another run. It was acknowledged all the same, with the next end that counted, and the task was started again.

Change: a run that is listed as done finishes its task, and another run of the task is stopped. A task that is done takes no further ends.

Why it works: what is acknowledged as done is recorded as done, in every order.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -8,9 +8,10 @@
 RETRY_PAUSE_S = 0.05  # Limits the rate of a task that fails at once.
 # Factor for an executor's failure count after each run that ended as done.
 FAILURES_DECAY = 0.9
-# Run numbers that an earlier owner may have used without recording them; see
-# design.md.
-UNRECORDED_RUNS = 16
+UNRECORDED_RUNS = 16  # Numbers to skip when an executor knows a later run.
+# Each owner numbers the runs of a job that an earlier one may have started
+# from its epoch times this number, so that no two owners use the same one.
+RUN_NUMBERS_PER_EPOCH = 10_000
 
 
 def add_job(shard: state.Shard, submission: messages.Submission) -> None:
@@ -65,8 +66,10 @@
     """Apply the end of a run that an executor has listed.
 
     An end may be listed again to a new owner, and executors are polled in any
-    order. Failed runs are therefore counted by their numbers. Otherwise an end
-    counts only if no later run has ended and the task has no other run now.
+    order. Failed runs are therefore counted by their numbers, and a run that
+    ended as done finishes its task, also if it was given up or the task runs
+    elsewhere: its end will be acknowledged. Otherwise an end counts only if no
+    later run has ended and the task has no other run now.
     """
     task = find_task(shard, end.task)
     run = executor.run_by_task.get(end.task)
@@ -89,10 +92,27 @@
             objectives.note_run_time(shard, run)
         executor.release(run)
         shard.changed.set()
-    if task is None or task.job.outcome:
-        if task is not None and current:
+    if task is None:
+        return
+    if task.job.outcome or task.done:
+        if current:
             task.run = None
         return
+    _apply_to_open_task(shard, executor, task, run if current else None, end)
+
+
+def _apply_to_open_task(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    task: workflow_state.Task,
+    ended: workflow_state.Run | None,
+    end: executor_messages.EndRow,
+) -> None:
+    """Apply an end to an open task; ``ended`` is its run if it is known."""
+    if end.how == executor_messages.DONE and not task.step.long_running:
+        _stop_other_run(shard, task, ended)
+        _record_end(shard, executor, task, end)
+        return
     failed = end.how == executor_messages.FAILED and not task.step.long_running
     if failed and end.run not in task.failed_runs:
         # Executors are polled in any order, so a later run may be known.
@@ -100,17 +120,35 @@
         task.last_run = max(task.last_run, end.run)
         save_progress(shard, task.job)
         if _has_no_attempts_left(shard, task):
-            if current:
+            if ended is not None:
                 task.run = None
             finish(shard, task.job, messages.FAILED)
             return
-    if end.run <= task.ended_run:
-        return
-    if task.run is not None and not (current and task.run is run):
+    if end.run > task.ended_run and task.run in (None, ended):
+        _record_end(shard, executor, task, end)
+
+
+def _stop_other_run(
+    shard: state.Shard, task: workflow_state.Task, ended: workflow_state.Run | None
+) -> None:
+    """Stop the present run of a task unless it is the one that has ended."""
+    other = task.run
+    if other is None or other is ended:
         return
+    executor = shard.executor_by_id.get(other.executor_id)
+    if executor is not None:
+        stops.stop_run(shard, executor, other, "an earlier run has ended as done")
+
+
+def _record_end(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    task: workflow_state.Task,
+    end: executor_messages.EndRow,
+) -> None:
     task.run = None
     task.job.started = True
-    task.ended_run = end.run
+    task.ended_run = max(task.ended_run, end.run)
     task.last_run = max(task.last_run, end.run)
     if end.checkpoint:
         task.checkpoint = end.checkpoint
