Number the runs of each owner apart

Cause: a new owner skipped 16 numbers, but only for jobs with a recorded end: a job that was only marked as started began at 1 again. Two owners in succession both skipped the same 16. Failed runs are counted by their numbers, so two of them could count as one.

Change: the runs of a job that an earlier owner may have started are numbered from the owner's epoch times 10,000. The tasks of later occurrences begin there as well.

Result: test_no_two_owners_use_one_run_number fails before (0 and 1 recorded runs, and 20,004) and passes.

--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -128,6 +128,7 @@
     shard.job_by_id[submission.job_id] = job
     if progress.marked:
         shard.maybe_started_job_ids.add(submission.job_id)
+        job.last_earlier_run = shard.epoch * jobs.RUN_NUMBERS_PER_EPOCH
     for place in progress.task_by_place:
         workflow_state.get_occurrence(job, int(place.partition(".")[0]))
     records.restore(job, progress)
@@ -137,20 +138,9 @@
         workflow_state.is_finished(occurrence)
         for occurrence in job.occurrence_by_number.values()
     )
-    if progress.marked:
-        for occurrence in job.occurrence_by_number.values():
-            _skip_unrecorded_runs(occurrence)
     jobs.open_job(shard, job)
 
 
-def _skip_unrecorded_runs(occurrence: workflow_state.Occurrence) -> None:
-    """Skip run numbers that an earlier owner may have used unrecorded."""
-    for tasks in occurrence.tasks_by_step:
-        for task in tasks:
-            if not task.done:
-                task.last_run += jobs.UNRECORDED_RUNS
-
-
 async def read_submissions(shard: state.Shard) -> store_messages.Page:
     """Read all submissions of the shard."""
     return await _read_newest(shard, names.SUBMISSIONS_TOPIC)
--- a/limpetstream/shard/tests/test_ends.py
+++ b/limpetstream/shard/tests/test_ends.py
@@ -1,12 +1,13 @@
-"""Tests of ends that are listed late."""
+"""Tests of ends that are listed late, and of the numbers of runs."""
 
 import loguru
 import pytest
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import jobs
+from limpetstream.shard import jobs, recovery
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import state as workflow_state
+from limpetstream.store import messages as store_messages
+from limpetstream.workflow import messages, records, state as workflow_state
 from standins import virtual_time
 
 
@@ -65,3 +66,30 @@
     for number, task in enumerate(tasks):
         list_end(shard, task, 1, executor_messages.DONE, executor_id=f"x{number}")
     assert job.finished_occurrences == 1
+
+
+@pytest.mark.parametrize("recorded_run", [0, 1, 20_004])
+def test_no_two_owners_use_one_run_number(recorded_run):
+    """Guards against runs of two owners that cannot be told apart.
+
+    A job with a recorded start and no recorded end began at 1 again, and two
+    new owners in succession skipped the same numbers.
+    """
+    first_numbers = set()
+    for epoch in (2, 3):
+        shard = builders.make_shard(virtual_time.Loop())
+        shard.epoch = epoch
+        submission = messages.Submission("0" * 16, "batch", "service", "", [])
+        submission.steps = [builders.SHORT]
+        progress = records.Progress(queue="batch", marked=True)
+        if recorded_run:
+            progress.task_by_place["0.0.0"] = records.TaskProgress(run=recorded_run)
+        entry = store_messages.Entry(
+            submission.job_id, records.encode_submission(submission)
+        )
+        recovery.apply_submissions(shard, [entry], {submission.job_id: progress})
+        task = shard.waiting_tasks[0]
+        first_numbers.add(task.last_run + 1)
+        assert task.last_run >= recorded_run
+    assert len(first_numbers) == 2
+    assert not first_numbers & set(range(17))
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -125,7 +125,7 @@
             continue
         task.failed_runs = set(stored.failed_runs)
         task.ended_run = stored.run
-        task.last_run = max([stored.run, *stored.failed_runs])
+        task.last_run = max([task.last_run, stored.run, *stored.failed_runs])
         task.checkpoint = stored.checkpoint
         if stored.done:
             state.mark_done(task)
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -129,6 +129,8 @@
         started: Whether an executor ever confirmed a run of any task.
         start_recorded: Whether the journal says that the start of a run may
             have been requested.
+        last_earlier_run: Highest run number that earlier owners may have used
+            for any task; 0 if they cannot have started the job.
         occurrence_by_number: Occurrences whose tasks have been created.
         finished_occurrences: Number of occurrences that have finished.
         stored: Whether the journal holds a record of this job.
@@ -142,6 +144,7 @@
     final_ms: int = 0
     started: bool = False
     start_recorded: bool = False
+    last_earlier_run: int = 0
     occurrence_by_number: dict[int, Occurrence] = dataclasses.field(
         default_factory=dict
     )
@@ -187,6 +190,7 @@
                 index,
                 f"{submission.job_id}.{number}.{step_number}.{index}",
                 step,
+                last_run=job.last_earlier_run,
             )
             for index in range(step.count)
         ]
