Hold a task back until an older run of it is stopped

Cause: an executor listed a run with a number that was not above the last end of its task. The run was stopped as one that no task needs, and the task started elsewhere before that run had ended.

Change: the run is taken over and stopped, so the task waits for its end.

Result: test_a_task_waits_for_the_stop_of_an_older_run fails before and passes.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -124,8 +124,13 @@
                 task.run = None
             finish(shard, task.job, messages.FAILED)
             return
-    if end.run > task.ended_run and task.run in (None, ended):
+    if task.run is not None and task.run is not ended:
+        return
+    if end.run > task.ended_run:
         _record_end(shard, executor, task, end)
+    elif ended is not None:
+        task.run = None
+        enqueue(shard, task)
 
 
 def _stop_other_run(
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -118,12 +118,15 @@
 ) -> workflow_state.Run | None:
     """Take over a run that an earlier owner started.
 
+    A run that is older than one that has ended is stopped, but it keeps its
+    task from being started until its end is known.
+
     Returns:
         The run, or None if no task needs it; it is then being stopped.
     """
     task = jobs.find_task(shard, row.task)
     current = executor.run_by_task.get(row.task)
-    if task is None or current is not None or not _is_needed(task, row):
+    if task is None or current is not None or not _is_open(task):
         if (row.task, row.run) not in executor.unknown_runs:
             stops.stop_unknown_run(
                 shard, executor, row.task, row.run, "no open task needs it"
@@ -144,16 +147,14 @@
     if task in shard.waiting_tasks:
         shard.waiting_tasks.remove(task)
     executor.reserve(run)
+    if row.run <= task.ended_run:
+        stops.stop_run(shard, executor, run, "a later run has ended")
     return run
 
 
-def _is_needed(task: workflow_state.Task, row: messages.RunningRow) -> bool:
-    return (
-        not task.job.outcome
-        and not task.done
-        and task.run is None
-        and row.run > task.ended_run
-    )
+def _is_open(task: workflow_state.Task) -> bool:
+    """Return whether a task has neither ended nor a run."""
+    return not task.job.outcome and not task.done and task.run is None
 
 
 def _mark_vanished_runs_lost(
--- a/limpetstream/shard/tests/test_ends.py
+++ b/limpetstream/shard/tests/test_ends.py
@@ -4,7 +4,7 @@
 import pytest
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import jobs, recovery
+from limpetstream.shard import jobs, recovery, status_reports
 from limpetstream.shard.tests import builders
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, records, state as workflow_state
@@ -93,3 +93,22 @@
         assert task.last_run >= recorded_run
     assert len(first_numbers) == 2
     assert not first_numbers & set(range(17))
+
+
+def test_a_task_waits_for_the_stop_of_an_older_run():
+    """Guards against a run that starts beside one that is being stopped."""
+    shard = builders.make_shard(virtual_time.Loop())
+    executor = shard.executor_by_id["x0"]
+    task = builders.make_tasks(shard, builders.SHORT)[0]
+    task.ended_run = task.last_run = 20_001
+    jobs.enqueue(shard, task)
+    row = executor_messages.RunningRow(task.name, 3, "", 50, 0)
+    reply = executor_messages.PollReply(0, 1, [row], [])
+    status_reports.apply_report(shard, executor, reply, 1.0)
+    assert task.run is not None
+    assert task.run.phase == workflow_state.STOPPING
+    assert task not in shard.waiting_tasks
+    list_end(shard, task, 3, executor_messages.STOPPED)
+    assert task.run is None
+    assert task in shard.waiting_tasks
+    assert task.last_run == 20_001
