Name the error of the part that ended a shard in the log

Cause: the parts of a shard run in one task group. The group was raised as it is, and its text names none of its errors, so every failure was logged as "ExceptionGroup: unhandled errors in a TaskGroup (1 sub-exception)". The hypotheses on odd entries could not be told apart by the logs.

Change: the first error of the group is raised.

--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -84,6 +84,9 @@
                     await self._load_and_serve(shard)
         except* (errors.WriterFenced, errors.TokenOutdated) as caught:
             raise _first_error(caught) from None
+        except* Exception as caught:
+            # The text of a group names none of its errors.
+            raise _first_error(caught) from caught
 
     @contextlib.asynccontextmanager
     async def _registered(self, shard: state.Shard) -> AsyncIterator[None]:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -15,6 +15,8 @@
 PARTITIONS_PER_GROUP = 4
 # Shorter waits do not advance the virtual time.
 MIN_WAIT_S = 1e-6
+MAX_KEY_BYTES = 255
+MAX_RECORD_BYTES = 262_144
 
 
 @dataclasses.dataclass(slots=True)
@@ -218,6 +220,7 @@
         Raises:
             PlatformUnavailable: No answer; the append may take effect later.
         """
+        _check_sizes(entries)
         await self._simulate_network(timeout_s)
         draw = self.store.random.random()
         if draw < self.faults.delayed_share:
@@ -346,3 +349,18 @@
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("no answer in time", not_applied=True)
         await asyncio.sleep(delay_s)
+
+
+def _check_sizes(entries: list[messages.Entry]) -> None:
+    """Check the platform's limits of keys and records.
+
+    Raises:
+        ValueError: A key does not fit into the length that precedes it.
+        PlatformUnavailable: The platform refuses a record of this size.
+    """
+    for entry in entries:
+        key = entry.key.encode()
+        if len(key) > MAX_KEY_BYTES:
+            raise ValueError(f"key of {len(key)} bytes")
+        if 1 + len(key) + len(entry.value or b"") > MAX_RECORD_BYTES:
+            raise errors.PlatformUnavailable("record is too large", not_applied=True)
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -27,6 +28,11 @@
     return msgspec.json.decode(entry.value or b"", type=executor_messages.Listing)
 
 
+def encode_listing(listing: executor_messages.Listing) -> bytes:
+    """Encode an entry of the executors' topic."""
+    return msgspec.json.encode(listing)
+
+
 class FreezeGate:
     """Blocks the calls and timers of an instance while it is frozen."""
 
@@ -86,6 +92,8 @@
         seed: Seed of all random decisions.
         executors: Number of executors at the start.
         shards: Number of shards.
+        decode_listing: Decodes an entry of the executors' topic.
+        encode_listing: Encodes an entry of the executors' topic.
     """
 
     def __init__(
@@ -95,6 +103,8 @@
         seed: int = 0,
         executors: int = 4,
         shards: int = 1,
+        decode_listing: shard_server.DecodeListing = decode_listing,
+        encode_listing: Callable[[executor_messages.Listing], bytes] = encode_listing,
     ) -> None:
         self.random = random.Random(seed)
         self.clock: clock_module.Clock = virtual_time.make_clock(loop)
@@ -105,6 +115,8 @@
         self.instance_by_member: dict[str, Instance] = {}
         self.view = state.DeploymentView(messages.Configuration(1, [QUEUE, BATCH]))
         self._shards = shards
+        self._decode_listing = decode_listing
+        self._encode_listing = encode_listing
         for number in range(executors):
             self.add_executor(f"x{number}")
 
@@ -112,7 +124,7 @@
         """Add an executor and publish its entry."""
         listing = executor_messages.Listing(
             executor_id,
-            executor_id,
+            f"10.0.0.{len(self.executor_by_id) + 1}:7000",
             "a" if len(self.executor_by_id) % 2 else "b",
             "service",
             executor_messages.READY,
@@ -136,7 +148,7 @@
     def list_executor(self, executor: step_executors.Executor) -> None:
         """Publish an executor's entry, as a real executor does itself."""
         entry = store_messages.Entry(
-            executor.listing.executor_id, msgspec.json.encode(executor.listing)
+            executor.listing.executor_id, self._encode_listing(executor.listing)
         )
         self.store.append(EXECUTORS_TOPIC, 0, [entry], None, None)
 
@@ -159,7 +171,7 @@
             timing=state.Timing(max_stop_s=step_executors.STOP_DURATION_S),
             shard_count=self._shards,
             executors_topic=EXECUTORS_TOPIC,
-            decode_listing=decode_listing,
+            decode_listing=self._decode_listing,
         )
         shard_ownership = ownership.Ownership(
             _FreezableClient(store, gate),
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Callable
 
+import pycurl
+
 from limpetstream import errors
 from limpetstream.executors import messages
 
@@ -380,9 +382,23 @@
         task.add_done_callback(self._delayed_starts.discard)
 
     async def _connect(self, listing: messages.Listing, timeout_s: float) -> Executor:
-        executor = self.executor_by_id[listing.executor_id]
+        executor = self.executor_by_id.get(listing.executor_id)
+        if executor is None:
+            _check_sendable(listing)
+            raise errors.PlatformUnavailable("no executor at this address")
         if self.cut or executor.cut:
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("executor is cut off")
         await asyncio.sleep(RESPONSE_DELAY_S)
         return executor
+
+
+def _check_sendable(listing: messages.Listing) -> None:
+    """Raise what libcurl's binding raises for texts that it cannot send."""
+    curl = pycurl.Curl()
+    try:
+        curl.setopt(pycurl.URL, f"http://{listing.address}/")
+        header = f"X-Expected-Instance: {listing.executor_id}"
+        curl.setopt(pycurl.HTTPHEADER, [header.encode("latin-1")])
+    finally:
+        curl.close()
