--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -16,7 +16,8 @@
 
 import msgspec
 
-from limpetstream.executors import messages, tracking
+from limpetstream import errors
+from limpetstream.executors import listing_checks, messages, tracking
 from limpetstream.shard import names, state
 
 
@@ -31,6 +32,31 @@
     listing: messages.Listing
 
 
+def decode(key: str, raw: bytes) -> messages.Listing:
+    """Decode the record of an executor.
+
+    It is checked like an entry in the list, because an owner of another
+    version may have written it.
+
+    Args:
+        key: Key of the record, which ends with the executor's id.
+        raw: Value of the record.
+
+    Raises:
+        RecordError: The record is damaged, or names no usable executor.
+    """
+    try:
+        record = msgspec.json.decode(raw, type=ExecutorRecord)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise errors.RecordError(
+            f"stored ExecutorRecord cannot be decoded: {error}"
+        ) from error
+    listing_checks.check(record.listing)
+    if key != names.EXECUTOR_KEY_PREFIX + record.listing.executor_id:
+        raise errors.RecordError(f"record of {record.listing.executor_id!r}")
+    return record.listing
+
+
 def note_inherited(shard: state.Shard, executor_id: str) -> None:
     """Note a record that an earlier owner left in the journal."""
     shard.record_state_by_id[executor_id] = state.KEPT
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -13,6 +13,7 @@
     names,
     state,
     stored_estimates,
+    unreadable,
 )
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.telemetry import logs
@@ -50,20 +51,16 @@
             if entry.key == names.ESTIMATES_KEY:
                 stored_estimates.load(shard, entry.value)
             elif entry.key.startswith(names.EXECUTOR_KEY_PREFIX):
-                record = msgspec.json.decode(
-                    entry.value, type=executor_records.ExecutorRecord
-                )
-                listings.append(record.listing)
+                listings.append(executor_records.decode(entry.key, entry.value))
             else:
                 progress_by_id[entry.key] = records.decode_progress(entry.value)
-        except (errors.RecordError, msgspec.DecodeError) as error:
-            logs.emit(
-                events.ENTRY_UNREADABLE,
-                topic=names.PROGRESS_TOPIC,
-                key=entry.key,
-                offset=entry.offset,
-                error=str(error),
-            )
+        except (
+            errors.RecordError,
+            msgspec.DecodeError,
+            UnicodeError,
+            RecursionError,
+        ) as error:
+            unreadable.log(names.PROGRESS_TOPIC, entry, error)
     return JournalContent(progress_by_id, listings)
 
 
@@ -86,13 +83,7 @@
         try:
             submission = records.decode_submission(entry.value)
         except errors.RecordError as error:
-            logs.emit(
-                events.ENTRY_UNREADABLE,
-                topic=names.SUBMISSIONS_TOPIC,
-                key=entry.key,
-                offset=entry.offset,
-                error=str(error),
-            )
+            unreadable.log(names.SUBMISSIONS_TOPIC, entry, error)
             continue
         progress = progress_by_id.pop(entry.key, None)
         if progress is None:
--- /dev/null
+++ b/limpetstream/shard/tests/record_builders.py
@@ -0,0 +1,51 @@
+"""Builders of records of executors in the journal, good and odd ones."""
+
+import msgspec
+
+NESTED_FIELD = b'{"x":' + b"[" * 100_000
+
+GOOD = {
+    "executor_id": "odd",
+    "address": "10.0.0.99:7000",
+    "data_centre": "a",
+    "service": "service",
+    "state": "ready",
+    "capacity": {"cpu_millicores": 16_000, "memory_mb": 64_000, "accelerators": 0},
+    "labels": ["kind", "rack-0"],
+    "born_ms": 1000,
+}
+
+
+def executor_record(**changes: object) -> bytes:
+    """Return the record of an executor with some fields changed."""
+    return msgspec.json.encode({"listing": {**GOOD, **changes}})
+
+
+def executor_record_with_text(text: bytes) -> bytes:
+    """Return a record with JSON text added, whose fields take precedence."""
+    return executor_record()[:-2] + b"," + text + b"}}"
+
+
+ODD_RECORD_BY_KIND = {
+    "nested": b"[" * 100_000,
+    "nested in an unknown field": executor_record_with_text(b'"x":' + b"[" * 100_000),
+    "not UTF-8": executor_record_with_text(b'"data_centre":"\xff"'),
+    "port 99999": executor_record(address="10.0.0.99:99999"),
+    "control characters": executor_record(address="10.0.0.99\0:7000"),
+    "host outside ASCII": executor_record(address="ex\u00e9cutor:7000"),
+    "another id": executor_record(executor_id="other"),
+    "id with line ends": executor_record(executor_id="odd\r\nX: y"),
+    "capacity beyond 64 bits": executor_record_with_text(
+        b'"capacity":{"cpu_millicores":1180591620717411303424,'
+        b'"memory_mb":1,"accelerators":0}'
+    ),
+    "capacity of 400 digits": executor_record_with_text(
+        b'"capacity":{"cpu_millicores":%b,"memory_mb":1,"accelerators":0}'
+        % (b"9" * 400)
+    ),
+    "start beyond 64 bits": executor_record_with_text(
+        b'"born_ms":1180591620717411303424'
+    ),
+    "unknown state": executor_record(state="asleep"),
+    "labels of 200 kB": executor_record(labels=["x" * 200_000]),
+}
--- /dev/null
+++ b/limpetstream/shard/tests/test_odd_records.py
@@ -0,0 +1,88 @@
+"""Tests that odd records in the journal do not end the owners of a shard."""
+
+import asyncio
+
+import loguru
+import pytest
+
+from limpetstream.shard import events, names
+from limpetstream.shard.tests import record_builders as builders, schedules
+from limpetstream.store import messages as store_messages
+from limpetstream.telemetry import logs
+from standins import shard_cluster
+
+
+@pytest.fixture(autouse=True)
+def logged():
+    """Collect the events that are logged."""
+    loguru.logger.remove()
+    collected = []
+
+    def observe(event, fields):
+        collected.append((event, fields))
+
+    logs.observers.append(observe)
+    yield collected
+    logs.observers.remove(observe)
+
+
+def owner_shard(cluster):
+    owner = cluster.instance_by_member[cluster.owner_member()]
+    return shard_cluster.shard_zero(owner)
+
+
+@pytest.mark.parametrize("kind", builders.ODD_RECORD_BY_KIND)
+def test_owners_serve_a_shard_whose_journal_holds_an_odd_record(kind, logged):
+    """Guards against a record of an odd executor that ends every new owner."""
+
+    async def scenario(cluster):
+        key = f"{names.EXECUTOR_KEY_PREFIX}odd"
+        entry = store_messages.Entry(key, builders.ODD_RECORD_BY_KIND[kind])
+        cluster.store.append(names.PROGRESS_TOPIC, 0, [entry], None, None)
+        for number, member in enumerate(("m0", "m1")):
+            cluster.start(member)
+            await asyncio.sleep(4)
+            assert cluster.owner_member() == member
+            assert "odd" not in owner_shard(cluster).executor_by_id
+            name = schedules.job_id(number)
+            assert await cluster.submit(name, schedules.steps(8), seconds=1.0)
+            assert await cluster.wait_until_final(name, limit_s=6) == "completed"
+            await cluster.kill(member)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
+    assert events.SHARD_FAILED not in [event for event, _ in logged]
+    assert events.ENTRY_UNREADABLE in [event for event, _ in logged]
+
+
+def test_owner_serves_a_shard_whose_estimates_are_odd(logged):
+    """Guards against stored estimates that end every new owner."""
+
+    async def scenario(cluster):
+        for key in (names.ESTIMATES_KEY, schedules.job_id(7)):
+            entry = store_messages.Entry(key, builders.NESTED_FIELD)
+            cluster.store.append(names.PROGRESS_TOPIC, 0, [entry], None, None)
+        cluster.start("m0")
+        await asyncio.sleep(4)
+        assert cluster.owner_member() == "m0"
+
+    schedules.run_scenario(scenario)
+    assert events.SHARD_FAILED not in [event for event, _ in logged]
+    assert len([1 for event, _ in logged if event is events.ENTRY_UNREADABLE]) == 2
+
+
+def test_record_of_an_executor_is_taken_over(logged):
+    """Guards against checks that refuse the records of sound executors."""
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        await cluster.kill("m0")
+        for executor_id in cluster.executor_by_id:
+            cluster.unlist_executor(executor_id)
+        cluster.start("m1")
+        await asyncio.sleep(4)
+        assert set(owner_shard(cluster).executor_by_id) == set(cluster.executor_by_id)
+
+    schedules.run_scenario(scenario)
+    assert events.ENTRY_UNREADABLE not in [event for event, _ in logged]
