--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -15,6 +15,7 @@
 )
 NESTED = b"[" * 100_000
 NESTED_FIELD = b'"x":' + NESTED
+NESTED_OBJECT = b"{" + NESTED_FIELD
 RUN = ["5c0e7a21d94b36f8.0.0.0", 1, "", 50, 3]
 END = [1, "5c0e7a21d94b36f8.0.0.0", 1, "done", ""]
 
