Fail calls that cannot be sent like calls without an answer

Cause: the binding of libcurl raises UnicodeEncodeError or ValueError for control characters and for text that it cannot encode, in an address or a header. Callers of the client handle PlatformUnavailable only.

Change: a path or header with anything but printable ASCII raises PlatformUnavailable, marked as not applied.

--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -133,11 +133,14 @@
             headers: Additional headers.
 
         Raises:
-            PlatformUnavailable: The call timed out, the connection failed, or
-                the status is 503. ``not_applied`` is true only after 503,
-                which is taken to mean that the call had no effect.
+            PlatformUnavailable: The call timed out, the connection failed, the
+                status is 503, or the path or a header cannot be sent.
+                ``not_applied`` is true if nothing was sent or the connection
+                was refused, and after 503, which is taken to mean that the
+                call had no effect.
         """
         sent_at = self.clock.monotonic()
+        _check_sendable(method, path, headers or {})
         request = self._request(method, path, body, timeout_s)
         if headers:
             request.headers.update(headers)
@@ -224,6 +227,22 @@
         )
 
 
+def _check_sendable(method: str, path: str, headers: dict[str, str]) -> None:
+    """Check the texts for which libcurl's binding raises errors of its own.
+
+    Addresses and ids come from entries that other programs may write.
+
+    Raises:
+        PlatformUnavailable: A text holds other than printable ASCII.
+    """
+    for text in (path, *headers.values()):
+        if not (text.isascii() and text.isprintable()):
+            shown = ascii(text[:MAX_DETAIL_CHARACTERS])
+            raise errors.PlatformUnavailable(
+                f"{method}: {shown} cannot be sent", not_applied=True
+            )
+
+
 def _encode(body: Any) -> bytes | None:
     if body is None or isinstance(body, bytes):
         return body
--- a/limpetstream/platform/tests/test_clients.py
+++ b/limpetstream/platform/tests/test_clients.py
@@ -227,3 +227,34 @@
             await asyncio.gather(*calls, return_exceptions=True)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("path", "header"),
+    [
+        ("http://127.0.0.1\0:7000/", "i-1"),
+        ("http://ex\u00e9cutor:7000/", "i-1"),
+        ("http://127.0.0.1:\u0663/", "i-1"),
+        ("http://\ud800:7000/", "i-1"),
+        ("http://127.0.0.1:99999/", "i-1"),
+        ("http://127.0.0.1:9/", "i-1\r\nX: y"),
+        ("http://127.0.0.1:9/", "i-\ufffd"),
+        ("http://127.0.0.1:9/", "i-\0"),
+    ],
+)
+def test_call_that_cannot_be_sent_fails_like_one_without_an_answer(
+    path: str, header: str
+) -> None:
+    """Guards against an address or id that raises an unexpected error."""
+
+    async def main() -> None:
+        client = http.Client(base_url="", clock=clock.Clock())
+        try:
+            with pytest.raises(errors.PlatformUnavailable):
+                await client.call(
+                    "GET", path, timeout_s=0.5, headers={"X-Expected-Instance": header}
+                )
+        finally:
+            client.close()
+
+    asyncio.run(main())
