--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,9 +8,11 @@
 import sys
 import sysconfig
 
+import hypothesis
 import loguru
 import msgspec
 import pytest
+from hypothesis import strategies
 
 from adapter import callers, listing, operator, store
 from limpetstream import errors
@@ -27,6 +29,44 @@
 }
 
 
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda values: (
+        strategies.lists(values) | strategies.dictionaries(strategies.text(), values)
+    ),
+    max_leaves=4,
+)
+odd_waves = strategies.fixed_dictionaries(
+    {
+        "wave": strategies.integers() | json_values,
+        "machines": strategies.lists(strategies.text()) | json_values,
+        "duration_s": strategies.floats() | json_values,
+        "max_count": strategies.integers() | json_values,
+    }
+).map(msgspec.json.encode)
+odd_routes = strategies.fixed_dictionaries(
+    {
+        "name": strategies.text(),
+        "host": strategies.text(),
+        "path_prefix": strategies.text(),
+        "service": strategies.text() | json_values,
+        "priority": strategies.integers() | json_values,
+        "advice": json_values,
+    }
+)
+odd_configurations = strategies.fixed_dictionaries(
+    {
+        "version": strategies.integers() | json_values,
+        "routes": strategies.lists(odd_routes, max_size=2) | json_values,
+        "services": strategies.just([]) | json_values,
+    }
+).map(msgspec.json.encode)
+
+
 @pytest.fixture(autouse=True)
 def disable_logging():
     loguru.logger.remove()
@@ -195,3 +235,29 @@
     assert view.closed_data_centres == {"a"}
     operator.apply(view, [store_messages.Entry("evacuate/a", None)], False)
     assert not view.closed_data_centres
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["", "evacuate/", "wave/", "config"]),
+            strategies.text(max_size=20) | strategies.from_regex(r"[0-9]{1,250}"),
+            strategies.none()
+            | strategies.binary(max_size=50)
+            | odd_waves
+            | odd_configurations,
+        ),
+        max_size=4,
+    ),
+    strategies.booleans(),
+)
+def test_any_operator_entries_are_applied_or_refused(rows, complete):
+    """Guards against an operator's entry that ends the process."""
+    view = state.DeploymentView()
+    entries = [
+        store_messages.Entry(prefix if prefix == "config" else prefix + rest, value)
+        for prefix, rest, value in rows
+    ]
+    operator.apply(view, entries, complete)
+    assert all(isinstance(number, int) for number in view.wave_by_number)
