Ignore places in stored progress that name no task

What callers saw: nothing here.

Cause: the parts of a place were converted with int() and passed on whatever their count, which raised ValueError or TypeError in the loading of the shard.

Change: a place that is not three numbers is ignored, like one that names no task of the job; the progress of the other tasks holds. Occurrences are created by restore alone, which did so for every valid place already.

--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -119,8 +119,6 @@
     shard.job_by_id[submission.job_id] = job
     if progress.marked:
         shard.maybe_started_job_ids.add(submission.job_id)
-    for place in progress.task_by_place:
-        workflow_state.get_occurrence(job, int(place.partition(".")[0]))
     records.restore(job, progress)
     if job.outcome:
         return
--- a/limpetstream/shard/tests/record_builders.py
+++ b/limpetstream/shard/tests/record_builders.py
@@ -49,3 +49,8 @@
     "unknown state": executor_record(state="asleep"),
     "labels of 200 kB": executor_record(labels=["x" * 200_000]),
 }
+
+
+def progress(place: str) -> bytes:
+    """Return the progress of a job with one task at a place."""
+    return msgspec.json.encode({"marked": True, "task_by_place": {place: {"run": 1}}})
--- a/limpetstream/shard/tests/test_odd_records.py
+++ b/limpetstream/shard/tests/test_odd_records.py
@@ -55,6 +55,31 @@
     assert events.ENTRY_UNREADABLE in [event for event, _ in logged]
 
 
+@pytest.mark.parametrize(
+    "place", ["", "x", "0.0", "0.0.0.0", "0.0.x", "-1.0.0", "0.0.-1", "9" * 5000]
+)
+def test_owner_serves_a_shard_whose_progress_is_odd(place, logged):
+    """Guards against progress of a task that is none and ends every owner."""
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        job_ids = [schedules.job_id(number) for number in range(2)]
+        assert await cluster.submit(job_ids[0], schedules.steps(8), seconds=4.0)
+        await cluster.kill("m0")
+        entry = store_messages.Entry(job_ids[0], builders.progress(place))
+        cluster.store.append(names.PROGRESS_TOPIC, 0, [entry], None, None)
+        cluster.start("m1")
+        await asyncio.sleep(4)
+        assert await cluster.submit(job_ids[1], schedules.steps(8), seconds=1.0)
+        for job_id in job_ids:
+            state = await cluster.wait_until_final(job_id, limit_s=20)
+            assert state == "completed"
+
+    assert not schedules.run_scenario(scenario).breaches.found
+    assert events.SHARD_FAILED not in [event for event, _ in logged]
+
+
 def test_owner_serves_a_shard_whose_estimates_are_odd(logged):
     """Guards against stored estimates that end every new owner."""
 
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import re
 from typing import Any
 
 import msgspec
@@ -12,6 +13,8 @@
 from limpetstream import errors
 from limpetstream.workflow import messages, state
 
+_PLACE = re.compile(r"([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
+
 
 @dataclasses.dataclass(slots=True)
 class TaskProgress:
@@ -112,15 +115,21 @@
 
 
 def restore(job: state.Job, progress: Progress) -> None:
-    """Apply stored progress to a job that has no progress yet."""
+    """Apply stored progress to a job that has no progress yet.
+
+    Progress of places that name no task of the job is ignored; that of the
+    other tasks holds.
+    """
     job.outcome = job.visible_outcome = progress.outcome
     job.final_ms = progress.final_ms
     job.started = progress.started
     job.start_recorded = progress.marked
     job.stored = True
     for place, stored in progress.task_by_place.items():
-        numbers = [int(part) for part in place.split(".")]
-        task = state.find_task(job, *numbers)
+        match = _PLACE.fullmatch(place)
+        if match is None:
+            continue
+        task = state.find_task(job, int(match[1]), int(match[2]), int(match[3]))
         if task is None:
             continue
         task.failed_runs = set(stored.failed_runs)
