--- a/tests/test_executor_entries.py
+++ b/tests/test_executor_entries.py
@@ -215,3 +215,27 @@
 
     assert not run_scenario(scenario).breaches.found
     assert events.SHARD_FAILED not in [event for event, _ in logged]
+
+
+def test_executor_that_never_answered_does_not_delay_a_new_owner(logged):
+    """Guards against a new owner that waits for what cannot run anything.
+
+    An entry in sound form may name an address where no executor listens. The
+    first owner recorded it, and the next waited for leases there to expire.
+    """
+
+    async def scenario(cluster):
+        write_entry(cluster, "odd", builders.entry())
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        name = schedules.job_id(1)
+        assert await cluster.submit(name, schedules.steps(8, chain=4), seconds=1.0)
+        await asyncio.sleep(0.5)
+        await cluster.kill("m0")
+        cluster.start("m1")
+        assert await cluster.wait_until_final(name, limit_s=6) == "completed"
+
+    assert not run_scenario(scenario).breaches.found
+    located = [fields for event, fields in logged if event is events.SHARD_LOCATED]
+    assert [fields["inherited"] for fields in located] == [0, 4]
+    assert located[1]["after_ms"] < 500
