--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -174,7 +174,7 @@
     1525,
     "entry-unreadable",
     "WARNING",
-    "An entry in the store cannot be decoded; it is ignored.",
+    "An entry in the store cannot be used; it is ignored.",
     "Find out which program wrote it.",
 )
 PACE_CHANGED = events.declare(
