Announce an owner only in place of what it has read

Cause: the announcement of an owner was an unconditional append. One that takes effect seconds later replaces that of a later owner. When that one leaves, the others wait for the member that is announced, which is in the group and does not own the shard.

Change: the append is conditional on the end of the partition that was read.

Result: test_a_late_announcement_replaces_no_later_one fails before (m0 stays announced after m1) and passes.

--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -263,15 +263,28 @@
             await self._clock.sleep(VACANCY_CHECK_INTERVAL_S)
 
     async def _announce(self, shard: int) -> None:
-        """Announce this member as the owner; only the claim proves it."""
+        """Announce this member as the owner; only the claim proves it.
+
+        The append is conditional, so one that takes effect late does not
+        replace the announcement of a later owner.
+        """
         entry = messages.Entry(names.OWNER_KEY, self._member.encode())
         while True:
             try:
+                page = await self._store.newest(
+                    names.OWNERS_TOPIC, shard, timeout_s=JOIN_TIMEOUT_S
+                )
+                if _announced_owner(page.entries) == self._member:
+                    return
                 await self._store.append(
-                    names.OWNERS_TOPIC, shard, [entry], timeout_s=JOIN_TIMEOUT_S
+                    names.OWNERS_TOPIC,
+                    shard,
+                    [entry],
+                    at=page.end,
+                    timeout_s=JOIN_TIMEOUT_S,
                 )
                 return
-            except errors.PlatformUnavailable as error:
+            except (errors.PlatformUnavailable, errors.OffsetMoved) as error:
                 logs.emit(events.CLAIM_FAILED, shard=shard, error=str(error))
             await self._clock.sleep(CLAIM_RETRY_S)
 
--- a/limpetstream/shard/tests/test_partitions.py
+++ b/limpetstream/shard/tests/test_partitions.py
@@ -9,7 +9,9 @@
 import loguru
 import pytest
 
+from limpetstream.shard import names, ownership
 from limpetstream.shard.tests import schedules
+from standins import keyed_store, virtual_time
 
 
 @pytest.fixture(autouse=True)
@@ -80,3 +82,27 @@
 
     cluster = schedules.run_scenario(scenario)
     assert not cluster.breaches.found
+
+
+def test_a_late_announcement_replaces_no_later_one():
+    """Guards against a shard without an owner after that owner has left.
+
+    The other instances would wait for the one that is announced, which is a
+    member of the group and does not own the shard.
+    """
+
+    async def scenario():
+        store = keyed_store.Store()
+        late, later = keyed_store.Client(store), keyed_store.Client(store)
+        clock = virtual_time.make_clock(asyncio.get_running_loop())
+        late.faults.delayed_share = 1.0
+        announcing = asyncio.create_task(
+            ownership.Ownership(late, "m0", 1, None, clock)._announce(0)
+        )
+        await asyncio.sleep(0.1)
+        announcing.cancel()
+        await ownership.Ownership(later, "m1", 1, None, clock)._announce(0)
+        await asyncio.sleep(7.0)
+        return store.newest(names.OWNERS_TOPIC, 0)[names.OWNER_KEY].value
+
+    assert virtual_time.run(scenario(), loop=virtual_time.Loop()) == b"m1"
