Cut connections one way in the soak

The soak disturbed the link of one instance to the store, or the link to an executor for all instances at once.

The servers of store and executors now hold requests and answers back by their sender: by the instance's own address of the store, and by the fencing token at an executor. Cuts of a data centre or of the owner come in series beside the other faults, from a generator of their own; the seeds that failed are played without them.

A second fault on the link of an executor that restarts no longer opens the link early.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,18 +14,21 @@
 from soak import _run
 
 
-def main(first: int = 1, seeds: int = 1, seconds: float = 30.0) -> None:
+def main(
+    first: int = 1, seeds: int = 1, seconds: float = 30.0, cuts: bool = True
+) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
     Args:
         first: First seed.
         seeds: Number of seeds.
         seconds: How long each run submits jobs and injects faults.
+        cuts: Whether connections are also cut in one direction.
     """
     loguru.logger.remove()
     failed_runs = 0
     for seed in range(first, first + seeds):
-        outcome = asyncio.run(_run.run(seed, seconds=seconds))
+        outcome = asyncio.run(_run.run(seed, seconds=seconds, cuts=cuts))
         failed_runs += bool(outcome.findings)
         print(msgspec.json.encode(dataclasses.asdict(outcome)).decode(), flush=True)
     sys.exit(1 if failed_runs else 0)
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -12,14 +12,18 @@
 import random
 from collections.abc import AsyncIterator
 
+from tornado import httputil
+
 from emulator import deployment, executors, store
 from limpetstream import clock as clock_module
 from limpetstream.border import simple_server
 from limpetstream.executors import messages
 from limpetstream.platform import http
+from soak import _cuts, _owners
 from standins import keyed_store, link, processes, step_executors
 
 DIRECTORY = "build/soak"
+STORE = "store"
 DATA_CENTRES = ("a", "b")
 CAPACITY = messages.Capacity(16_000, 64_000, 0)  # 16 cores, 64,000 MB.
 READY_TIMEOUT_S = 20.0
@@ -59,10 +63,17 @@
 
 @dataclasses.dataclass(slots=True)
 class LinkedExecutor:
-    """One executor and the link to it."""
+    """One executor and the link to it.
+
+    Args:
+        executor: The executor.
+        link: Link to it.
+        is_restarting: Whether it has crashed and is not back yet.
+    """
 
     executor: step_executors.Executor
     link: link.Link
+    is_restarting: bool = False
 
 
 class Cluster:
@@ -80,7 +91,10 @@
         self.random = random.Random(seed)
         self.fault_choices = random.Random(seed)
         self.caller_choices = random.Random(seed)
+        self.cut_choices = random.Random(seed)
+        self.network = _cuts.Network()
         self.store = keyed_store.Store(seed=seed)
+        self.owners = _owners.Owners(self.store)
         self.breaches = step_executors.Breaches(loop)
         self.size_by_spec: dict[str, tuple[int, float]] = {}
         self.instance_by_name: dict[str, Instance] = {}
@@ -140,9 +154,15 @@
             rate=self.random.choice([0.98, 1.0]),
             born_at=asyncio.get_running_loop().time(),
         )
-        executor_link = await self._serve_behind_link(
-            executors.ExecutorHandler(executor).answer
-        )
+        handler = executors.ExecutorHandler(executor)
+
+        async def answer(request: httputil.HTTPServerRequest) -> simple_server.Response:
+            caller = self.owners.find_caller(request)
+            return await self.network.deliver(
+                caller, executor_id, request, handler.answer
+            )
+
+        executor_link = await self._serve_behind_link(answer)
         executor.listing.address = f"127.0.0.1:{executor_link.port}"
         self.linked_executor_by_id[executor_id] = LinkedExecutor(
             executor, executor_link
@@ -188,8 +208,14 @@
     async def _add_instance(self, number: int) -> None:
         name = f"instance-{number}"
         ip = _address(self._number, number)
+        self.owners.name_by_ip[ip] = name
         client = keyed_store.Client(self.store)
-        store_link = await self._serve_behind_link(store.StoreHandler(client).answer)
+        handler = store.StoreHandler(client)
+
+        async def answer(request: httputil.HTTPServerRequest) -> simple_server.Response:
+            return await self.network.deliver(name, STORE, request, handler.answer)
+
+        store_link = await self._serve_behind_link(answer)
         path = self.group.log_directory / f"{name}.json"
         path.write_bytes(
             deployment.settings_file(
@@ -206,6 +232,18 @@
             name, ip, path, client, store_link, caller_link
         )
 
+    def members_of(self, data_centre: str) -> frozenset[str]:
+        """Return the names of the instances and executors in a data centre."""
+        members = {
+            executor_id
+            for executor_id, linked in self.linked_executor_by_id.items()
+            if linked.executor.listing.data_centre == data_centre
+        }
+        for number, name in enumerate(self.instance_by_name):
+            if DATA_CENTRES[number % len(DATA_CENTRES)] == data_centre:
+                members.add(name)
+        return frozenset(members)
+
     async def _serve_behind_link(self, answer: simple_server.Responder) -> link.Link:
         """Serve ``answer`` on a free loopback port; return a link to it."""
         port = processes.free_port()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -44,7 +45,7 @@
     if instance is None:
         return
     instance.process.pause()
-    await _hold_fault(cluster)
+    await _hold_fault(cluster.fault_choices)
     instance.process.resume()
     instance.is_busy = False
 
@@ -84,13 +85,16 @@
 
 async def executor_link(cluster: _cluster.Cluster) -> None:
     """Disturb the link to an executor."""
-    await _disturb_link(cluster, _choose(cluster, cluster.linked_executor_by_id).link)
+    linked_executor = _choose(cluster, cluster.linked_executor_by_id)
+    await _disturb_link(cluster, linked_executor.link)
+    if linked_executor.is_restarting:
+        linked_executor.link.cut()
 
 
 async def store_down(cluster: _cluster.Cluster) -> None:
     """Make the store refuse all calls."""
     cluster.store.down = True
-    await _hold_fault(cluster)
+    await _hold_fault(cluster.fault_choices)
     cluster.store.down = False
 
 
@@ -99,7 +103,7 @@
     faults = _choose(cluster, cluster.instance_by_name).client.faults
     faults.lost_answer_share = cluster.fault_choices.choice([0.0, 0.3])
     faults.delayed_share = 0.3 - faults.lost_answer_share
-    await _hold_fault(cluster)
+    await _hold_fault(cluster.fault_choices)
     faults.lost_answer_share = faults.delayed_share = 0.0
 
 
@@ -111,9 +115,13 @@
 async def executor_life(cluster: _cluster.Cluster) -> None:
     """Crash an executor and restart it under the same id."""
     linked_executor = _choose(cluster, cluster.linked_executor_by_id)
+    if linked_executor.is_restarting:
+        return
+    linked_executor.is_restarting = True
     linked_executor.link.cut()
     await asyncio.sleep(EXECUTOR_RESTART_S)
     cluster.restart_executor(linked_executor)
+    linked_executor.is_restarting = False
     linked_executor.link.restore()
 
 
@@ -121,7 +129,7 @@
     """Apply start requests at an executor seconds later, without an answer."""
     executor = _choose(cluster, cluster.linked_executor_by_id).executor
     executor.delayed_share = 0.5
-    await _hold_fault(cluster)
+    await _hold_fault(cluster.fault_choices)
     executor.delayed_share = 0.0
 
 
@@ -135,6 +143,21 @@
     cluster.configure()
 
 
+async def data_centre_one_way(cluster: _cluster.Cluster) -> None:
+    """Hold back what a data centre sends, or what it is sent."""
+    data_centre = cluster.cut_choices.choice(_cluster.DATA_CENTRES)
+    await _cut_one_way(cluster, cluster.members_of(data_centre))
+
+
+async def owner_one_way(cluster: _cluster.Cluster) -> None:
+    """Hold back what the owner sends, or what it is sent."""
+    owner = cluster.owners.newest()
+    await _cut_one_way(cluster, frozenset([owner] if owner else []))
+
+
+# Injected beside the others, with random decisions of their own.
+CUTS: tuple[Fault, ...] = (data_centre_one_way, owner_one_way)
+
 ALL: tuple[Fault, ...] = (
     kill,
     terminate,
@@ -196,13 +219,19 @@
     else:
         disturbed.cut()
     if disturbance != "reset":
-        await _hold_fault(cluster)
+        await _hold_fault(cluster.fault_choices)
     disturbed.restore()
     disturbed.delay_ms = 0.0
 
 
-async def _hold_fault(cluster: _cluster.Cluster) -> None:
-    await asyncio.sleep(cluster.fault_choices.uniform(0.3, MAX_FAULT_S))
+async def _cut_one_way(cluster: _cluster.Cluster, inside: frozenset[str]) -> None:
+    is_inward = cluster.cut_choices.choice([False, True])
+    with cluster.network.cut(inside, is_inward=is_inward):
+        await _hold_fault(cluster.cut_choices)
+
+
+async def _hold_fault(choices: random.Random) -> None:
+    await asyncio.sleep(choices.uniform(0.3, MAX_FAULT_S))
 
 
 def _choose(cluster: _cluster.Cluster, value_by_name: dict) -> object:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 from soak import _callers, _cluster, _faults
 
@@ -15,6 +16,7 @@
 JOBS_PER_S = 4.0
 FAULT_FREE_START_S = 2.0
 MEAN_SERIES_INTERVAL_S = 2.5  # Between the starts of two series of faults.
+MEAN_CUT_INTERVAL_S = 12.0  # The same for cuts.
 MAX_FAULTS_IN_SERIES = 4
 # Recovery takes up to 12 s; the silence of an executor adds 6 s.
 SETTLE_TIMEOUT_S = 30.0
@@ -43,12 +45,13 @@
     findings: list[str]
 
 
-async def run(seed: int, *, seconds: float) -> Outcome:
+async def run(seed: int, *, seconds: float, cuts: bool = True) -> Outcome:
     """Run one seed and return its result.
 
     Args:
         seed: Seed of jobs and faults.
         seconds: How long jobs are submitted and faults are injected.
+        cuts: Whether connections are also cut in one direction.
     """
     opened = _cluster.open_cluster(
         seed, instance_count=INSTANCES, executor_count=EXECUTORS
@@ -60,6 +63,8 @@
             task_group.create_task(callers.run(seconds, per_s=JOBS_PER_S))
             task_group.create_task(callers.poll_jobs(seconds))
             task_group.create_task(_inject(cluster, seconds, injected))
+            if cuts:
+                task_group.create_task(_inject_cuts(cluster, seconds, injected))
         await callers.wait_until_settled(limit_s=SETTLE_TIMEOUT_S)
         _check_final_states(cluster, callers)
         await asyncio.gather(
@@ -81,16 +86,49 @@
     cluster: _cluster.Cluster, seconds: float, injected: list[str]
 ) -> None:
     """Inject overlapping series of faults; return when all have ended."""
+    await _inject_series_of(
+        _faults.ALL,
+        cluster,
+        seconds,
+        injected,
+        choices=cluster.fault_choices,
+        mean_interval_s=MEAN_SERIES_INTERVAL_S,
+    )
+
+
+async def _inject_cuts(
+    cluster: _cluster.Cluster, seconds: float, injected: list[str]
+) -> None:
+    """Inject series of one-way cuts beside the other faults."""
+    await _inject_series_of(
+        _faults.CUTS,
+        cluster,
+        seconds,
+        injected,
+        choices=cluster.cut_choices,
+        mean_interval_s=MEAN_CUT_INTERVAL_S,
+    )
+
+
+async def _inject_series_of(
+    faults: tuple[_faults.Fault, ...],
+    cluster: _cluster.Cluster,
+    seconds: float,
+    injected: list[str],
+    *,
+    choices: random.Random,
+    mean_interval_s: float,
+) -> None:
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     await asyncio.sleep(FAULT_FREE_START_S)
     async with asyncio.TaskGroup() as task_group:
         while loop.time() - started_at < seconds:
-            fault = cluster.fault_choices.choice(_faults.ALL)
-            task_group.create_task(_inject_series(cluster, fault, started_at, injected))
-            await asyncio.sleep(
-                cluster.fault_choices.expovariate(1 / MEAN_SERIES_INTERVAL_S)
+            fault = choices.choice(faults)
+            task_group.create_task(
+                _inject_series(cluster, fault, started_at, injected, choices)
             )
+            await asyncio.sleep(choices.expovariate(1 / mean_interval_s))
 
 
 async def _inject_series(
@@ -98,12 +136,13 @@
     fault: _faults.Fault,
     started_at: float,
     injected: list[str],
+    choices: random.Random,
 ) -> None:
-    for _ in range(cluster.fault_choices.randint(1, MAX_FAULTS_IN_SERIES)):
+    for _ in range(choices.randint(1, MAX_FAULTS_IN_SERIES)):
         elapsed_s = asyncio.get_running_loop().time() - started_at
         injected.append(f"{fault.__name__} at {elapsed_s:.1f} s")
         await fault(cluster)
-        await asyncio.sleep(cluster.fault_choices.uniform(0.0, 2.0))
+        await asyncio.sleep(choices.uniform(0.0, 2.0))
 
 
 def _check_final_states(cluster: _cluster.Cluster, callers: _callers.Callers) -> None:
