--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -83,6 +83,8 @@
         changed: Set when a waiting task may have become placeable; starts a
             scheduling pass.
         ownership_proven_at: Time at which the ownership was last proven.
+        unproven_since: Time at which the last proof was found to be too old;
+            None while there is a recent one.
         claimed_at: Time of the claim.
         recovered: Whether jobs and executors have been loaded.
         half_reached_at: Time at which half of the inherited executors had
@@ -92,6 +94,7 @@
             started or that this owner has started.
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
+        settling: Whether earlier runs are settled once an append is confirmed.
         next_occurrence_by_job: Number of the next occurrence of each
             scheduled job, by job id.
         interference_model: Learned effect of best-effort images on serving
@@ -124,11 +127,13 @@
     waiting_tasks: list[workflow_state.Task] = dataclasses.field(default_factory=list)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     ownership_proven_at: float = 0.0
+    unproven_since: float | None = None
     claimed_at: float = 0.0
     recovered: bool = False
     half_reached_at: float | None = None
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
+    settling: bool = False
     next_occurrence_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
