Count a start before the acknowledgement of an end as a breach

The stand-in of the executors saw a repeat only if it started after the end of the first run was acknowledged. An owner that ignores the end of a run, starts the task again and acknowledges the end afterwards breaks the same guarantee and went unseen. The check is stricter now: it also looks at the acknowledgement.

test_an_end_that_is_acknowledged_after_a_new_start_is_a_breach failed before.

--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -44,7 +44,8 @@
 
     ``found`` holds the texts of the violations, ``executors_by_task`` the
     executors that run each task, and ``acknowledged_done`` the tasks whose
-    successful end an owner has acknowledged. ``advance_by_executor`` holds the
+    successful end an owner has acknowledged. ``started_at_by_task`` holds the
+    loop time of the last start of each task. ``advance_by_executor`` holds the
     functions that simulate each executor up to now, ``starts`` the number of
     started runs, and ``started_jobs`` the jobs they belong to. A test sets
     ``cancelled_at``, the loop time of an acknowledged cancellation by job.
@@ -57,6 +58,7 @@
         self.found: list[str] = []
         self.executors_by_task: dict[str, set[str]] = {}
         self.acknowledged_done: set[str] = set()
+        self.started_at_by_task: dict[str, float] = {}
         self.advance_by_executor: dict[str, Callable[[], None]] = {}
         self.starts = 0
         self.started_jobs: set[str] = set()
@@ -82,6 +84,20 @@
                 f"{task} started on {executor_id} and still runs on {sorted(others)}"
             )
         others.add(executor_id)
+        self.started_at_by_task[task] = self._loop.time()
+
+    def record_acknowledged(
+        self, task: str, executor_id: str, *, ended_at: float
+    ) -> None:
+        """Record that an owner has acknowledged a successful end.
+
+        It must not do so once it has started the task again.
+        """
+        self.acknowledged_done.add(task)
+        if self.started_at_by_task[task] >= ended_at:
+            self.record(
+                f"{task} started again, then its end on {executor_id} was acknowledged"
+            )
 
     def record_end(self, task: str, executor_id: str) -> None:
         """Record that a run has ended."""
@@ -104,6 +120,7 @@
         deadline_ms: End of the lease on the executor's clock.
         run_by_task: Active runs.
         ends: Ends that are not acknowledged yet.
+        ended_at_by_number: Loop time of these ends, by their numbers.
         last_end: Number of the last end.
         last_expired_end: Number of the last end before the lease expired. By
             the platform's rules, acknowledging it or an earlier end does not
@@ -126,6 +143,7 @@
     deadline_ms: int = 0
     run_by_task: dict[str, Run] = dataclasses.field(default_factory=dict)
     ends: list[messages.EndRow] = dataclasses.field(default_factory=list)
+    ended_at_by_number: dict[int, float] = dataclasses.field(default_factory=dict)
     last_end: int = 0
     last_expired_end: int = 0
     highest_run_by_task: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -225,7 +243,11 @@
         for end in self.ends:
             counts_as_known = self.last_expired_end < end.number <= acknowledged
             if counts_as_known and end.how == messages.DONE:
-                self.breaches.acknowledged_done.add(end.task)
+                self.breaches.record_acknowledged(
+                    end.task,
+                    self.listing.executor_id,
+                    ended_at=self.ended_at_by_number[end.number],
+                )
         self.ends = [end for end in self.ends if end.number > acknowledged]
         if deadline_ms is not None:
             self.deadline_ms = max(self.deadline_ms, deadline_ms)
@@ -267,6 +289,7 @@
             active_run.number, self.highest_run_by_task.get(task, 0)
         )
         self.last_end += 1
+        self.ended_at_by_number[self.last_end] = asyncio.get_running_loop().time()
         self.ends.append(
             messages.EndRow(self.last_end, task, active_run.number, how, "")
         )
--- a/standins/tests/test_step_executors.py
+++ b/standins/tests/test_step_executors.py
@@ -57,3 +57,30 @@
         start(executor, 2)
 
     assert not run_scenario(scenario)
+
+
+def test_an_end_that_is_acknowledged_after_a_new_start_is_a_breach():
+    """Guards against a stand-in that misses a repeat of unacknowledged work.
+
+    An owner that has ignored an end and started the task again acknowledges
+    the end later.
+    """
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(1.5)
+        start(executor, 2)
+        executor.poll(1, 1, executor.clock_ms() + LEASE_MS)
+
+    assert run_scenario(scenario)
+
+
+def test_an_acknowledged_end_is_no_breach():
+    """Guards against a stand-in that takes a run for a repeat of itself."""
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(1.5)
+        executor.poll(1, 1, executor.clock_ms() + LEASE_MS)
+
+    assert not run_scenario(scenario)
