Deliver no request to an executor that has restarted

A request that a cut had held back reached the executor after its restart, with a deadline for the clock of the process before; no connection survives a restart. The stand-in granted it whole, though executors shorten leases to the longest one that they allow.

The cut drops such requests, and the stand-in shortens leases.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -159,7 +159,11 @@
         async def answer(request: httputil.HTTPServerRequest) -> simple_server.Response:
             caller = self.owners.find_caller(request)
             return await self.network.deliver(
-                caller, executor_id, request, handler.answer
+                caller,
+                executor_id,
+                request,
+                handler.answer,
+                life=lambda: executor.born_at,
             )
 
         executor_link = await self._serve_behind_link(answer)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -20,6 +20,13 @@
     (26, 30.0, "a queued start request was sent after its run was abandoned"),
     (117, 30.0, "two members with outdated views hid the owner from a third"),
 )
+# Runs that failed with one-way cuts.
+FAILED_CUT_RUNS = (
+    (304, 30.0, "an owner without a proof started its successor's work"),
+    (304, 30.0, "a successor used a run number of an earlier owner"),
+    (310, 30.0, "an owner without a proof started its successor's work"),
+    (312, 30.0, "the same"),
+)
 
 
 @pytest.fixture(autouse=True)
@@ -56,6 +63,13 @@
         assert not outcome.findings, outcome
 
 
+def test_seeds_that_failed_with_one_way_cuts_pass():
+    """Guards against regressions of faults that one-way cuts have shown."""
+    duration_by_seed = {seed: seconds for seed, seconds, _cause in FAILED_CUT_RUNS}
+    for outcome in run_seeds(duration_by_seed, cuts=True):
+        assert not outcome.findings, outcome
+
+
 def test_every_kind_of_fault_is_drawn():
     """Guards against a kind of fault that no seed injects."""
     source = random.Random(0)
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -16,6 +16,7 @@
 
 RESPONSE_DELAY_S = 0.004
 STOP_DURATION_S = 0.1
+MAX_LEASE_MS = 6000  # A longer lease is shortened to it.
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,7 +204,7 @@
             return messages.StartReply(messages.OUTDATED_RUN, clock_ms)
         if clock_ms > request.deadline_ms:
             return messages.StartReply(messages.LATE, clock_ms)
-        self.deadline_ms = max(self.deadline_ms, request.deadline_ms)
+        self._extend_lease(request.deadline_ms)
         self._start_run(request)
         return messages.StartReply(messages.STARTED, clock_ms)
 
@@ -250,7 +251,7 @@
                 )
         self.ends = [end for end in self.ends if end.number > acknowledged]
         if deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+            self._extend_lease(deadline_ms)
         running = [
             messages.RunningRow(task, active_run.number, "", 50, 0)
             for task, active_run in self.run_by_task.items()
@@ -259,6 +260,10 @@
             self.clock_ms(), self.listing.born_ms, running, list(self.ends)
         )
 
+    def _extend_lease(self, deadline_ms: int) -> None:
+        longest_ms = self.clock_ms() + MAX_LEASE_MS
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
+
     def _check_token(self, token: int) -> None:
         if token < self.token:
             raise errors.TokenOutdated(self.listing.executor_id)
--- a/standins/tests/test_step_executors.py
+++ b/standins/tests/test_step_executors.py
@@ -84,3 +84,18 @@
         executor.poll(1, 1, executor.clock_ms() + LEASE_MS)
 
     assert not run_scenario(scenario)
+
+
+def test_a_lease_is_shortened_to_the_longest_one():
+    """Guards against a stand-in whose leases outlast those of the platform.
+
+    A deadline for the clock of the process before a restart can lie far ahead.
+    """
+
+    async def scenario(executor):
+        start(executor, 1)
+        far_ms = executor.clock_ms() + 10 * step_executors.MAX_LEASE_MS
+        executor.poll(1, 0, far_ms)
+        assert executor.deadline_ms == step_executors.MAX_LEASE_MS
+
+    assert not run_scenario(scenario)
