--- a/standins/tests/test_step_executors.py
+++ b/standins/tests/test_step_executors.py
@@ -57,3 +57,45 @@
         start(executor, 2)
 
     assert not run_scenario(scenario)
+
+
+def test_an_end_that_is_acknowledged_after_a_new_start_is_a_breach():
+    """Guards against a stand-in that misses a repeat of unacknowledged work.
+
+    An owner that has ignored an end and started the task again acknowledges
+    the end later.
+    """
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(1.5)
+        start(executor, 2)
+        executor.poll(1, 1, executor.clock_ms() + LEASE_MS)
+
+    assert run_scenario(scenario)
+
+
+def test_an_acknowledged_end_is_no_breach():
+    """Guards against a stand-in that takes a run for a repeat of itself."""
+
+    async def scenario(executor):
+        start(executor, 1)
+        await asyncio.sleep(1.5)
+        executor.poll(1, 1, executor.clock_ms() + LEASE_MS)
+
+    assert not run_scenario(scenario)
+
+
+def test_a_lease_is_shortened_to_the_longest_one():
+    """Guards against a stand-in whose leases outlast those of the platform.
+
+    A deadline for the clock of the process before a restart can lie far ahead.
+    """
+
+    async def scenario(executor):
+        start(executor, 1)
+        far_ms = executor.clock_ms() + 10 * step_executors.MAX_LEASE_MS
+        executor.poll(1, 0, far_ms)
+        assert executor.deadline_ms == step_executors.MAX_LEASE_MS
+
+    assert not run_scenario(scenario)
