Take runs of a replaced executor for lost after an append

Cause: an executor that was replaced, restarted or no longer lists a run ended the run for the owner at once. A successor that had reached this executor before may have acknowledged the end of the run; an owner that a majority still answers started the task again.

Change: such runs are given up like those whose lease has expired, after an append that begins then is confirmed.

Result: test_runs_of_an_executor_that_ended_are_not_started_after_their_end fails before (replaced and restarted) and passes.

--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -42,11 +42,13 @@
         try:
             await _poll(shard, executor)
         except errors.ExecutorReplaced:
+            # This executor has ended, and its runs with it, so no lease has to
+            # expire. A later owner may know how the runs ended.
+            executor.avoid_until = math.inf
+            await proof.confirm(shard)
             status_reports.note_replaced(
                 shard, executor, "another executor answers at its address"
             )
-            # This executor has ended, and its runs with it, so no lease has to
-            # expire first.
             executor.reached = False
             _remove(shard, executor)
             return
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -1,7 +1,7 @@
 """Applies the status that an executor reports in its reply to a poll."""
 
 from limpetstream.executors import leases, messages, tracking
-from limpetstream.shard import events, jobs, state, stops
+from limpetstream.shard import events, jobs, proof, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -76,7 +76,7 @@
         if run.phase == workflow_state.STARTING:
             continue  # The request may still reach the restarted executor.
         if (run.task.name, run.number) not in present:
-            jobs.mark_run_lost(shard, executor, run, "the executor restarted")
+            _lose(shard, executor, run, "the executor restarted")
 
 
 def mark_all_runs_lost(
@@ -172,10 +172,39 @@
             continue
         if run.phase == workflow_state.WORKING:
             if run.seen_at is not None and sent_at > run.seen_at:
-                jobs.mark_run_lost(
-                    shard, executor, run, "the executor no longer lists it"
-                )
+                _lose(shard, executor, run, "the executor no longer lists it")
         elif run.stop_confirmed_at is not None:
             gone_at = run.stop_confirmed_at + shard.timing.max_stop_s + STOP_MARGIN_S
             if sent_at > gone_at:
-                jobs.mark_run_lost(shard, executor, run, "stopped")
+                _lose(shard, executor, run, "stopped")
+
+
+def _lose(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    reason: str,
+) -> None:
+    """Mark a run without a listed end as lost, once ownership is confirmed."""
+    if not run.giving_up:
+        run.giving_up = True
+        shard.spawn(_lose_once_confirmed(shard, executor, run, reason))
+
+
+async def _lose_once_confirmed(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    reason: str,
+) -> None:
+    """Mark a run as lost after an append that begins now is confirmed.
+
+    The executor may have forgotten the run because it restarted, after a later
+    owner had taken note of its end.
+    """
+    try:
+        await proof.confirm(shard)
+    finally:
+        run.giving_up = False
+    if executor.run_by_task.get(run.task.name) is run:
+        jobs.mark_run_lost(shard, executor, run, reason)
--- /dev/null
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -0,0 +1,93 @@
+"""Tests of promises that a change of owner may break, and of standing still.
+
+All run on virtual time.
+"""
+
+import asyncio
+
+import loguru
+import pytest
+
+from limpetstream import errors
+from limpetstream.shard.tests import schedules
+from standins import shard_cluster
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    loguru.logger.remove()
+
+
+async def start_and_change_owner(cluster, *, jobs, seconds):
+    """Let m0 start jobs, then isolate it; m1 reaches x0 only, m0 the others."""
+    cluster.start("m0")
+    await asyncio.sleep(2)
+    for number in range(jobs):
+        assert await cluster.submit(
+            schedules.job_id(number), schedules.steps(4), seconds=seconds
+        )
+    await asyncio.sleep(0.5)
+    cluster.start("m1")
+    await asyncio.sleep(0.5)
+    schedules.isolate(cluster, "m0", {"x0"}, one_way=False)
+    client = cluster.instance_by_member["m1"].executor_client
+    client.unreachable_ids |= {"x1", "x2", "x3"}
+
+
+@pytest.mark.parametrize("replaced", [True, False], ids=["replaced", "restarted"])
+def test_runs_of_an_executor_that_ended_are_not_started_after_their_end(replaced):
+    """Guards against a second run of a task whose end a successor acknowledged.
+
+    The successor has applied the ends on an executor, which then ends. The
+    earlier owner, which a majority still answers, takes its runs for lost.
+    """
+
+    async def scenario(cluster):
+        await start_and_change_owner(cluster, jobs=3, seconds=5.0)
+        await asyncio.sleep(5.5)
+        assert cluster.breaches.acknowledged_done
+        cluster.instance_by_member["m1"].executor_client.unreachable_ids.add("x0")
+        await asyncio.sleep(0.7)
+        x0 = cluster.executor_by_id["x0"]
+        x0.restart()
+        client = cluster.instance_by_member["m0"].executor_client
+        if replaced:
+
+            async def poll(listing, **fields):
+                if listing.executor_id == "x0":
+                    raise errors.ExecutorReplaced("x0")
+                return await type(client).poll(client, listing, **fields)
+
+            client.poll = poll
+        client.unreachable_ids.clear()
+        await asyncio.sleep(3)
+        schedules.join_again(cluster, "m0")
+        schedules.join_again(cluster, "m1")
+        for number in range(3):
+            await cluster.wait_until_final(schedules.job_id(number), limit_s=60)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
+
+
+def test_no_task_starts_long_after_its_job_was_cancelled_at_a_successor():
+    """Guards against starts by an owner that a majority still answers."""
+
+    async def scenario(cluster):
+        await start_and_change_owner(cluster, jobs=3, seconds=4.0)
+        # More tasks than there is room for: the owner has some to start later.
+        loop = asyncio.get_running_loop()
+        while not shard_cluster.shard_zero(cluster.instance_by_member["m1"]):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5)
+        api = cluster.instance_by_member["m1"].job_api
+        for number in range(3):
+            assert await api.cancel(schedules.job_id(number), wait_s=3.0)
+            cluster.breaches.cancelled_at[schedules.job_id(number)] = loop.time()
+        await asyncio.sleep(12)
+        schedules.join_again(cluster, "m0")
+        schedules.join_again(cluster, "m1")
+        await asyncio.sleep(5)
+
+    cluster = schedules.run_scenario(scenario, executors=4)
+    assert not cluster.breaches.found
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -34,6 +34,7 @@
             use.
         pace: Percentage of its full speed that the run may use, 0 to 100; -1
             when the last change was not confirmed.
+        giving_up: Whether it counts as lost once an append is confirmed.
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
         progressed_at: Monotonic time at which ``percent`` last changed.
@@ -50,6 +51,7 @@
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
+    giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
 
