Let new executors be used before half of the quorum is reached

Cause: no executor was recorded before half of the inherited ones were reached. And jobs that this owner had started itself waited for the settlement of earlier runs.

Change: until then an executor is recorded without a vote, and its record is written again with one afterwards. Only jobs that an earlier owner may have started wait.

Why it works: the voters that later owners inherit are still those of before, less those that were reached or are gone.

Result: test_new_jobs_run_although_all_recorded_executors_are_gone fails before and passes.

--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -55,8 +55,6 @@
     executor = tracking.Executor(listing, listed=listed, recorded=not listed)
     executor.lease.duration_s = min(executor.lease.duration_s, shard.timing.max_lease_s)
     shard.executor_by_id[listing.executor_id] = executor
-    if not listed:
-        executor_records.note_inherited(shard, listing.executor_id)
     shard.spawn(sessions.run(shard, executor))
     if listed:
         shard.spawn(executor_records.write(shard, executor))
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -27,12 +27,14 @@
 
     Args:
         listing: Its entry in the platform's list.
+        votes: Whether it belongs to the quorum.
     """
 
     listing: messages.Listing
+    votes: bool = True
 
 
-def decode(key: str, raw: bytes) -> messages.Listing:
+def decode(key: str, raw: bytes) -> ExecutorRecord:
     """Decode the record of an executor.
 
     It is checked like an entry in the list, because an owner of another
@@ -54,32 +56,49 @@
     listing_checks.check(record.listing)
     if key != names.EXECUTOR_KEY_PREFIX + record.listing.executor_id:
         raise errors.RecordError(f"record of {record.listing.executor_id!r}")
-    return record.listing
+    return record
 
 
-def note_inherited(shard: state.Shard, executor_id: str) -> None:
+def note_inherited(shard: state.Shard, record: ExecutorRecord) -> None:
     """Note a record that an earlier owner left in the journal."""
+    executor_id = record.listing.executor_id
     shard.record_state_by_id[executor_id] = state.KEPT
     shard.inherited_executors.add(executor_id)
+    if record.votes:
+        shard.inherited_voters.add(executor_id)
+    else:
+        shard.nonvoting_executors.add(executor_id)
+
+
+def write_missing(shard: state.Shard) -> None:
+    """Record the executors without a record, and let all others vote."""
+    for executor_id, executor in shard.executor_by_id.items():
+        if not executor.recorded or executor_id in shard.nonvoting_executors:
+            shard.spawn(write(shard, executor))
 
 
 async def write(shard: state.Shard, executor: tracking.Executor) -> None:
     """Write the record of an executor; runs may be started on it afterwards.
 
-    Does nothing if a record exists or is being written or deleted. Until half
-    of the inherited executors were reached, an earlier owner may still get
-    replies from a majority of them; new records would let the next owner reach
-    half of all without ending that majority.
+    Does nothing if a record exists or is being written or deleted, unless it
+    is to vote from now on. Until half of the quorum was reached, an earlier
+    owner may still get replies from a majority of it, so new executors do not
+    vote: the next owner could reach half of all without ending that majority.
     """
-    if shard.half_reached_at is None:
-        return
     executor_id = executor.listing.executor_id
-    if executor_id in shard.record_state_by_id:
+    votes = shard.half_reached_at is not None
+    begins_to_vote = votes and executor_id in shard.nonvoting_executors
+    record_state = shard.record_state_by_id.get(executor_id)
+    if record_state is not None and not (record_state == state.KEPT and begins_to_vote):
         return
+    if votes:
+        shard.nonvoting_executors.discard(executor_id)
+    else:
+        shard.nonvoting_executors.add(executor_id)
     shard.record_state_by_id[executor_id] = state.WRITING
     shard.journal.put(
         names.EXECUTOR_KEY_PREFIX + executor_id,
-        lambda: msgspec.json.encode(ExecutorRecord(executor.listing)),
+        lambda: msgspec.json.encode(ExecutorRecord(executor.listing, votes)),
     )
     await shard.journal.wait_until_durable()
     shard.record_state_by_id[executor_id] = state.KEPT
@@ -88,6 +107,8 @@
         return
     executor.recorded = True
     shard.changed.set()
+    if not votes and shard.half_reached_at is not None:
+        await write(shard, executor)  # Half was reached in the meantime.
 
 
 async def delete(shard: state.Shard, executor: tracking.Executor) -> None:
@@ -104,6 +125,7 @@
     shard.journal.put(names.EXECUTOR_KEY_PREFIX + executor_id, lambda: None)
     await shard.journal.wait_until_durable()
     del shard.record_state_by_id[executor_id]
+    shard.nonvoting_executors.discard(executor_id)
     current = shard.executor_by_id.get(executor_id)
     if current is not None and current.silent_since is None:
         await write(shard, current)
@@ -124,6 +146,8 @@
     """
     polled_at = []
     for executor_id, record_state in shard.record_state_by_id.items():
+        if executor_id in shard.nonvoting_executors:
+            continue
         executor = shard.executor_by_id.get(executor_id)
         votes = (
             record_state == state.KEPT
@@ -138,8 +162,18 @@
 
 def count_reached_or_gone(shard: state.Shard) -> int:
     """Return how many inherited executors have replied or were removed."""
+    return _count_reached_or_gone(shard, shard.inherited_executors)
+
+
+def is_half_reached(shard: state.Shard) -> bool:
+    """Return whether half of the inherited quorum has replied or is gone."""
+    voters = shard.inherited_voters
+    return _count_reached_or_gone(shard, voters) * 2 >= len(voters)
+
+
+def _count_reached_or_gone(shard: state.Shard, executor_ids: set[str]) -> int:
     return sum(
         executor_id not in shard.executor_by_id
         or shard.executor_by_id[executor_id].reached
-        for executor_id in shard.inherited_executors
+        for executor_id in executor_ids
     )
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -93,6 +93,7 @@
         elif now_ms - job.final_ms > retention_ms:
             del shard.job_by_id[job_id]
             dropped_submissions.discard(job_id)
+            shard.earlier_job_ids.discard(job_id)
             shard.maybe_started_job_ids.discard(job_id)
             shard.journal.put(job_id, lambda: None)
     if not final_job_ids:
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from limpetstream import errors
-from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import (
     events,
     executor_records,
@@ -28,11 +27,11 @@
 
     Args:
         progress_by_id: Progress of each job, by job id.
-        listings: Executors on which runs may have been started.
+        executors: Executors on which runs may have been started.
     """
 
     progress_by_id: dict[str, records.Progress]
-    listings: list[executor_messages.Listing]
+    executors: list[executor_records.ExecutorRecord]
 
 
 async def load_journal(shard: state.Shard) -> JournalContent:
@@ -43,7 +42,7 @@
     """
     page = await _read_newest(shard, names.PROGRESS_TOPIC)
     progress_by_id: dict[str, records.Progress] = {}
-    listings: list[executor_messages.Listing] = []
+    executors: list[executor_records.ExecutorRecord] = []
     for entry in page.entries:
         if entry.value is None or entry.key == names.OWNER_KEY:
             continue
@@ -51,7 +50,7 @@
             if entry.key == names.ESTIMATES_KEY:
                 stored_estimates.load(shard, entry.value)
             elif entry.key.startswith(names.EXECUTOR_KEY_PREFIX):
-                listings.append(executor_records.decode(entry.key, entry.value))
+                executors.append(executor_records.decode(entry.key, entry.value))
             else:
                 progress_by_id[entry.key] = records.decode_progress(entry.value)
         except (
@@ -61,7 +60,7 @@
             RecursionError,
         ) as error:
             unreadable.log(names.PROGRESS_TOPIC, entry, error)
-    return JournalContent(progress_by_id, listings)
+    return JournalContent(progress_by_id, executors)
 
 
 def apply_submissions(
@@ -118,6 +117,7 @@
     job = workflow_state.Job(submission)
     shard.job_by_id[submission.job_id] = job
     if progress.marked:
+        shard.earlier_job_ids.add(submission.job_id)
         shard.maybe_started_job_ids.add(submission.job_id)
         job.last_earlier_run = shard.epoch * jobs.RUN_NUMBERS_PER_EPOCH
     records.restore(job, progress)
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -160,7 +160,7 @@
     """
     return (
         shard.earlier_runs_settled
-        or task.job.submission.job_id not in shard.maybe_started_job_ids
+        or task.job.submission.job_id not in shard.earlier_job_ids
     )
 
 
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -281,11 +281,9 @@
     inherited = len(shard.inherited_executors)
     reached = executor_records.count_reached_or_gone(shard)
     now = shard.clock.monotonic()
-    if shard.half_reached_at is None and reached * 2 >= inherited:
+    if shard.half_reached_at is None and executor_records.is_half_reached(shard):
         shard.half_reached_at = now
-        for executor in shard.executor_by_id.values():
-            if not executor.recorded:
-                shard.spawn(executor_records.write(shard, executor))
+        executor_records.write_missing(shard)
     may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
         shard
     )
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -10,6 +10,7 @@
 from limpetstream.shard import (
     events,
     executor_list,
+    executor_records,
     housekeeping,
     journal,
     names,
@@ -132,8 +133,9 @@
         progress_by_id.clear()
         # Executors are polled only once the jobs are known. Otherwise the
         # ends of their runs would be acknowledged as those of unknown jobs.
-        for executor_listing in journaled.listings:
-            executor_list.add_executor(shard, executor_listing, listed=False)
+        for record in journaled.executors:
+            executor_records.note_inherited(shard, record)
+            executor_list.add_executor(shard, record.listing, listed=False)
         await _load_follower(shard, executors)
         shard.recovered = True
         logs.emit(
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -79,6 +79,9 @@
             ``writing``, ``kept`` or ``dropping``; by executor id.
         inherited_executors: Ids of executors that earlier owners recorded in
             the journal.
+        inherited_voters: Ids of those among them that belong to the quorum.
+        nonvoting_executors: Ids of executors whose records do not belong to
+            the quorum.
         waiting_tasks: Tasks that wait for capacity.
         changed: Set when a waiting task may have become placeable; starts a
             scheduling pass.
@@ -90,6 +93,7 @@
         half_reached_at: Time at which half of the inherited executors had
             replied or were removed; None before. From then on no earlier
             owner gets replies from more than half of them.
+        earlier_job_ids: Ids of jobs that an earlier owner may have started.
         maybe_started_job_ids: Ids of jobs that an earlier owner may have
             started or that this owner has started.
         earlier_runs_settled: Whether every run of earlier owners is known or
@@ -124,6 +128,8 @@
     )
     record_state_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
     inherited_executors: set[str] = dataclasses.field(default_factory=set)
+    inherited_voters: set[str] = dataclasses.field(default_factory=set)
+    nonvoting_executors: set[str] = dataclasses.field(default_factory=set)
     waiting_tasks: list[workflow_state.Task] = dataclasses.field(default_factory=list)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     ownership_proven_at: float = 0.0
@@ -131,6 +137,7 @@
     claimed_at: float = 0.0
     recovered: bool = False
     half_reached_at: float | None = None
+    earlier_job_ids: set[str] = dataclasses.field(default_factory=set)
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
     settling: bool = False
--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -118,6 +118,7 @@
     shard = scene.shard
     shard.earlier_runs_settled = False
     shard.inherited_executors = {"x0", "x1"}
+    shard.inherited_voters = {"x0", "x1"}
     shard.record_state_by_id = {"x0": state.KEPT, "x1": state.KEPT}
     shard.executor_by_id["x1"].reached = False
     sessions.check_earlier_runs(shard)
--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -111,3 +111,34 @@
         assert cluster.breaches.starts == starts
 
     schedules.run_scenario(scenario)
+
+
+def test_new_jobs_run_although_all_recorded_executors_are_gone():
+    """Guards against an owner that records no executor for ever.
+
+    All machines were replaced at once, the owner and the executors.
+    """
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(2), seconds=0.5
+        )
+        assert await cluster.wait_until_final(schedules.job_id(0), limit_s=20)
+        await cluster.kill("m0")
+        for executor_id in list(cluster.executor_by_id):
+            cluster.executor_by_id[executor_id].restart()
+            del cluster.executor_by_id[executor_id]
+            cluster.unlist_executor(executor_id)
+        for number in range(4):
+            cluster.add_executor(f"y{number}")
+        cluster.start("m1")
+        await asyncio.sleep(12)
+        assert await cluster.submit(
+            schedules.job_id(1), schedules.steps(2), seconds=0.5
+        )
+        final = await cluster.wait_until_final(schedules.job_id(1), limit_s=40)
+        assert final == "completed"
+
+    schedules.run_scenario(scenario)
