Record executors when they are listed again, delete what never replied

The record of an executor that has never replied was kept until leases of earlier owners must have expired.

Change: the record is written when the executor is listed, and deleted at its first unanswered poll unless an earlier owner had recorded it. Runs are started on recorded executors only, so no earlier owner can have started one.

--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -57,9 +57,9 @@
     shard.executor_by_id[listing.executor_id] = executor
     if not listed:
         executor_records.note_inherited(shard, listing.executor_id)
-    # Its record is written when it first replies. An executor that never does
-    # would make new owners wait until leases on it have expired.
     shard.spawn(sessions.run(shard, executor))
+    if listed:
+        shard.spawn(executor_records.write(shard, executor))
 
 
 def _add_or_update(shard: state.Shard, listing: messages.Listing) -> None:
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -1,8 +1,7 @@
 """Records in the journal which executors may run tasks of the shard.
 
-An executor is recorded in the journal when it first replies and before the
-first run is started on it, so a new owner knows where runs of earlier owners
-can be. The record of an
+An executor is recorded in the journal before the first run is started on it,
+so a new owner knows where runs of earlier owners can be. The record of an
 executor that does not reply and on which nothing can run is deleted. A new
 owner would otherwise wait until every lease on that executor has expired
 before it starts any job again.
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -207,6 +207,8 @@
     # A run stays in run_by_task from before its start until its end is known.
     if executor.run_by_task or executor.unknown_runs or not executor.recorded:
         return False
+    if executor.listing.executor_id not in shard.inherited_executors:
+        return True  # No earlier owner has started a run on it.
     # Until the executor has replied, there may be runs of an earlier owner.
     return executor.reached or _have_leases_expired(shard, executor)
 
