Queue no gang member twice when an old end is listed late

Cause: a new owner queues the open tasks, then executors list ends that no owner had recorded. Such an end queued its task again. A pass over a gang counts and places what is queued, so each member was started twice, under one number.

Change: a waiting task is taken out of the queue before its end queues it.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -127,6 +127,8 @@
     if task.run is not None and task.run is not ended:
         return
     if end.run > task.ended_run:
+        if ended is None and task in shard.waiting_tasks:
+            shard.waiting_tasks.remove(task)  # The end queues it again.
         _record_end(shard, executor, task, end)
     elif ended is not None:
         task.run = None
--- a/limpetstream/shard/tests/test_ends.py
+++ b/limpetstream/shard/tests/test_ends.py
@@ -4,7 +4,7 @@
 import pytest
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import jobs, recovery, status_reports
+from limpetstream.shard import jobs, recovery, scheduling, status_reports
 from limpetstream.shard.tests import builders
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, records, state as workflow_state
@@ -112,3 +112,28 @@
     assert task.run is None
     assert task in shard.waiting_tasks
     assert task.last_run == 20_001
+
+
+def test_ends_that_a_new_owner_learns_of_queue_no_gang_member_twice():
+    """Guards against two runs of a gang member under one number.
+
+    A new owner queues the tasks, then polls list ends of earlier runs that no
+    owner had recorded.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    step = builders.copy_step(builders.SHORT, count=2, gang=True)
+    tasks = builders.make_tasks(shard, step)
+    for task in tasks:
+        jobs.enqueue(shard, task)
+    for number, task in enumerate(tasks):
+        list_end(shard, task, 1, "broken", executor_id=f"x{number}")
+    for executor in shard.executor_by_id.values():
+        executor.polled_at = 0.0
+    scheduling.run_pass(shard)
+    runs = [
+        (run.task.name, run.number)
+        for executor in shard.executor_by_id.values()
+        for run in executor.run_by_task.values()
+    ]
+    assert sorted(set(runs)) == sorted(runs)
+    assert len(runs) == 2
