Stop a run whose start reached another executor's address

Cause: an executor may restart under its id at another address. A start that went to the former address was not followed up, since polls would find the executor replaced. Polls that already use the new address do not, so the run stayed open for ever.

Change: such a start counts as in doubt, and a stop is repeated until the executor confirms it or is removed.

Result: test_a_start_that_another_executor_refuses_does_not_stay_open fails before and passes.

--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -41,7 +41,7 @@
                 is_first_try, is_sent = not is_sent, True
                 reply = await _send(shard, executor, run)
         except errors.ExecutorReplaced:
-            return  # The executor's polling task detects the same.
+            break  # Polls may reach the executor at a newer address.
         except errors.PlatformUnavailable as error:
             _log_unanswered(executor, run, error)
             continue
--- a/limpetstream/shard/stops.py
+++ b/limpetstream/shard/stops.py
@@ -68,7 +68,8 @@
                 timeout_s=STOP_TIMEOUT_S,
             )
         except errors.ExecutorReplaced:
-            return  # The executor's polling task detects the same.
+            await shard.clock.sleep(STOP_RETRY_S)
+            continue  # Polls remove the executor or reach a newer address.
         except errors.PlatformUnavailable as error:
             try_count += 1
             if try_count == 1:  # Later tries would only repeat the line.
--- a/limpetstream/shard/tests/test_starts.py
+++ b/limpetstream/shard/tests/test_starts.py
@@ -5,8 +5,9 @@
 import loguru
 import pytest
 
+from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import starts, status_reports
+from limpetstream.shard import scheduling, sessions, starts, state, status_reports
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import state as workflow_state
 from standins import virtual_time
@@ -85,3 +86,29 @@
 
     virtual_time.run(scenario(), loop=virtual_time.Loop())
     assert not shard.executor_client.started
+
+
+def test_a_start_that_another_executor_refuses_does_not_stay_open():
+    """Guards against a task that waits for ever for its start.
+
+    An executor restarts under its id at another address. The start goes to the
+    former address, where another one answers; the polls reach the new address.
+    """
+    scene = builders.JournaledShard()
+    shard, client = scene.shard, scene.client
+    executor = shard.executor_by_id["x0"]
+    shard.record_state_by_id["x0"] = state.KEPT
+    executor.lease.observe(1000, 0.0)
+    task = builders.make_tasks(shard, builders.SHORT)[0]
+
+    async def refuse(listing, request, *, timeout_s):
+        raise errors.ExecutorReplaced("x0")
+
+    client.start = refuse
+    scheduling.start_on(shard, executor, task, 1)
+    run = task.run
+    scene.advance(0.5)
+    shard.spawn(sessions.run(shard, executor))
+    scene.advance(5.0)
+    scene.close()
+    assert task.run is not run
