Drop a submission again before its final state is dropped

Cause: an append of a submission may take effect seconds after its repeat was stored, the job done and the submission dropped. The copy stayed in the topic. Once the job's final state was past its retention time, the next owner took the copy for a new job.

Change: jobs past their retention time are removed after their submission was dropped once more.

Result: test_a_late_copy_of_a_submission_runs_no_job_again fails before (4 starts of 2 tasks) and passes.

--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -81,37 +81,50 @@
 
 
 async def _drop_final_jobs(shard: state.Shard, dropped_submissions: set[str]) -> None:
-    """Drop submissions of final jobs, and jobs past their retention time."""
+    """Drop submissions of final jobs, and jobs past their retention time.
+
+    A copy of a submission may take effect after it was dropped. It is dropped
+    again before the final state, without which the job would run again.
+    """
     now_ms = shard.clock.wall_ms()
     retention_ms = (shard.timing.status_retention_s + RETENTION_MARGIN_S) * 1000
-    final_job_ids = []
-    for job_id, job in list(shard.job_by_id.items()):
+    final_job_ids, expired_job_ids = [], []
+    for job_id, job in shard.job_by_id.items():
         if not job.visible_outcome:
             continue
         if job_id not in dropped_submissions:
             final_job_ids.append(job_id)
         elif now_ms - job.final_ms > retention_ms:
-            del shard.job_by_id[job_id]
-            dropped_submissions.discard(job_id)
-            shard.earlier_job_ids.discard(job_id)
-            shard.maybe_started_job_ids.discard(job_id)
-            shard.journal.put(job_id, lambda: None)
-    if not final_job_ids:
+            expired_job_ids.append(job_id)
+    if not await _drop_submissions(shard, final_job_ids + expired_job_ids):
         return
+    dropped_submissions.update(final_job_ids)
+    for job_id in final_job_ids:
+        job = shard.job_by_id[job_id]
+        job.submission.steps = []
+        job.submission.spec = ""
+        job.occurrence_by_number.clear()
+    for job_id in expired_job_ids:
+        del shard.job_by_id[job_id]
+        dropped_submissions.discard(job_id)
+        shard.earlier_job_ids.discard(job_id)
+        shard.maybe_started_job_ids.discard(job_id)
+        shard.journal.put(job_id, lambda: None)
+
+
+async def _drop_submissions(shard: state.Shard, job_ids: list[str]) -> bool:
+    """Drop submissions; return whether the store has confirmed it."""
+    if not job_ids:
+        return True
     try:
         await shard.store.append(
             names.SUBMISSIONS_TOPIC,
             shard.number,
-            [store_messages.Entry(job_id, None) for job_id in final_job_ids],
+            [store_messages.Entry(job_id, None) for job_id in job_ids],
             timeout_s=CLEANUP_TIMEOUT_S,
         )
     except errors.PlatformUnavailable as error:
         # The next interval tries again.
-        logs.emit(events.FORGET_FAILED, jobs=len(final_job_ids), error=str(error))
-        return
-    dropped_submissions.update(final_job_ids)
-    for job_id in final_job_ids:
-        job = shard.job_by_id[job_id]
-        job.submission.steps = []
-        job.submission.spec = ""
-        job.occurrence_by_number.clear()
+        logs.emit(events.FORGET_FAILED, jobs=len(job_ids), error=str(error))
+        return False
+    return True
--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from limpetstream import errors
+from limpetstream.shard import housekeeping, names
 from limpetstream.shard.tests import schedules
 from standins import shard_cluster
 
@@ -164,3 +165,38 @@
         assert final == "completed"
 
     schedules.run_scenario(scenario)
+
+
+def test_a_late_copy_of_a_submission_runs_no_job_again():
+    """Guards against a second run of a job whose final state was dropped."""
+
+    async def scenario(cluster):
+        client = cluster.start("m0").store
+        stored = []
+        append = client.append
+
+        async def recorded(topic, number, entries, **fields):
+            if topic == names.SUBMISSIONS_TOPIC:
+                stored.append(entries)
+            return await append(topic, number, entries, **fields)
+
+        client.append = recorded
+        await asyncio.sleep(2)
+        shard = shard_cluster.shard_zero(cluster.instance_by_member["m0"])
+        shard.timing.status_retention_s = 10 - housekeeping.RETENTION_MARGIN_S
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(2), seconds=0.5
+        )
+        await asyncio.sleep(6)
+        assert not cluster.store.newest(names.SUBMISSIONS_TOPIC, 0)
+        # The first try of the append, which was under way for seconds.
+        cluster.store.append(names.SUBMISSIONS_TOPIC, 0, stored[0], None, None)
+        await asyncio.sleep(20)
+        assert not shard.job_by_id
+        starts = cluster.breaches.starts
+        await cluster.kill("m0")
+        cluster.start("m1")
+        await asyncio.sleep(10)
+        assert cluster.breaches.starts == starts
+
+    schedules.run_scenario(scenario)
