Test the leases that a restarted executor grants

A start with a deadline on the clock of the former process is granted the longest lease, hold_max_ms; a successor that cannot reach the executor waits as for 4 s.

--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -200,3 +200,35 @@
         assert cluster.breaches.starts == starts
 
     schedules.run_scenario(scenario)
+
+
+def test_a_successor_waits_for_leases_that_a_restarted_executor_grants():
+    """Guards against two runs after a restart that the owner did not notice.
+
+    A deadline on the clock of the earlier process is far ahead on that of the
+    new one, which grants the longest lease that it may.
+    """
+    max_lease_s = 10.0  # As deployed.
+
+    async def scenario(cluster):
+        x0 = cluster.executor_by_id["x0"]
+        instance = cluster.start("m0")
+        instance.job_api._server._timing.max_lease_s = max_lease_s
+        await asyncio.sleep(30)
+        instance.executor_client.unanswered_ids.add("x0")
+        x0.restart()
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(4, cpu=16000), seconds=30.0
+        )
+        await asyncio.sleep(0.3)
+        assert x0.run_by_task
+        x0.deadline_ms = min(x0.deadline_ms, x0.clock_ms() + int(max_lease_s * 1000))
+        x0.cut = True
+        await cluster.kill("m0")
+        cluster.add_executor("x4")
+        instance = cluster.start("m1")
+        instance.job_api._server._timing.max_lease_s = max_lease_s
+        await asyncio.sleep(20)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
