Test four checks whose removal no test noticed

Each new test fails when its check is taken out of the code: only executors with a durable record vote; no lease counts as expired before half of the executors were reached; the wait for leases counts the slowest clock; a claim is a proof until it was read back.

--- a/limpetstream/shard/tests/test_proof.py
+++ b/limpetstream/shard/tests/test_proof.py
@@ -258,6 +258,27 @@
     assert not proof.is_proven(shard)
 
 
+def test_a_claim_proves_the_ownership_until_it_was_read_back():
+    """Guards against a proof by a claim whose answer came late."""
+    loop = virtual_time.Loop()
+    asyncio.set_event_loop(loop)
+    client = keyed_store.Client(keyed_store.Store())
+    newest = client.newest
+    calls = []
+
+    async def slow(topic, number, **fields):
+        calls.append(topic)
+        if len(calls) == 2:
+            await asyncio.sleep(3.0)
+        return await newest(topic, number, **fields)
+
+    client.newest = slow
+    clock = virtual_time.make_clock(loop)
+    claim = loop.run_until_complete(ownership.claim(client, 0, "m0", clock))
+    assert clock.monotonic() >= 3.0
+    assert claim.proven_at < 0.1
+
+
 def test_an_append_proves_the_ownership_at_its_first_try():
     """Guards against a proof by the repeat of an append from before a claim.
 
--- a/limpetstream/shard/tests/test_quorum.py
+++ b/limpetstream/shard/tests/test_quorum.py
@@ -124,3 +124,36 @@
     sessions.check_earlier_runs(shard)
     assert shard.half_reached_at is not None
     assert not shard.earlier_runs_settled
+
+
+@pytest.mark.parametrize("record_state", [state.WRITING, state.DROPPING])
+def test_executors_without_a_durable_record_do_not_vote(scene, record_state):
+    """Guards against a majority of executors that a successor may not know."""
+    shard = scene.shard
+    scene.store.down = True
+    scene.advance(3.0)
+    poll_all(scene)
+    shard.record_state_by_id["x1"] = record_state
+    assert not proof.is_proven(shard)
+
+
+def test_leases_count_as_valid_until_half_of_the_executors_were_reached(scene):
+    """Guards against runs that are given up while an earlier owner goes on."""
+    shard = scene.shard
+    executor = shard.executor_by_id["x0"]
+    executor.reached = False
+    shard.half_reached_at = None
+    scene.advance(60.0)
+    assert not sessions._have_leases_expired(shard, executor)
+
+
+def test_a_successor_waits_for_a_lease_on_the_slowest_clock(scene):
+    """Guards against a wait that is shorter than a lease of 4 s may last."""
+    shard = scene.shard
+    executor = shard.executor_by_id["x0"]
+    executor.reached = False
+    shard.half_reached_at = scene.loop.time()
+    scene.advance(2.0 + 4.0 / 0.98 + 0.1)
+    assert not sessions._have_leases_expired(shard, executor)
+    scene.advance(0.2)
+    assert sessions._have_leases_expired(shard, executor)
