--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -11,7 +11,7 @@
 from limpetstream import errors
 from limpetstream.shard import housekeeping, names
 from limpetstream.shard.tests import schedules
-from standins import shard_cluster
+from standins import shard_cluster, step_executors
 
 
 @pytest.fixture(autouse=True)
@@ -202,13 +202,14 @@
     schedules.run_scenario(scenario)
 
 
-def test_a_successor_waits_for_leases_that_a_restarted_executor_grants():
+def test_a_successor_waits_for_leases_that_a_restarted_executor_grants(monkeypatch):
     """Guards against two runs after a restart that the owner did not notice.
 
     A deadline on the clock of the earlier process is far ahead on that of the
     new one, which grants the longest lease that it may.
     """
     max_lease_s = 10.0  # As deployed.
+    monkeypatch.setattr(step_executors, "MAX_LEASE_MS", int(max_lease_s * 1000))
 
     async def scenario(cluster):
         x0 = cluster.executor_by_id["x0"]
