Test three answers and decisions that need a proof

Cause: the review removed each check of the proof; no test noticed that of the pace that is decided after a poll, of an unknown job and of the count of waiting jobs.

Change: a test for each.

--- a/limpetstream/shard/tests/test_proof.py
+++ b/limpetstream/shard/tests/test_proof.py
@@ -221,6 +221,40 @@
     assert state_told == "completed"
 
 
+def test_an_unknown_job_needs_a_proof():
+    """Guards against "no such job" for one that a later owner has accepted."""
+    loop = virtual_time.Loop()
+    shard, _, _ = make_unproven(loop)
+    with pytest.raises(errors.NotOwner):
+        loop.run_until_complete(queries.job_state(shard, "0" * 16))
+    prove(shard)
+    assert loop.run_until_complete(queries.job_state(shard, "0" * 16)) is None
+
+
+def test_a_count_of_waiting_jobs_needs_a_proof():
+    """Guards against an outdated count that is told as the present one."""
+    loop = virtual_time.Loop()
+    shard, _, _ = make_unproven(loop)
+    with pytest.raises(errors.NotOwner):
+        queries.count_waiting_jobs(shard, "batch")
+    prove(shard)
+    assert queries.count_waiting_jobs(shard, "batch") == 0
+
+
+def test_no_pace_is_decided_without_a_proof(monkeypatch):
+    """Guards against a log line for each poll of an owner without a proof."""
+    loop = virtual_time.Loop()
+    shard, executor, _ = make_unproven(loop)
+    shard.record_state_by_id["x1"] = state.KEPT  # Does not answer: no majority.
+    adjusted = []
+    monkeypatch.setattr(pacing, "adjust", lambda *args: adjusted.append(args))
+    run_for(loop, 0.1, sessions._poll(shard, executor))
+    assert not adjusted
+    prove(shard)
+    run_for(loop, 0.1, sessions._poll(shard, executor))
+    assert adjusted
+
+
 def test_an_owner_without_appends_proves_itself():
     """Guards against an idle owner that starts nothing any more."""
     loop = virtual_time.Loop()
