Test three more checks whose removal no test noticed

Each new test fails when its check is taken out: the flag of an executor that is being given up is reset; it queues one append at a time; a restarted executor may have granted the longest lease.

--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -5,7 +5,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import leases, messages as executor_messages
-from limpetstream.shard import proof, sessions, state
+from limpetstream.shard import proof, sessions, state, status_reports
 from limpetstream.shard.tests import builders
 
 LEASE_EXPIRY_S = leases.LEASE_S / leases.MIN_CLOCK_RATE + leases.EXPIRY_MARGIN_S
@@ -97,6 +97,49 @@
     assert run.task.run is run
 
 
+def test_an_executor_that_came_back_can_be_given_up_later(open_scene):
+    """Guards against runs that are kept for ever after a first silence."""
+    scene = open_scene()
+    scene.store.down = True
+    executor, run = make_silent(scene)
+    sessions._give_up(scene.shard, executor)
+    scene.advance(1.0)
+    executor.silent_since = None
+    scene.store.down = False
+    scene.advance(2.0)
+    executor.silent_since = scene.loop.time()
+    sessions._give_up(scene.shard, executor)
+    scene.advance(0.1)
+    assert run.task.run is None
+
+
+def test_one_append_at_a_time_gives_up_an_executor(open_scene):
+    """Guards against work that grows with each poll in an outage."""
+    scene = open_scene()
+    scene.store.down = True
+    executor, _ = make_silent(scene)
+    sessions._give_up(scene.shard, executor)
+    scene.advance(0.1)
+    queued = scene.shard.journal._put_count
+    for _ in range(5):
+        sessions._give_up(scene.shard, executor)
+        scene.advance(0.1)
+    assert scene.shard.journal._put_count == queued
+
+
+def test_a_restarted_executor_may_have_granted_the_longest_lease(open_scene):
+    """Guards against runs that are given up while a late start goes on."""
+    scene = open_scene()
+    shard = scene.shard
+    executor = shard.executor_by_id["x0"]
+    executor.born_ms = 1
+    reply = executor_messages.PollReply(0, 2, [], [])
+    status_reports.apply_report(shard, executor, reply, scene.loop.time())
+    executor.lease.observe(0, scene.loop.time())
+    scene.advance(shard.timing.max_lease_s / 0.98)
+    assert not sessions._have_leases_expired(shard, executor)
+
+
 def test_an_unlisted_executor_is_removed_after_a_confirmed_append(open_scene):
     """Guards against an executor that counts as gone while its runs go on."""
     scene = open_scene()
