--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -25,6 +25,9 @@
 POLL_WAIT_S = 1.0
 POLL_MARGIN_S = 0.6  # Time for the reply beyond the requested wait.
 POLL_RETRY_S = 0.15
+# While appends fail, only replies prove the ownership. A reply proves it for
+# ``proof.VALIDITY_S`` from the sending of the poll.
+OUTAGE_POLL_WAIT_S = 0.5
 MIN_RESTART_S = 0.25  # An executor takes longer than this to restart.
 # Time for the journal to make ends durable. After that, the next poll renews
 # the lease without acknowledging them.
@@ -42,11 +45,13 @@
         try:
             await _poll(shard, executor)
         except errors.ExecutorReplaced:
+            # This executor has ended, and its runs with it, so no lease has to
+            # expire. A later owner may know how the runs ended.
+            executor.avoid_until = math.inf
+            await proof.confirm(shard)
             status_reports.note_replaced(
                 shard, executor, "another executor answers at its address"
             )
-            # This executor has ended, and its runs with it, so no lease has to
-            # expire first.
             executor.reached = False
             _remove(shard, executor)
             return
@@ -67,6 +72,8 @@
     if unacknowledged or may_have_restarted or not executor.reached:
         # The executor replies at once, and a missing reply is noticed sooner.
         wait_s = 0.0
+    elif shard.journal.failing_since is not None:
+        wait_s = min(wait_s, OUTAGE_POLL_WAIT_S)
     deadline_ms = None
     if proof.is_proven(shard) and not _is_silent_long(executor, sent_at):
         deadline_ms = executor.lease.extend(sent_at)
@@ -274,11 +281,9 @@
     inherited = len(shard.inherited_executors)
     reached = executor_records.count_reached_or_gone(shard)
     now = shard.clock.monotonic()
-    if shard.half_reached_at is None and reached * 2 >= inherited:
+    if shard.half_reached_at is None and executor_records.is_half_reached(shard):
         shard.half_reached_at = now
-        for executor in shard.executor_by_id.values():
-            if not executor.recorded:
-                shard.spawn(executor_records.write(shard, executor))
+        executor_records.write_missing(shard)
     may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
         shard
     )
--- /dev/null
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -0,0 +1,166 @@
+"""Tests of promises that a change of owner may break, and of standing still.
+
+All run on virtual time.
+"""
+
+import asyncio
+
+import loguru
+import pytest
+
+from limpetstream import errors
+from limpetstream.shard.tests import schedules
+from standins import shard_cluster
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    loguru.logger.remove()
+
+
+async def start_and_change_owner(cluster, *, jobs, seconds, count=4):
+    """Let m0 start jobs, then isolate it; m1 reaches only x0, m0 the rest."""
+    cluster.start("m0")
+    await asyncio.sleep(2)
+    for number in range(jobs):
+        assert await cluster.submit(
+            schedules.job_id(number), schedules.steps(count), seconds=seconds
+        )
+    await asyncio.sleep(0.5)
+    cluster.start("m1")
+    await asyncio.sleep(0.5)
+    schedules.isolate(cluster, "m0", {"x0"}, one_way=False)
+    client = cluster.instance_by_member["m1"].executor_client
+    client.unreachable_ids |= {"x1", "x2", "x3"}
+
+
+@pytest.mark.parametrize("replaced", [True, False], ids=["replaced", "restarted"])
+def test_runs_of_an_executor_that_ended_are_not_started_after_their_end(replaced):
+    """Guards against a second run after an end that a successor acknowledged.
+
+    The successor has applied the ends on an executor, which then ends. The
+    earlier owner, which a majority still answers, takes its runs for lost.
+    """
+
+    async def scenario(cluster):
+        await start_and_change_owner(cluster, jobs=3, seconds=5.0)
+        await asyncio.sleep(5.5)
+        assert cluster.breaches.acknowledged_done
+        cluster.instance_by_member["m1"].executor_client.unreachable_ids.add("x0")
+        await asyncio.sleep(0.7)
+        x0 = cluster.executor_by_id["x0"]
+        x0.restart()
+        client = cluster.instance_by_member["m0"].executor_client
+        if replaced:
+
+            async def poll(listing, **fields):
+                if listing.executor_id == "x0":
+                    raise errors.ExecutorReplaced("x0")
+                return await type(client).poll(client, listing, **fields)
+
+            client.poll = poll
+        client.unreachable_ids.clear()
+        await asyncio.sleep(3)
+        schedules.join_again(cluster, "m0")
+        schedules.join_again(cluster, "m1")
+        for number in range(3):
+            await cluster.wait_until_final(schedules.job_id(number), limit_s=60)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
+
+
+def test_no_task_starts_long_after_its_job_was_cancelled_at_a_successor():
+    """Guards against starts by an owner that a majority still answers."""
+
+    async def scenario(cluster):
+        # More tasks than there is room for: the owner has some to start later.
+        await start_and_change_owner(cluster, jobs=2, seconds=6.0, count=12)
+        loop = asyncio.get_running_loop()
+        while not shard_cluster.shard_zero(cluster.instance_by_member["m1"]):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5)
+        api = cluster.instance_by_member["m1"].job_api
+        for number in range(2):
+            assert await api.cancel(schedules.job_id(number), wait_s=3.0)
+            cluster.breaches.cancelled_at[schedules.job_id(number)] = loop.time()
+        await asyncio.sleep(12)
+        schedules.join_again(cluster, "m0")
+        schedules.join_again(cluster, "m1")
+        await asyncio.sleep(5)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
+
+
+def test_no_owner_tells_of_a_cancelled_job_that_it_is_open():
+    """Guards against a state that takes back what another owner has told."""
+
+    async def scenario(cluster):
+        await start_and_change_owner(cluster, jobs=1, seconds=12.0)
+        while not shard_cluster.shard_zero(cluster.instance_by_member["m1"]):
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5)
+        api = cluster.instance_by_member["m1"].job_api
+        assert await api.cancel(schedules.job_id(0), wait_s=3.0)
+        await asyncio.sleep(3)
+        try:
+            told = await cluster.instance_by_member["m0"].job_api.job_state(
+                schedules.job_id(0), wait_s=3.0
+            )
+        except errors.NotRun:
+            return
+        assert told == "cancelled"
+
+    schedules.run_scenario(scenario)
+
+
+def test_runs_outlive_an_outage_of_the_store_in_a_quiet_system():
+    """Guards against polls in step that extend no lease."""
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(4, cpu=16000), seconds=40.0
+        )
+        await asyncio.sleep(3)
+        starts = cluster.breaches.starts
+        cluster.store.down = True
+        await asyncio.sleep(20)
+        cluster.store.down = False
+        await asyncio.sleep(5)
+        assert cluster.breaches.starts == starts
+
+    schedules.run_scenario(scenario)
+
+
+def test_new_jobs_run_although_all_recorded_executors_are_gone():
+    """Guards against an owner that records no executor for ever.
+
+    All machines were replaced at once, the owner and the executors.
+    """
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(2), seconds=0.5
+        )
+        assert await cluster.wait_until_final(schedules.job_id(0), limit_s=20)
+        await cluster.kill("m0")
+        for executor_id in list(cluster.executor_by_id):
+            cluster.executor_by_id[executor_id].restart()
+            del cluster.executor_by_id[executor_id]
+            cluster.unlist_executor(executor_id)
+        for number in range(4):
+            cluster.add_executor(f"y{number}")
+        cluster.start("m1")
+        await asyncio.sleep(12)
+        assert await cluster.submit(
+            schedules.job_id(1), schedules.steps(2), seconds=0.5
+        )
+        final = await cluster.wait_until_final(schedules.job_id(1), limit_s=40)
+        assert final == "completed"
+
+    schedules.run_scenario(scenario)
