--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -9,8 +9,9 @@
 import pytest
 
 from limpetstream import errors
+from limpetstream.shard import housekeeping, names
 from limpetstream.shard.tests import schedules
-from standins import shard_cluster
+from standins import shard_cluster, step_executors
 
 
 @pytest.fixture(autouse=True)
@@ -164,3 +165,71 @@
         assert final == "completed"
 
     schedules.run_scenario(scenario)
+
+
+def test_a_late_copy_of_a_submission_runs_no_job_again():
+    """Guards against a second run of a job whose final state was dropped."""
+
+    async def scenario(cluster):
+        client = cluster.start("m0").store
+        stored = []
+        append = client.append
+
+        async def recorded(topic, number, entries, **fields):
+            if topic == names.SUBMISSIONS_TOPIC:
+                stored.append(entries)
+            return await append(topic, number, entries, **fields)
+
+        client.append = recorded
+        await asyncio.sleep(2)
+        shard = shard_cluster.shard_zero(cluster.instance_by_member["m0"])
+        shard.timing.status_retention_s = 10 - housekeeping.RETENTION_MARGIN_S
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(2), seconds=0.5
+        )
+        await asyncio.sleep(6)
+        assert not cluster.store.newest(names.SUBMISSIONS_TOPIC, 0)
+        # The first try of the append, which was under way for seconds.
+        cluster.store.append(names.SUBMISSIONS_TOPIC, 0, stored[0], None, None)
+        await asyncio.sleep(20)
+        assert not shard.job_by_id
+        starts = cluster.breaches.starts
+        await cluster.kill("m0")
+        cluster.start("m1")
+        await asyncio.sleep(10)
+        assert cluster.breaches.starts == starts
+
+    schedules.run_scenario(scenario)
+
+
+def test_a_successor_waits_for_leases_that_a_restarted_executor_grants(monkeypatch):
+    """Guards against two runs after a restart that the owner did not notice.
+
+    A deadline on the clock of the earlier process is far ahead on that of the
+    new one, which grants the longest lease that it may.
+    """
+    max_lease_s = 10.0  # As deployed.
+    monkeypatch.setattr(step_executors, "MAX_LEASE_MS", int(max_lease_s * 1000))
+
+    async def scenario(cluster):
+        x0 = cluster.executor_by_id["x0"]
+        instance = cluster.start("m0")
+        instance.job_api._server._timing.max_lease_s = max_lease_s
+        await asyncio.sleep(30)
+        instance.executor_client.unanswered_ids.add("x0")
+        x0.restart()
+        assert await cluster.submit(
+            schedules.job_id(0), schedules.steps(4, cpu=16000), seconds=30.0
+        )
+        await asyncio.sleep(0.3)
+        assert x0.run_by_task
+        x0.deadline_ms = min(x0.deadline_ms, x0.clock_ms() + int(max_lease_s * 1000))
+        x0.cut = True
+        await cluster.kill("m0")
+        cluster.add_executor("x4")
+        instance = cluster.start("m1")
+        instance.job_api._server._timing.max_lease_s = max_lease_s
+        await asyncio.sleep(20)
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
