--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -15,7 +15,7 @@
 from limpetstream.shard import job_api, ownership, shard_server, state
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages
-from standins import keyed_store, step_executors, virtual_time
+from standins import keyed_store, step_executor_client, step_executors, virtual_time
 
 EXECUTORS_TOPIC = "keyed.executors"
 QUEUE = messages.Queue("desk", "host", "/desk/", "service", 0, 3, 2.0, 1000.0)
@@ -77,7 +77,7 @@
 
     member: str
     store: keyed_store.Client
-    executor_client: step_executors.ExecutorClient
+    executor_client: step_executor_client.ExecutorClient
     gate: FreezeGate
     job_api: job_api.JobApi
     ownership: ownership.Ownership
@@ -160,7 +160,7 @@
     def start(self, member: str, *, reserve: bool = False) -> Instance:
         """Start an instance; ``reserve`` puts it in the reserve group."""
         store = keyed_store.Client(self.store)
-        executor_client = step_executors.ExecutorClient(self.executor_by_id)
+        executor_client = step_executor_client.ExecutorClient(self.executor_by_id)
         gate = FreezeGate()
         clock = self._gated_clock(gate)
         server = shard_server.ShardServer(
--- /dev/null
+++ b/standins/step_executor_client.py
@@ -0,0 +1,177 @@
+"""Calls simulated executors of step tasks, with faults of the network."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pycurl
+
+from limpetstream import errors
+from limpetstream.executors import messages
+from standins import step_executors
+
+RESPONSE_DELAY_S = 0.004
+
+
+class ExecutorClient:
+    """Client through which one instance calls the executors.
+
+    ``cut`` loses all calls of the instance, ``unreachable_ids`` those to some
+    executors. Calls to the executors in ``unanswered_ids`` take effect, but
+    their answers are lost.
+
+    Args:
+        executor_by_id: All executors.
+    """
+
+    def __init__(self, executor_by_id: dict[str, step_executors.Executor]) -> None:
+        self.executor_by_id = executor_by_id
+        self.cut = False
+        self.unreachable_ids: set[str] = set()
+        self.unanswered_ids: set[str] = set()
+        self._delayed_starts: set[asyncio.Task[None]] = set()
+
+    async def start(
+        self,
+        listing: messages.Listing,
+        request: messages.StartRequest,
+        *,
+        timeout_s: float,
+    ) -> messages.StartReply:
+        """Start one run.
+
+        Raises:
+            PlatformUnavailable: No answer; the start may take effect later.
+            TokenOutdated: The executor has seen a higher fencing token.
+        """
+        executor = await self._connect(listing, timeout_s)
+        if executor.random.random() < executor.delayed_share:
+            self._start_later(executor, request)
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("start delayed, no answer in time")
+        async with self._answering(listing, timeout_s):
+            return executor.start(request)
+
+    async def stop(
+        self,
+        listing: messages.Listing,
+        task: str,
+        run: int,
+        token: int,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Stop one run.
+
+        Raises:
+            PlatformUnavailable: The executor is cut off.
+            TokenOutdated: The executor has seen a higher fencing token.
+        """
+        executor = await self._connect(listing, timeout_s)
+        async with self._answering(listing, timeout_s):
+            executor.stop(task, run, token)
+
+    async def poll(
+        self,
+        listing: messages.Listing,
+        *,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+        timeout_s: float,
+    ) -> messages.PollReply:
+        """Extend the lease and return the status, waiting for an end.
+
+        Raises:
+            PlatformUnavailable: The executor is cut off or was restarted.
+            TokenOutdated: The executor has seen a higher fencing token.
+        """
+        executor = await self._connect(listing, timeout_s)
+        born_at = executor.born_at
+        async with self._answering(listing, timeout_s):
+            status = executor.poll(token, acknowledged, deadline_ms)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_ms / 1000
+        while not status.ended and loop.time() < deadline:
+            await asyncio.sleep(0.02)
+            if self._is_cut_off(executor) or executor.born_at != born_at:
+                raise errors.PlatformUnavailable("executor is cut off")
+            async with self._answering(listing, deadline - loop.time()):
+                status = executor.poll(token, acknowledged, None)
+        return status
+
+    async def pace(
+        self,
+        listing: messages.Listing,
+        task: str,
+        run: int,
+        percent: int,
+        token: int,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Accept any pace without an effect."""
+        await self._connect(listing, timeout_s)
+
+    def _start_later(
+        self, executor: step_executors.Executor, request: messages.StartRequest
+    ) -> None:
+        born_at = executor.born_at
+
+        async def apply() -> None:
+            await asyncio.sleep(executor.random.uniform(2.0, 12.0))
+            if executor.born_at != born_at:
+                return  # A restart drops the requests that were received.
+            try:
+                executor.start(request)
+            except errors.TokenOutdated:
+                return
+
+        task = asyncio.create_task(apply())
+        self._delayed_starts.add(task)
+        task.add_done_callback(self._delayed_starts.discard)
+
+    async def _connect(
+        self, listing: messages.Listing, timeout_s: float
+    ) -> step_executors.Executor:
+        executor = self.executor_by_id.get(listing.executor_id)
+        if executor is None:
+            _check_sendable(listing)
+            raise errors.PlatformUnavailable("no executor at this address")
+        if self._is_cut_off(executor):
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("executor is cut off")
+        await asyncio.sleep(RESPONSE_DELAY_S)
+        return executor
+
+    def _is_cut_off(self, executor: step_executors.Executor) -> bool:
+        executor_id = executor.listing.executor_id
+        return self.cut or executor.cut or executor_id in self.unreachable_ids
+
+    @contextlib.asynccontextmanager
+    async def _answering(
+        self, listing: messages.Listing, timeout_s: float
+    ) -> AsyncIterator[None]:
+        """Apply a call to an executor; lose the answer if that is simulated.
+
+        Raises:
+            PlatformUnavailable: The answer was lost, also if it was an error.
+        """
+        try:
+            yield
+        finally:
+            if listing.executor_id in self.unanswered_ids:
+                await asyncio.sleep(max(timeout_s, RESPONSE_DELAY_S))
+                raise errors.PlatformUnavailable("the answer was lost")
+
+
+def _check_sendable(listing: messages.Listing) -> None:
+    """Raise what libcurl's binding raises for texts that it cannot send."""
+    curl = pycurl.Curl()
+    try:
+        curl.setopt(pycurl.URL, f"http://{listing.address}/")
+        header = f"X-Expected-Instance: {listing.executor_id}"
+        curl.setopt(pycurl.HTTPHEADER, [header.encode("latin-1")])
+    finally:
+        curl.close()
