--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -25,13 +25,16 @@
     It can then compute when the leases on the executors that it cannot reach
     have expired.
     """
-    polled_at = executor_records.majority_polled_at(shard)
     shard.ownership_proven_at = max(
-        shard.ownership_proven_at, shard.journal.confirmed_at, polled_at
+        shard.ownership_proven_at, shard.journal.confirmed_at
     )
+    if age_s(shard) >= VALIDITY_S:  # Replies are costly to compare.
+        shard.ownership_proven_at = max(
+            shard.ownership_proven_at, executor_records.majority_polled_at(shard)
+        )
     proven = age_s(shard) < VALIDITY_S
     if proven == (shard.unproven_since is not None):
-        _log_change(shard, proven, polled_at)
+        _log_change(shard, proven)
     if not proven and not shard.journal.is_pending:
         _queue_empty_append(shard)
     return proven
@@ -61,7 +64,7 @@
     return shard.clock.monotonic() - shard.ownership_proven_at
 
 
-def _log_change(shard: state.Shard, proven: bool, polled_at: float) -> None:
+def _log_change(shard: state.Shard, proven: bool) -> None:
     now = shard.clock.monotonic()
     if proven:
         logs.emit(
@@ -79,7 +82,7 @@
         epoch=shard.epoch,
         proven_ms_ago=round(age_s(shard) * 1000),
         append_ms_ago=_ms_since(now, shard.journal.confirmed_at),
-        majority_ms_ago=_ms_since(now, polled_at),
+        majority_ms_ago=_ms_since(now, executor_records.majority_polled_at(shard)),
         silent=sum(
             executor.silent_since is not None
             for executor in shard.executor_by_id.values()
