Keep runs whose lease is extended while they are given up

Cause: giving up a silent executor waits for an append. A start that had waited for the store was sent when the store was back, which extends the lease; 6 ms later the append was confirmed and all runs were given up, this one as well. Its capacity was given to others while it ran.

Change: nothing is given up if a lease was extended since the expiry that was seen.

Result: test_a_lease_that_is_extended_meanwhile_keeps_the_runs fails before and passes.

--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -213,17 +213,20 @@
 async def _give_up_once_confirmed(
     shard: state.Shard, executor: tracking.Executor
 ) -> None:
-    """Give up an executor, unless it replies before an append is confirmed.
+    """Give up an executor, unless something happens before the append.
 
     A later owner may have reached the executor and extended its lease. The
-    append shows that none had claimed the shard when the lease expired.
+    append shows that none had claimed the shard when the lease expired. A
+    reply counts instead, and so does a lease that this owner has extended.
     """
     silent_since = executor.silent_since
+    expired_at = _leases_expire_at(shard, executor)
     try:
         await proof.confirm(shard)
     finally:
         executor.giving_up = False
-    if executor.silent_since != silent_since:
+    is_extended = _leases_expire_at(shard, executor) > expired_at
+    if executor.silent_since != silent_since or is_extended:
         return
     if executor.run_by_task:
         now = shard.clock.monotonic()
@@ -232,7 +235,7 @@
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
             silent_s=round(now - (silent_since or now), 3),
-            expired_ms_ago=round((now - _leases_expire_at(shard, executor)) * 1000),
+            expired_ms_ago=round((now - expired_at) * 1000),
             proven_ms_ago=round(proof.age_s(shard) * 1000),
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -140,6 +140,23 @@
     assert not sessions._have_leases_expired(shard, executor)
 
 
+def test_a_lease_that_is_extended_meanwhile_keeps_the_runs(open_scene):
+    """Guards against a start that is given up as soon as it is sent.
+
+    Soak, seed 2: a start had waited for the store. It was sent when the store
+    was back, and the append that gave up the executor was confirmed then.
+    """
+    scene = open_scene()
+    scene.store.down = True
+    executor, run = make_silent(scene)
+    sessions._give_up(scene.shard, executor)
+    scene.advance(1.0)
+    executor.lease.expires_at = 10.0
+    scene.store.down = False
+    scene.advance(2.0)
+    assert run.task.run is run
+
+
 def test_an_unlisted_executor_is_removed_after_a_confirmed_append(open_scene):
     """Guards against an executor that counts as gone while its runs go on."""
     scene = open_scene()
