Send no start to an executor that does not answer

Change: such a start is withdrawn and its task placed again.

Result: test_no_start_is_sent_to_a_silent_executor fails before and passes.

--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -28,13 +28,14 @@
     stopped before the task can run again.
     """
     await _record_job(shard, run.task.job)
-    is_sent = False
+    is_sent, obstacle = False, ""
     for _ in range(START_TRIES):
         try:
             async with executor.start_slots:
                 if run.phase != workflow_state.STARTING:
                     return  # Stopped, or reported by a poll, while it waited.
-                if not proof.is_proven(shard):
+                obstacle = _obstacle(shard, executor)
+                if obstacle:
                     break
                 if not is_sent:
                     _log_start(shard, executor, run)
@@ -52,7 +53,7 @@
     if run.phase != workflow_state.STARTING:
         return
     if not is_sent:
-        _withdraw(shard, executor, run, "ownership not proven")
+        _withdraw(shard, executor, run, obstacle)
         return
     logs.emit(
         events.START_IN_DOUBT,
@@ -63,6 +64,15 @@
     stops.stop_run(shard, executor, run, "start in doubt")
 
 
+def _obstacle(shard: state.Shard, executor: tracking.Executor) -> str:
+    """Return why no start may be sent now; empty if one may."""
+    if not proof.is_proven(shard):
+        return "ownership not proven"
+    if executor.silent_since is not None:
+        return "the executor does not answer"
+    return ""
+
+
 async def _record_job(shard: state.Shard, job: workflow_state.Job) -> None:
     """Wait until the journal records that the job may have started."""
     if not job.start_recorded:
--- a/limpetstream/shard/tests/test_proof.py
+++ b/limpetstream/shard/tests/test_proof.py
@@ -124,6 +124,21 @@
     assert run.phase == workflow_state.STOPPING
 
 
+def test_no_start_is_sent_to_a_silent_executor():
+    """Guards against a start that extends the lease of an executor for ever.
+
+    It may have waited for the store while the executor stopped answering.
+    """
+    loop = virtual_time.Loop()
+    shard, executor, client = make_unproven(loop)
+    prove(shard)
+    run = make_starting_run(shard, executor)
+    executor.silent_since = 1.0
+    run_for(loop, 1.0, starts.start_run(shard, executor, run))
+    assert not client.calls
+    assert run.task in shard.waiting_tasks
+
+
 def test_a_start_without_a_proof_extends_no_lease():
     """Guards against leases that outlive the wait of a later owner."""
     loop = virtual_time.Loop()
