Let half of the instances end the proofs of earlier owners

Callers saw (LOST): tasks that are to last, and steps of jobs that had begun, never ran again once most recorded executors had left for good and the owner had changed, with room for them. Cause: only replies of half of the recorded executors told a new owner that no earlier one can extend a lease; executors that are gone never reply, and nothing bounded the wait.

Without an append an owner needs their majority besides that of the executors, so half of either ends all earlier proofs; and majorities prove nothing 20 s after the newest append, which is the last end. An idle owner appends once a second. The log line earlier-proofs-ended names what ended the wait. Messages between instances have a module of their own; an owner that a test isolates is cut off from other instances as well, unless the test is about them.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -333,3 +333,10 @@
     "A start that was decided is not sent; its task waits again.",
     "See the reason.",
 )
+EARLIER_PROOFS_ENDED = events.declare(
+    1560,
+    "earlier-proofs-ended",
+    "INFO",
+    "No earlier owner can prove any more that it owns the shard.",
+    "If ended_by is time, find out why neither executors nor instances answered.",
+)
--- /dev/null
+++ b/limpetstream/shard/instance_votes.py
@@ -0,0 +1,106 @@
+"""Asks the instances that vote, and records which ones do."""
+
+import asyncio
+
+import msgspec
+
+from limpetstream import errors
+from limpetstream.shard import (
+    events,
+    instance_quorum,
+    names,
+    ownership,
+    peer_messages,
+    state,
+)
+from limpetstream.telemetry import logs
+
+ASK_INTERVAL_S = 0.25
+ASK_TIMEOUT_S = 0.5  # Seventy times the round trip between data centres.
+# Instances are asked once the newest append is this old. An append proves the
+# ownership for 2 s, so one call without an answer delays nothing.
+ASK_APPEND_AGE_S = 0.8
+RECORD_INTERVAL_S = 1.0  # As long as a membership in the group.
+READ_TIMEOUT_S = 0.5  # As long as a call that renews the membership.
+
+
+def note_inherited(shard: state.Shard, record: instance_quorum.InstancesRecord) -> None:
+    """Take over the instances that the journal records."""
+    quorum = shard.instance_quorum
+    quorum.recorded = frozenset(record.members)
+    if quorum.binds_earlier_owners:
+        quorum.inherited = quorum.recorded
+
+
+async def ask(shard: state.Shard) -> None:
+    """Tell instances this epoch, and ask them while appends are missing."""
+    quorum = shard.instance_quorum
+    while quorum.peers is not None:
+        now = shard.clock.monotonic()
+        members = quorum.inherited - quorum.told if not quorum.is_half_told() else set()
+        if now - shard.journal.confirmed_at > ASK_APPEND_AGE_S:
+            members = members | quorum.recorded | (quorum.writing or frozenset())
+        if members:
+            await asyncio.gather(*[_ask_member(shard, member) for member in members])
+        await shard.clock.sleep(ASK_INTERVAL_S)
+
+
+async def _ask_member(shard: state.Shard, member: str) -> None:
+    quorum = shard.instance_quorum
+    sent_at = shard.clock.monotonic()
+    if member == quorum.member:
+        reply = peer_messages.PeerReply(
+            epoch=quorum.note_epoch(shard.number, shard.epoch), member=member
+        )
+    else:
+        request = peer_messages.PeerRequest("epoch", shard.number, epoch=shard.epoch)
+        try:
+            reply = await quorum.peers.call(member, request, timeout_s=ASK_TIMEOUT_S)
+        except errors.PeerUnreachable:
+            return
+    if not reply.member:
+        return  # An instance of a version that does not vote.
+    has_ended = reply.member != member
+    if member in quorum.inherited and (has_ended or reply.epoch >= shard.epoch):
+        quorum.told.add(member)
+        if quorum.is_half_told():
+            shard.changed.set()
+    if not has_ended and reply.epoch <= shard.epoch:
+        quorum.agreed_at_by_member[member] = sent_at
+
+
+async def record(shard: state.Shard) -> None:
+    """Record the instances that vote when the members of the groups change.
+
+    Until no earlier owner can get a majority, those that the journal already
+    holds go on voting: the next owner has to end the majorities of all.
+    """
+    quorum = shard.instance_quorum
+    is_recorded = False
+    while quorum.peers is not None:
+        await shard.clock.sleep(RECORD_INTERVAL_S)
+        if shard.half_reached_at is None:
+            continue
+        try:
+            members = frozenset(
+                await ownership.group_members(shard.store, timeout_s=READ_TIMEOUT_S)
+            )
+        except errors.PlatformUnavailable as error:
+            logs.emit(events.LIST_READ_FAILED, topic=names.GROUP, error=str(error))
+            continue
+        if members and (members != quorum.recorded or not is_recorded):
+            await _write(shard, members)
+            is_recorded = True
+
+
+async def _write(shard: state.Shard, members: frozenset[str]) -> None:
+    quorum = shard.instance_quorum
+    quorum.writing = members
+    shard.journal.put(
+        names.INSTANCES_KEY,
+        lambda: msgspec.json.encode(
+            instance_quorum.InstancesRecord(shard.epoch, sorted(members))
+        ),
+    )
+    await shard.journal.wait_until_durable()
+    quorum.recorded, quorum.writing = members, None
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,11 +1,10 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
-import dataclasses
 import random
-from typing import NoReturn, Protocol
+from typing import NoReturn
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.shard import events, names, queries, shard_server
+from limpetstream.shard import events, names, peer_messages, queries, shard_server
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
@@ -25,61 +24,6 @@
 RETRY_AFTER_S = 1.0  # A new owner takes over in about a second.
 
 
-@dataclasses.dataclass(slots=True)
-class PeerRequest:
-    """Request to another instance.
-
-    Args:
-        kind: ``state``, ``cancel``, ``waiting`` or ``store``.
-        shard: Number of the shard that it concerns.
-        job_id: Job for ``state`` and ``cancel``.
-        queue: Queue for ``waiting``.
-        submission: Job for ``store``.
-    """
-
-    kind: str
-    shard: int
-    job_id: str = ""
-    queue: str = ""
-    submission: messages.Submission | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class PeerReply:
-    """Answer of another instance.
-
-    Args:
-        known: Whether the job is known; for ``store``, whether it is stored.
-        state: State of the job.
-        count: Number of waiting jobs.
-        refused: Reason why the request failed; empty if it succeeded.
-        unknown: Whether a failed ``store`` may have taken effect.
-        owner: Name of the member that owns the shard, if another member is
-            believed to.
-    """
-
-    known: bool = False
-    state: str = ""
-    count: int = 0
-    refused: str = ""
-    unknown: bool = False
-    owner: str = ""
-
-
-class Peers(Protocol):
-    """Requests between instances."""
-
-    async def call(
-        self, member: str, request: PeerRequest, *, timeout_s: float
-    ) -> PeerReply:
-        """Send a request to a member.
-
-        Raises:
-            PeerUnreachable: No usable answer came.
-        """
-        ...
-
-
 class JobApi:
     """Operations that one instance offers to callers.
 
@@ -98,7 +42,7 @@
         self,
         *,
         store: store_messages.Store,
-        peers: Peers,
+        peers: peer_messages.Peers,
         server: shard_server.ShardServer,
         owner_by_shard: dict[int, str],
         member: str,
@@ -199,7 +143,7 @@
         """
         shard = names.shard_of(job_id, self._shard_count)
         reply = await self._ask_owner(
-            PeerRequest("state", shard, job_id=job_id), wait_s
+            peer_messages.PeerRequest("state", shard, job_id=job_id), wait_s
         )
         return reply.state if reply.known else None
 
@@ -211,7 +155,7 @@
         """
         shard = names.shard_of(job_id, self._shard_count)
         reply = await self._ask_owner(
-            PeerRequest("cancel", shard, job_id=job_id), wait_s
+            peer_messages.PeerRequest("cancel", shard, job_id=job_id), wait_s
         )
         return reply.known
 
@@ -224,37 +168,51 @@
         count = 0
         for shard in range(self._shard_count):
             reply = await self._ask_owner(
-                PeerRequest("waiting", shard, queue=queue), wait_s
+                peer_messages.PeerRequest("waiting", shard, queue=queue), wait_s
             )
             count += reply.count
         return count
 
-    async def answer_peer(self, request: PeerRequest) -> PeerReply:
+    async def answer_peer(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply:
         """Answer a request of another instance or of this one."""
         if request.kind == "store":
             return await self._answer_store(request)
+        if request.kind == "epoch":
+            return self._server.answer_epoch(request)
         shard = self._server.shard_by_number.get(request.shard)
         try:
             if shard is None:
                 owner = self._owner_by_shard.get(request.shard, "")
-                return PeerReply(refused="not the owner of the shard", owner=owner)
+                return peer_messages.PeerReply(
+                    refused="not the owner of the shard", owner=owner
+                )
             if request.kind == "waiting":
-                return PeerReply(count=queries.count_waiting_jobs(shard, request.queue))
+                return peer_messages.PeerReply(
+                    count=queries.count_waiting_jobs(shard, request.queue)
+                )
             if request.kind == "cancel":
-                return PeerReply(known=await queries.cancel(shard, request.job_id))
+                return peer_messages.PeerReply(
+                    known=await queries.cancel(shard, request.job_id)
+                )
             state = await queries.job_state(shard, request.job_id)
-            return PeerReply(known=state is not None, state=state or "")
+            return peer_messages.PeerReply(known=state is not None, state=state or "")
         except errors.LimpetstreamError as error:
-            return PeerReply(refused=f"{type(error).__name__}: {error}")
+            return peer_messages.PeerReply(refused=f"{type(error).__name__}: {error}")
 
-    async def _answer_store(self, request: PeerRequest) -> PeerReply:
+    async def _answer_store(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply:
         if request.submission is None:
-            return PeerReply(refused="the request has no submission")
+            return peer_messages.PeerReply(refused="the request has no submission")
         try:
             await self._append(request.shard, request.submission, STORE_TIMEOUT_S)
         except errors.PlatformUnavailable as error:
-            return PeerReply(refused=str(error), unknown=not error.not_applied)
-        return PeerReply(known=True)
+            return peer_messages.PeerReply(
+                refused=str(error), unknown=not error.not_applied
+            )
+        return peer_messages.PeerReply(known=True)
 
     async def _append(
         self, shard: int, submission: messages.Submission, timeout_s: float
@@ -272,19 +230,19 @@
 
     async def _store_at_peer(
         self, shard: int, submission: messages.Submission
-    ) -> PeerReply:
+    ) -> peer_messages.PeerReply:
         """Ask another instance to store a job that this one cannot store."""
         others = [member for member in self._members if member != self._member]
         if not others:
-            return PeerReply(refused="no other instance is known")
+            return peer_messages.PeerReply(refused="no other instance is known")
         try:
             return await self._peers.call(
                 random.choice(others),
-                PeerRequest("store", shard, submission=submission),
+                peer_messages.PeerRequest("store", shard, submission=submission),
                 timeout_s=PEER_TIMEOUT_S,
             )
         except errors.PeerUnreachable as error:
-            return PeerReply(refused=str(error), unknown=True)
+            return peer_messages.PeerReply(refused=str(error), unknown=True)
 
     def _raise_failure(
         self, submission: messages.Submission, may_be_stored: bool, reason: str
@@ -300,13 +258,15 @@
             raise errors.OutcomeUnknown(reason)
         raise errors.NotRun("store-unavailable", reason, retry_after_s=RETRY_AFTER_S)
 
-    async def _ask_owner(self, request: PeerRequest, wait_s: float) -> PeerReply:
+    async def _ask_owner(
+        self, request: peer_messages.PeerRequest, wait_s: float
+    ) -> peer_messages.PeerReply:
         """Ask the owner of a shard; look it up again after each failure."""
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
         retry_s = RETRY_S
         while True:
             result = await self._try_owner(request)
-            if isinstance(result, PeerReply):
+            if isinstance(result, peer_messages.PeerReply):
                 return result
             if self._clock.monotonic() + retry_s >= give_up_at:
                 break
@@ -322,7 +282,9 @@
         )
         raise errors.NotRun("no-owner", result, retry_after_s=RETRY_AFTER_S)
 
-    async def _try_owner(self, request: PeerRequest) -> PeerReply | str:
+    async def _try_owner(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply | str:
         if request.shard in self._server.shard_by_number:
             reply = await self.answer_peer(request)
             if not reply.refused:
--- a/limpetstream/shard/names.py
+++ b/limpetstream/shard/names.py
@@ -12,6 +12,7 @@
 OWNER_KEY = "!owner"  # Sorts before every job id and executor key.
 ESTIMATES_KEY = "!learned"
 PROOF_KEY = "!proof"  # Never holds a value; see shard/proof.py.
+INSTANCES_KEY = "!instances"
 EXECUTOR_KEY_PREFIX = "!executor/"
 
 
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.shard import events, names
+from limpetstream.shard import events, instance_quorum, names
 from limpetstream.store import messages
 from limpetstream.telemetry import logs
 
@@ -42,10 +42,13 @@
         epoch: Epoch and fencing token of the owner.
         proven_at: Monotonic time in seconds before the claim was read back;
             until then no other instance had claimed the shard.
+        instances_vote: Whether every earlier owner that may still act needs
+            the votes of the instances in the journal.
     """
 
     epoch: int
     proven_at: float
+    instances_vote: bool = False
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
@@ -59,10 +62,13 @@
         epoch: Epoch and fencing token of the owner.
         member: Name of the owner in the group. It begins with the owner's
             peer address.
+        instances_vote: Whether this owner and every earlier one that may
+            still act need the votes of the instances in the journal.
     """
 
     epoch: int
     member: str
+    instances_vote: bool = False
 
 
 class Ownership:
@@ -360,7 +366,7 @@
                 names.PROGRESS_TOPIC, shard, timeout_s=CLAIM_TIMEOUT_S
             )
             epoch = next_epoch(page.entries)
-            record = OwnerRecord(epoch, member)
+            record = OwnerRecord(epoch, member, _do_instances_vote(page.entries))
             await store.append(
                 names.PROGRESS_TOPIC,
                 shard,
@@ -375,7 +381,7 @@
             )
             winner = newest_claim(page.entries)
             if winner == record:
-                return Claim(epoch, proven_at)
+                return Claim(epoch, proven_at, record.instances_vote)
             logs.emit(
                 events.CLAIM_FAILED, shard=shard, error=f"another claim won: {winner}"
             )
@@ -389,6 +395,19 @@
         await clock.sleep(CLAIM_RETRY_S)
 
 
+def _do_instances_vote(entries: list[messages.Entry]) -> bool:
+    """Return whether the instances in the journal bind all earlier owners.
+
+    Owners of versions before that record do not ask for the votes. They are
+    known to have ended once a later owner has written the record.
+    """
+    newest = newest_claim(entries)
+    if newest is None or newest.instances_vote:
+        return True
+    instances = instance_quorum.find_record(entries)
+    return instances is not None and instances.epoch == newest.epoch
+
+
 def next_epoch(entries: list[messages.Entry]) -> int:
     """Return the epoch that follows the newest claim among the entries."""
     newest = newest_claim(entries)
--- /dev/null
+++ b/limpetstream/shard/peer_messages.py
@@ -0,0 +1,68 @@
+"""Defines the requests between instances and their replies."""
+
+import dataclasses
+from typing import Protocol
+
+from limpetstream.workflow import messages
+
+
+@dataclasses.dataclass(slots=True)
+class PeerRequest:
+    """Request to another instance.
+
+    Args:
+        kind: ``state``, ``cancel``, ``waiting``, ``store`` or ``epoch``.
+        shard: Number of the shard that it concerns.
+        job_id: Job for ``state`` and ``cancel``.
+        queue: Queue for ``waiting``.
+        submission: Job for ``store``.
+        epoch: For ``epoch``, the epoch with which the sender owns the shard.
+    """
+
+    kind: str
+    shard: int
+    job_id: str = ""
+    queue: str = ""
+    submission: messages.Submission | None = None
+    epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PeerReply:
+    """Answer of another instance.
+
+    Args:
+        known: Whether the job is known; for ``store``, whether it is stored.
+        state: State of the job.
+        count: Number of waiting jobs.
+        refused: Reason why the request failed; empty if it succeeded.
+        unknown: Whether a failed ``store`` may have taken effect.
+        owner: Name of the member that owns the shard, if another member is
+            believed to.
+        epoch: For ``epoch``, the highest epoch of the shard that the member
+            knows, with that of the request.
+        member: For ``epoch``, name of the member that answers.
+    """
+
+    known: bool = False
+    state: str = ""
+    count: int = 0
+    refused: str = ""
+    unknown: bool = False
+    owner: str = ""
+    epoch: int = 0
+    member: str = ""
+
+
+class Peers(Protocol):
+    """Requests between instances."""
+
+    async def call(
+        self, member: str, request: PeerRequest, *, timeout_s: float
+    ) -> PeerReply:
+        """Send a request to a member.
+
+        Raises:
+            PeerUnreachable: No usable answer came.
+        """
+        ...
--- a/limpetstream/shard/peering.py
+++ b/limpetstream/shard/peering.py
@@ -4,7 +4,7 @@
 
 from limpetstream import errors
 from limpetstream.platform import http
-from limpetstream.shard import job_api, names
+from limpetstream.shard import job_api, names, peer_messages
 
 SHARD_PATH = "/shard"
 
@@ -20,8 +20,8 @@
         self._client = client
 
     async def call(
-        self, member: str, request: job_api.PeerRequest, *, timeout_s: float
-    ) -> job_api.PeerReply:
+        self, member: str, request: peer_messages.PeerRequest, *, timeout_s: float
+    ) -> peer_messages.PeerReply:
         """Send a request to a member.
 
         Raises:
@@ -32,7 +32,7 @@
                 "POST",
                 f"http://{names.peer_address(member)}{SHARD_PATH}",
                 request,
-                answer_type=job_api.PeerReply,
+                answer_type=peer_messages.PeerReply,
                 timeout_s=timeout_s,
             )
         except errors.PlatformUnavailable as error:
@@ -46,7 +46,7 @@
         Rejected: The body is not a request.
     """
     try:
-        request = msgspec.json.decode(body, type=job_api.PeerRequest)
+        request = msgspec.json.decode(body, type=peer_messages.PeerRequest)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise errors.Rejected(400, "invalid-request", str(error)) from error
     return msgspec.json.encode(await api.answer_peer(request))
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -5,41 +5,67 @@
 listed in design.md, section 11.3.
 """
 
+import math
+
 from limpetstream.shard import events, executor_records, names, state
 from limpetstream.telemetry import logs
 
 VALIDITY_S = 2.0  # A new owner waits as long for the proof of an earlier one.
+# An append is queued once the newest one is this old, so that the proof of an
+# idle owner does not expire while the store answers.
+APPEND_INTERVAL_S = 1.0
+# Majorities prove the ownership only for so long after the newest append. The
+# store keeps its history for as long.
+MAX_WITHOUT_APPEND_S = 20.0
 
 
 def is_proven(shard: state.Shard) -> bool:
     """Return whether this instance has proven lately that it owns the shard.
 
-    The proof is either an append that the journal has confirmed, or replies
-    to polls with this owner's token (the shard's epoch) from more than half
-    of the executors recorded in the journal. It counts from the sending of
-    the append or the polls, and is noted in ``ownership_proven_at``.
-
-    A later owner ends both: when it claims the shard, it fences the journal,
-    and the executors that it has reached reject lower tokens. Once it has
-    reached half of them, no earlier owner gets replies from more than half.
-    It can then compute when the leases on the executors that it cannot reach
-    have expired.
+    The proof is either an append that the journal has confirmed, or two
+    majorities: replies to polls with this owner's token (the shard's epoch)
+    from more than half of the executors recorded in the journal, and replies
+    of more than half of the recorded instances that know no later epoch. It
+    counts from the sending of the append or of the requests, and is noted in
+    ``ownership_proven_at``. Without an append, majorities are no proof after
+    ``MAX_WITHOUT_APPEND_S``.
+
+    A later owner ends all of it: when it claims the shard, it fences the
+    journal, the executors that it has reached reject lower tokens, and the
+    instances that it has told of its epoch say so. Once it has reached half of
+    either, no earlier owner gets both majorities. It can then compute when the
+    leases on the executors that it cannot reach have expired.
     """
     shard.ownership_proven_at = max(
         shard.ownership_proven_at, shard.journal.confirmed_at
     )
     if age_s(shard) >= VALIDITY_S:  # Replies are costly to compare.
         shard.ownership_proven_at = max(
-            shard.ownership_proven_at, executor_records.majority_polled_at(shard)
+            shard.ownership_proven_at, _majorities_at(shard)
         )
     proven = age_s(shard) < VALIDITY_S
     if proven == (shard.unproven_since is not None):
         _log_change(shard, proven)
-    if not proven and not shard.journal.is_pending:
+    if not shard.journal.is_pending and _append_age_s(shard) > APPEND_INTERVAL_S:
         _queue_empty_append(shard)
     return proven
 
 
+def _majorities_at(shard: state.Shard) -> float:
+    """Return the latest time by which both majorities have replied."""
+    if _append_age_s(shard) > MAX_WITHOUT_APPEND_S:
+        return float("-inf")
+    return min(
+        executor_records.majority_polled_at(shard), shard.instance_quorum.agreed_at()
+    )
+
+
+def _append_age_s(shard: state.Shard) -> float:
+    """Return the age in seconds of the newest append, the claim included."""
+    appended_at = max(shard.journal.confirmed_at, shard.claim_proven_at)
+    return shard.clock.monotonic() - appended_at
+
+
 async def confirm(shard: state.Shard) -> None:
     """Wait until an append that began after this call is confirmed.
 
@@ -83,6 +109,7 @@
         proven_ms_ago=round(age_s(shard) * 1000),
         append_ms_ago=_ms_since(now, shard.journal.confirmed_at),
         majority_ms_ago=_ms_since(now, executor_records.majority_polled_at(shard)),
+        instances_ms_ago=_ms_since(now, shard.instance_quorum.agreed_at()),
         silent=sum(
             executor.silent_since is not None
             for executor in shard.executor_by_id.values()
@@ -92,5 +119,5 @@
 
 
 def _ms_since(now: float, then: float) -> int | None:
-    """Return the milliseconds since a time; None if that time never was."""
-    return round((now - then) * 1000) if then > float("-inf") else None
+    """Return the milliseconds since a time; None if there is no such time."""
+    return round((now - then) * 1000) if math.isfinite(then) else None
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -8,6 +8,8 @@
 from limpetstream.shard import (
     events,
     executor_records,
+    instance_quorum,
+    instance_votes,
     jobs,
     names,
     state,
@@ -49,6 +51,10 @@
         try:
             if entry.key == names.ESTIMATES_KEY:
                 stored_estimates.load(shard, entry.value)
+            elif entry.key == names.INSTANCES_KEY:
+                instance_votes.note_inherited(
+                    shard, instance_quorum.decode(entry.value)
+                )
             elif entry.key.startswith(names.EXECUTOR_KEY_PREFIX):
                 executors.append(executor_records.decode(entry.key, entry.value))
             else:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -183,9 +183,9 @@
 def _earlier_leases_expire_at(shard: state.Shard) -> float:
     """Return when every lease granted by an earlier owner has expired.
 
-    After half of the inherited executors were reached, an earlier owner gets
-    no new proof of its ownership. It may extend leases for as long as its last
-    proof is valid. The last lease is at most ``leases.LEASE_S`` long on the
+    After ``half_reached_at`` an earlier owner gets no new proof of its
+    ownership. It may extend leases for as long as its last proof is valid. The
+    last lease is at most ``leases.LEASE_S`` long on the
     executor's clock, which may run at ``leases.MIN_CLOCK_RATE``.
 
     Returns:
@@ -284,9 +284,8 @@
     inherited = len(shard.inherited_executors)
     reached = executor_records.count_reached_or_gone(shard)
     now = shard.clock.monotonic()
-    if shard.half_reached_at is None and executor_records.is_half_reached(shard):
-        shard.half_reached_at = now
-        executor_records.write_missing(shard)
+    if shard.half_reached_at is None:
+        _check_earlier_proofs(shard, now)
     may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
         shard
     )
@@ -297,6 +296,31 @@
         shard.spawn(_settle_once_confirmed(shard))
 
 
+def _check_earlier_proofs(shard: state.Shard, now: float) -> None:
+    """Set ``half_reached_at`` once no earlier owner can get a new proof."""
+    quorum = shard.instance_quorum
+    if executor_records.is_half_reached(shard):
+        ended_by = "executors"
+    elif quorum.is_half_told():
+        ended_by = "instances"
+    elif now - shard.claimed_at > proof.MAX_WITHOUT_APPEND_S:
+        ended_by = "time"
+    else:
+        return
+    shard.half_reached_at = now
+    logs.emit(
+        events.EARLIER_PROOFS_ENDED,
+        shard=shard.number,
+        epoch=shard.epoch,
+        ended_by=ended_by,
+        executors=len(shard.inherited_voters),
+        instances=len(quorum.inherited),
+        told=len(quorum.told),
+        after_ms=round((now - shard.claimed_at) * 1000),
+    )
+    executor_records.write_missing(shard)
+
+
 async def _settle_once_confirmed(shard: state.Shard) -> None:
     """Settle runs whose leases have expired, if this is still the owner.
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -12,9 +12,12 @@
     executor_list,
     executor_records,
     housekeeping,
+    instance_quorum,
+    instance_votes,
     journal,
     names,
     ownership,
+    peer_messages,
     recovery,
     scheduling,
     sessions,
@@ -44,6 +47,8 @@
         executors_topic: Topic that lists the executors.
         decode_listing: Decodes one entry of that topic; returns None for an
             entry that names no usable executor.
+        member: Name of this instance in the group.
+        peers: Sends requests to other instances; None if there are none.
     """
 
     def __init__(
@@ -57,6 +62,8 @@
         shard_count: int,
         executors_topic: str,
         decode_listing: DecodeListing,
+        member: str = "",
+        peers: peer_messages.Peers | None = None,
     ) -> None:
         self.shard_by_number: dict[int, state.Shard] = {}
         self._store = store
@@ -67,6 +74,9 @@
         self._shard_count = shard_count
         self._executors_topic = executors_topic
         self._decode_listing = decode_listing
+        self._member = member
+        self._peers = peers
+        self._epoch_by_shard: dict[int, int] = {}
 
     async def serve(self, number: int, claim: ownership.Claim) -> None:
         """Serve a claimed shard until cancelled.
@@ -90,6 +100,19 @@
             # The text of a group names none of its errors.
             raise _first_error(caught) from caught
 
+    def answer_epoch(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply:
+        """Note the epoch of an owner; tell it the highest epoch known here."""
+        epoch = self._note_epoch(request.shard, request.epoch)
+        return peer_messages.PeerReply(epoch=epoch, member=self._member)
+
+    def _note_epoch(self, number: int, epoch: int) -> int:
+        """Note an epoch of a shard; return the highest one known here."""
+        highest = max(epoch, self._epoch_by_shard.get(number, 0))
+        self._epoch_by_shard[number] = highest
+        return highest
+
     @contextlib.asynccontextmanager
     async def _registered(self, shard: state.Shard) -> AsyncIterator[None]:
         self.shard_by_number[shard.number] = shard
@@ -118,6 +141,13 @@
             spawn=spawn,
             ownership_proven_at=claim.proven_at,
             claimed_at=self._clock.monotonic(),
+            claim_proven_at=claim.proven_at,
+            instance_quorum=instance_quorum.Quorum(
+                self._member,
+                self._peers,
+                self._note_epoch,
+                claim.instances_vote,
+            ),
         )
 
     async def _load_and_serve(self, shard: state.Shard) -> None:
@@ -131,6 +161,7 @@
         await _load_follower(shard, submissions)
         recovery.restore_final_jobs(shard, progress_by_id)
         progress_by_id.clear()
+        shard.spawn(instance_votes.ask(shard))
         # Executors are polled only once the jobs are known. Otherwise the
         # ends of their runs would be acknowledged as those of unknown jobs.
         for record in journaled.executors:
@@ -150,6 +181,7 @@
         shard.spawn(submissions.run())
         shard.spawn(executors.run())
         shard.spawn(housekeeping.run(shard))
+        shard.spawn(instance_votes.record(shard))
         await scheduling.run(shard)
 
     def _executors_follower(self, shard: state.Shard) -> follower.Follower:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -7,7 +7,10 @@
 
 from limpetstream import clock as clock_module
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal as journal_module
+from limpetstream.shard import (
+    instance_quorum as quorum_module,
+    journal as journal_module,
+)
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.workflow import (
     capacity_forecast,
@@ -89,10 +92,16 @@
         unproven_since: Time at which the last proof was found to be too old;
             None while there is a recent one.
         claimed_at: Time of the claim.
+        claim_proven_at: Time until which no other instance had claimed the
+            shard after this one.
         recovered: Whether jobs and executors have been loaded.
+        instance_quorum: Instances that vote on an owner that acts without
+            appends.
         half_reached_at: Time at which half of the inherited executors had
-            replied or were removed; None before. From then on no earlier
-            owner gets replies from more than half of them.
+            replied or were removed, half of the instances that vote knew the
+            epoch of this owner, or earlier owners could act no more without
+            an append; None before. From then on no earlier owner gets a new
+            proof of its ownership.
         earlier_job_ids: Ids of jobs that an earlier owner may have started.
         maybe_started_job_ids: Ids of jobs that an earlier owner may have
             started or that this owner has started.
@@ -135,7 +144,11 @@
     ownership_proven_at: float = 0.0
     unproven_since: float | None = None
     claimed_at: float = 0.0
+    claim_proven_at: float = 0.0
     recovered: bool = False
+    instance_quorum: quorum_module.Quorum = dataclasses.field(
+        default_factory=quorum_module.Quorum
+    )
     half_reached_at: float | None = None
     earlier_job_ids: set[str] = dataclasses.field(default_factory=set)
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -7,7 +7,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal, names, state
+from limpetstream.shard import journal, names, peer_messages, state
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, state as workflow_state
 from standins import keyed_store, shard_cluster, virtual_time
@@ -66,6 +66,32 @@
             raise errors.PlatformUnavailable("no answer")
 
 
+class RecordingPeers:
+    """Instances that answer the question for the highest epoch they know.
+
+    ``name_by_member`` names the process that answers in place of another one,
+    ``epoch_by_member`` holds later epochs that instances know, and
+    ``unreachable`` the instances that do not answer.
+    """
+
+    def __init__(self):
+        self.asked = []
+        self.epoch_by_member = {}
+        self.name_by_member = {}
+        self.unreachable = set()
+
+    async def call(self, member, request, *, timeout_s):
+        self.asked.append(member)
+        await asyncio.sleep(0.004)
+        if member in self.unreachable:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerUnreachable(member)
+        return peer_messages.PeerReply(
+            epoch=max(request.epoch, self.epoch_by_member.get(member, 0)),
+            member=self.name_by_member.get(member, member),
+        )
+
+
 def make_executor(executor_id: str, *, data_centre: str = "a") -> tracking.Executor:
     """Return an executor that was polled at time 0."""
     listing = executor_messages.Listing(
--- a/limpetstream/shard/tests/schedules.py
+++ b/limpetstream/shard/tests/schedules.py
@@ -144,7 +144,7 @@
         cluster.start(f"a{round_}-{number}")
 
 
-def isolate(cluster, member, executor_ids, *, one_way):
+def isolate(cluster, member, executor_ids, *, one_way, has_peers=False):
     """Cut an instance off from the store and from some executors.
 
     Args:
@@ -152,15 +152,19 @@
         member: Instance that is cut off.
         executor_ids: Executors whose answers it does not get.
         one_way: Whether its calls to them arrive.
+        has_peers: Whether it still reaches the other instances.
     """
     instance = cluster.instance_by_member[member]
     instance.store.faults.cut = True
+    if not has_peers:
+        cluster.members_without_peers.add(member)
     client = instance.executor_client
     (client.unanswered_ids if one_way else client.unreachable_ids).update(executor_ids)
 
 
 def join_again(cluster, member):
     """End what ``isolate`` did to an instance, if it still runs."""
+    cluster.members_without_peers.discard(member)
     instance = cluster.instance_by_member.get(member)
     if instance is not None:
         instance.store.faults.cut = False
@@ -175,7 +179,13 @@
         return
     ids = list(cluster.executor_by_id)
     far = set(generator.sample(ids, generator.randint(1, len(ids))))
-    isolate(cluster, owner, far, one_way=generator.random() < 0.5)
+    isolate(
+        cluster,
+        owner,
+        far,
+        one_way=generator.random() < 0.5,
+        has_peers=bool(round_ % 2),
+    )
     others_reach_all = generator.random() < 0.5
     others = [m for m in cluster.instance_by_member if m != owner]
     if not others_reach_all:
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -12,7 +12,13 @@
 
 from limpetstream import clock as clock_module, errors
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import job_api, ownership, shard_server, state
+from limpetstream.shard import (
+    job_api,
+    ownership,
+    peer_messages,
+    shard_server,
+    state,
+)
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages
 from standins import keyed_store, step_executor_client, step_executors, virtual_time
@@ -87,6 +93,9 @@
 class ShardCluster:
     """All simulated parts of one test.
 
+    The instances in ``members_without_peers`` reach no others, and no others
+    reach them.
+
     Args:
         loop: Loop on virtual time.
         seed: Seed of all random decisions.
@@ -113,6 +122,7 @@
         self.size_by_spec: dict[str, tuple[int, float]] = {}
         self.executor_by_id: dict[str, step_executors.Executor] = {}
         self.instance_by_member: dict[str, Instance] = {}
+        self.members_without_peers: set[str] = set()
         self.view = state.DeploymentView(messages.Configuration(1, [QUEUE, BATCH]))
         self._shards = shards
         self._decode_listing = decode_listing
@@ -172,6 +182,8 @@
             shard_count=self._shards,
             executors_topic=EXECUTORS_TOPIC,
             decode_listing=self._decode_listing,
+            member=member,
+            peers=_FreezableClient(_PeerClient(self, member), gate),
         )
         shard_ownership = ownership.Ownership(
             _FreezableClient(store, gate),
@@ -293,14 +305,17 @@
         self._member = member
 
     async def call(
-        self, member: str, request: job_api.PeerRequest, *, timeout_s: float
-    ) -> job_api.PeerReply:
+        self, member: str, request: peer_messages.PeerRequest, *, timeout_s: float
+    ) -> peer_messages.PeerReply:
         """Send a request to another instance.
 
         Raises:
-            PeerUnreachable: The instance has ended, or is frozen for longer
-                than ``timeout_s``.
+            PeerUnreachable: The instance has ended, is cut off from others, or
+                is frozen for longer than ``timeout_s``.
         """
+        if self._cluster.members_without_peers & {member, self._member}:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerUnreachable(member)
         instance = self._cluster.instance_by_member.get(member)
         await asyncio.sleep(0.004)
         if instance is None:
