Take a cancel only once no earlier owner may act

Cause: a successor acknowledged cancels while a majority of the executors still proved the ownership of the earlier owner.

--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -51,6 +51,19 @@
     return proven
 
 
+def have_earlier_owners_stopped(shard: state.Shard) -> bool:
+    """Return whether no earlier owner may act or answer for the shard now.
+
+    Its last proof is valid for ``VALIDITY_S`` after earlier proofs have ended.
+    An earlier owner that has recorded no executor has started nothing.
+    """
+    if not shard.inherited_executors:
+        return True
+    if shard.half_reached_at is None:
+        return False
+    return shard.clock.monotonic() - shard.half_reached_at > VALIDITY_S
+
+
 def _majorities_at(shard: state.Shard) -> float:
     """Return the latest time by which both majorities have replied."""
     if _append_age_s(shard) > MAX_WITHOUT_APPEND_S:
--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -29,10 +29,12 @@
 async def cancel(shard: state.Shard, job_id: str) -> bool:
     """Cancel a job durably; return False if it certainly does not exist.
 
-    A job that is already final is unchanged.
+    A job that is already final is unchanged. Until earlier owners have
+    stopped, one of them could still start its tasks and tell that it is open.
 
     Raises:
-        NotOwner: This instance may not be the owner, or is still loading.
+        NotOwner: This instance may not be the owner, is still loading, or
+            does not know yet that earlier owners have stopped.
         PlatformUnavailable: The submissions cannot be read.
         WriterFenced: Another owner has taken over.
     """
@@ -44,6 +46,7 @@
     if job is None:
         return False
     if not job.outcome:
+        _require_earlier_owners_stopped(shard)
         jobs.finish(shard, job, messages.CANCELLED)
     await shard.journal.wait_until_durable()
     logs.emit(events.CANCEL_STORED, job=job_id, outcome=job.outcome)
@@ -77,6 +80,11 @@
         raise errors.NotOwner("the ownership of the shard is not proven")
 
 
+def _require_earlier_owners_stopped(shard: state.Shard) -> None:
+    if not proof.have_earlier_owners_stopped(shard):
+        raise errors.NotOwner("an earlier owner of the shard may still act")
+
+
 async def _read_all_submissions(shard: state.Shard) -> None:
     """Read all submissions, so that a job not found cannot exist."""
     if shard.submissions_follower is not None:
