Test five checks of the instances' votes whose removal went unnoticed

Change: a test for each: half is no majority, an instance that does not vote is not told, a record under the owner's epoch, a record that is being written, the first owner's cancels.

--- a/limpetstream/shard/tests/test_instance_votes.py
+++ b/limpetstream/shard/tests/test_instance_votes.py
@@ -70,6 +70,15 @@
     assert not proof.is_proven(scene.shard)
 
 
+def test_half_of_the_instances_prove_nothing(scene):
+    """Guards against two owners with half of the instances each."""
+    scene.shard.instance_quorum.recorded = MEMBERS | {"m3"}
+    scene.peers.unreachable = {"m2", "m3"}
+    lose_store(scene)
+    poll_all(scene)
+    assert not proof.is_proven(scene.shard)
+
+
 def test_instances_alone_prove_nothing(scene):
     """Guards against an owner whose successor has reached the executors."""
     lose_store(scene)
@@ -175,6 +184,19 @@
     assert shard.half_reached_at is not None
 
 
+def test_instances_that_do_not_vote_are_not_told(scene):
+    """Guards against a successor that takes an earlier version for ended.
+
+    An instance of that version answers the question without its name.
+    """
+    shard = make_successor(scene, {"m1", "m2", "m3"})
+    scene.peers.name_by_member = {"m1": "", "m2": ""}
+    scene.peers.unreachable = {"m3"}
+    shard.spawn(instance_votes.ask(shard))
+    settle_for(scene, 2.0)
+    assert shard.half_reached_at is None
+
+
 def test_less_than_half_of_the_instances_end_no_proof(scene):
     """Guards against two owners that act at the same time."""
     shard = make_successor(scene)
@@ -204,40 +226,69 @@
     assert shard.half_reached_at is None
 
 
+def join_group(scene, *members):
+    """Let members join the group; return the client that they used."""
+    client = keyed_store.Client(scene.store)
+    for member in members * 2:  # The first join only starts a generation.
+        scene.loop.run_until_complete(
+            client.join(
+                names.GROUP,
+                member,
+                names.PROGRESS_TOPIC,
+                ttl_s=60.0,
+                generation=9,
+                timeout_s=1.0,
+            )
+        )
+    return client
+
+
+def stored_instances(scene):
+    """Return the record of the instances that the journal holds."""
+    stored = scene.store.newest(names.PROGRESS_TOPIC, 0)[names.INSTANCES_KEY]
+    return instance_quorum.decode(stored.value)
+
+
 def test_instances_are_recorded_once_earlier_proofs_have_ended(scene):
     """Guards against a record that no longer names those that bind others.
 
     An owner that is still cut off asks only the instances of the old record.
     """
     shard = scene.shard
-    scene.store.group(names.GROUP)
-    client = keyed_store.Client(scene.store)
-    shard.store = client
+    shard.store = join_group(scene, "m5", "m6")
     shard.half_reached_at = None
     shard.spawn(instance_votes.record(shard))
-
-    def join():
-        for member in ("m5", "m6"):
-            scene.loop.run_until_complete(
-                client.join(
-                    names.GROUP,
-                    member,
-                    names.PROGRESS_TOPIC,
-                    ttl_s=60.0,
-                    generation=9,
-                    timeout_s=1.0,
-                )
-            )
-
-    join()
-    join()
     scene.advance(5.0)
     assert shard.instance_quorum.recorded == MEMBERS
     shard.half_reached_at = scene.loop.time()
     scene.advance(5.0)
     assert shard.instance_quorum.recorded == {"m5", "m6"}
-    stored = scene.store.newest(names.PROGRESS_TOPIC, 0)[names.INSTANCES_KEY]
-    assert instance_quorum.decode(stored.value).members == ["m5", "m6"]
+    assert stored_instances(scene).members == ["m5", "m6"]
+
+
+def test_each_owner_records_the_instances_under_its_epoch(scene):
+    """Guards against an upgrade after which instances never bind an owner."""
+    shard = scene.shard
+    shard.store = join_group(scene, "m0", "m1")
+    shard.half_reached_at = 0.0
+    shard.instance_quorum.recorded = frozenset({"m0", "m1"})
+    shard.spawn(instance_votes.record(shard))
+    scene.advance(5.0)
+    assert stored_instances(scene).epoch == shard.epoch
+
+
+def test_instances_that_are_being_recorded_have_to_agree(scene):
+    """Guards against a record that takes effect although no answer comes."""
+    shard = scene.shard
+    shard.store = join_group(scene, "m0", "m5", "m6")
+    shard.half_reached_at = 0.0
+    scene.store_client.faults.cut = True
+    shard.spawn(instance_votes.record(shard))
+    scene.peers.unreachable = {"m5", "m6"}
+    shard.spawn(instance_votes.ask(shard))
+    scene.advance(4.0)
+    poll_all(scene)
+    assert not proof.is_proven(shard)
 
 
 def claim_after(entries):
@@ -314,3 +365,9 @@
 
     schedules.run_scenario(scenario)
     assert proven == [False]
+
+
+def test_no_earlier_owner_acts_where_none_has_recorded_an_executor(scene):
+    """Guards against cancels that the first owner of a shard refuses."""
+    assert proof.have_earlier_owners_stopped(scene.shard)
+    assert not proof.have_earlier_owners_stopped(make_successor(scene))
