Claim a shard whose record of the claim cannot be read

Cause: a record under !owner that cannot be decoded, or that names an epoch which the store has already seen, ended every claim (DecodeError, or fenced for ever): the shard never had an owner again.

Change: such a record counts as none, with a line. The store does not tell the highest epoch, so after a refused claim the next try claims a higher epoch in any case, and each further refusal doubles the step. Epochs that would give run numbers beyond what executors report count as unreadable too.

--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -16,11 +16,12 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 
 import msgspec
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.shard import events, names
+from limpetstream.shard import events, names, unreadable
 from limpetstream.store import messages
 from limpetstream.telemetry import logs
 
@@ -32,6 +33,9 @@
 VACANCY_CHECK_INTERVAL_S = 0.4  # Between checks whether an owner has left.
 STANDBY_INTERVAL_S = 1.0  # As long as a membership in the main group.
 ACTIVE_INTERVAL_S = 2.0  # Shards are being served, so half as often is enough.
+# Runs are numbered from the epoch times ``jobs.RUN_NUMBERS_PER_EPOCH``, which
+# executors report as whole numbers below 2**53.
+MAX_EPOCH = 2**39
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,7 +65,7 @@
             peer address.
     """
 
-    epoch: int
+    epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_EPOCH)]
     member: str
 
 
@@ -345,6 +349,10 @@
     relied on: the next try reads the partition again and claims a higher
     epoch.
 
+    The store knows the highest epoch, but does not tell it, and the record may
+    be damaged. After a refusal the next try therefore claims a higher epoch in
+    any case, and each further refusal doubles the step.
+
     Args:
         store: Store of keyed topics.
         shard: Number of the shard.
@@ -354,12 +362,13 @@
     Returns:
         The claim that the store holds.
     """
+    refused_epoch, step = 0, 1
     while True:
         try:
             page = await store.newest(
                 names.PROGRESS_TOPIC, shard, timeout_s=CLAIM_TIMEOUT_S
             )
-            epoch = next_epoch(page.entries)
+            epoch = max(next_epoch(page.entries), refused_epoch + step)
             record = OwnerRecord(epoch, member)
             await store.append(
                 names.PROGRESS_TOPIC,
@@ -376,16 +385,16 @@
             winner = newest_claim(page.entries)
             if winner == record:
                 return Claim(epoch, proven_at)
-            logs.emit(
-                events.CLAIM_FAILED, shard=shard, error=f"another claim won: {winner}"
-            )
-        except (
-            errors.PlatformUnavailable,
-            errors.OffsetMoved,
-            errors.SequenceConflict,
-            errors.WriterFenced,
-        ) as error:
+            refusal = f"another claim won: {winner}"
+        except (errors.SequenceConflict, errors.WriterFenced) as error:
+            refusal = str(error)
+        except (errors.PlatformUnavailable, errors.OffsetMoved) as error:
             logs.emit(events.CLAIM_FAILED, shard=shard, error=str(error))
+            await clock.sleep(CLAIM_RETRY_S)
+            continue
+        step = 2 * step if refused_epoch else 1
+        refused_epoch = epoch
+        logs.emit(events.CLAIM_FAILED, shard=shard, error=refusal)
         await clock.sleep(CLAIM_RETRY_S)
 
 
@@ -396,8 +405,14 @@
 
 
 def newest_claim(entries: list[messages.Entry]) -> OwnerRecord | None:
-    """Return the newest claim among the entries; None if there is none."""
+    """Return the newest claim among the entries; None if there is none.
+
+    A record that cannot be decoded is logged and counts as none.
+    """
     for entry in entries:
         if entry.key == names.OWNER_KEY and entry.value is not None:
-            return msgspec.json.decode(entry.value, type=OwnerRecord)
+            try:
+                return msgspec.json.decode(entry.value, type=OwnerRecord)
+            except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+                unreadable.log(names.PROGRESS_TOPIC, entry, error)
     return None
--- a/limpetstream/shard/tests/record_builders.py
+++ b/limpetstream/shard/tests/record_builders.py
@@ -51,6 +51,21 @@
 }
 
 
+ODD_CLAIM_BY_KIND = {
+    "nested": b"[" * 100_000,
+    "nested in an unknown field": NESTED_FIELD,
+    "not UTF-8": b'{"epoch":1,"member":"\xff"}',
+    "no object": b"[]",
+    "empty": b"",
+    "no member": b'{"epoch":1}',
+    "epoch as text": b'{"epoch":"9","member":"m"}',
+    "epoch of an earlier owner": b'{"epoch":1,"member":"m"}',
+    "negative epoch": b'{"epoch":-7,"member":"m"}',
+    "epoch beyond 64 bits": b'{"epoch":1180591620717411303424,"member":"m"}',
+    "highest epoch of 64 bits": b'{"epoch":9223372036854775807,"member":"m"}',
+}
+
+
 def progress(place: str) -> bytes:
     """Return the progress of a job with one task at a place."""
     return msgspec.json.encode({"marked": True, "task_by_place": {place: {"run": 1}}})
--- a/limpetstream/shard/tests/test_odd_records.py
+++ b/limpetstream/shard/tests/test_odd_records.py
@@ -55,6 +55,51 @@
     assert events.ENTRY_UNREADABLE in [event for event, _ in logged]
 
 
+@pytest.mark.parametrize("kind", builders.ODD_CLAIM_BY_KIND)
+def test_a_shard_whose_claim_is_odd_gets_an_owner(kind, logged):
+    """Guards against a record in place of the claim that ends every claim."""
+
+    async def scenario(cluster):
+        for member in ("m0", "m1", "m2"):
+            cluster.start(member)
+            await asyncio.sleep(3)
+            assert cluster.owner_member() == member
+            await cluster.kill(member)
+        epoch = cluster.store.partition(names.PROGRESS_TOPIC, 0).epoch
+        entry = store_messages.Entry(names.OWNER_KEY, builders.ODD_CLAIM_BY_KIND[kind])
+        cluster.store.append(names.PROGRESS_TOPIC, 0, [entry], None, None)
+        cluster.start("m3")
+        await asyncio.sleep(4)
+        assert cluster.owner_member() == "m3"
+        assert epoch < owner_shard(cluster).epoch <= 2 * epoch + 1
+        name = schedules.job_id(0)
+        assert await cluster.submit(name, schedules.steps(8), seconds=1.0)
+        assert await cluster.wait_until_final(name, limit_s=6) == "completed"
+
+    assert not schedules.run_scenario(scenario).breaches.found
+    assert events.SHARD_FAILED not in [event for event, _ in logged]
+
+
+@pytest.mark.parametrize("epoch", [1, 2, 3, 4, 5, 8, 9, 1000])
+def test_a_claim_finds_the_next_epoch_without_a_record(epoch):
+    """Guards against tries that repeat an epoch which the store has seen."""
+
+    async def scenario(cluster):
+        cluster.store.append(
+            names.PROGRESS_TOPIC,
+            0,
+            [store_messages.Entry(names.OWNER_KEY, b"{}")],
+            store_messages.Writer(names.WRITER, epoch, 0),
+            None,
+        )
+        cluster.start("m0")
+        await asyncio.sleep(5)
+        assert cluster.owner_member() == "m0"
+        assert epoch < owner_shard(cluster).epoch <= 2 * epoch + 1
+
+    schedules.run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "place", ["", "x", "0.0", "0.0.0.0", "0.0.x", "-1.0.0", "0.0.-1", "9" * 5000]
 )
