Fail a job whose stored progress cannot be read

Cause: such a record was skipped, so its job counted as new. All its tasks were started again, also those whose end was acknowledged and those that ran on executors out of reach of the new owner.

Change: the job fails, durably, and its runs are stopped. Nothing tells which of its tasks have ended, so none can be started without running some twice. Other jobs are not touched.

--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -38,7 +38,8 @@
     """Read the journal, and take over the estimates that it holds.
 
     The partition is fenced, so nothing changes while its pages are read.
-    Entries that cannot be decoded are logged and skipped.
+    Entries that cannot be decoded are logged and skipped, and their keys noted
+    in ``unreadable_job_ids``.
     """
     page = await _read_newest(shard, names.PROGRESS_TOPIC)
     progress_by_id: dict[str, records.Progress] = {}
@@ -60,6 +61,7 @@
             RecursionError,
         ) as error:
             unreadable.log(names.PROGRESS_TOPIC, entry, error)
+            shard.unreadable_job_ids.add(entry.key)
     return JournalContent(progress_by_id, executors)
 
 
@@ -74,7 +76,8 @@
         shard: Shard that owns the jobs.
         entries: Entries of the submissions topic.
         progress_by_id: Progress that the journal holds, by job id; entries
-            that are used are removed.
+            that are used are removed. A job whose progress cannot be read
+            fails.
     """
     for entry in entries:
         if entry.value is None or entry.key in shard.job_by_id:
@@ -85,7 +88,9 @@
             unreadable.log(names.SUBMISSIONS_TOPIC, entry, error)
             continue
         progress = progress_by_id.pop(entry.key, None)
-        if progress is None:
+        if entry.key in shard.unreadable_job_ids:
+            _fail(shard, submission)
+        elif progress is None:
             jobs.add_job(shard, submission)
         else:
             _resume(shard, submission, progress)
@@ -111,6 +116,17 @@
         shard.job_by_id[job_id] = job
 
 
+def _fail(shard: state.Shard, submission: messages.Submission) -> None:
+    """Fail a job whose progress cannot be read.
+
+    Nothing tells which of its tasks have ended, so none can be started without
+    running some of them twice.
+    """
+    job = workflow_state.Job(submission)
+    shard.job_by_id[submission.job_id] = job
+    jobs.finish(shard, job, messages.FAILED)
+
+
 def _resume(
     shard: state.Shard, submission: messages.Submission, progress: records.Progress
 ) -> None:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -96,6 +96,7 @@
         earlier_job_ids: Ids of jobs that an earlier owner may have started.
         maybe_started_job_ids: Ids of jobs that an earlier owner may have
             started or that this owner has started.
+        unreadable_job_ids: Ids of jobs whose stored progress cannot be read.
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
         settling: Whether earlier runs are settled once an append is confirmed.
@@ -139,6 +140,7 @@
     half_reached_at: float | None = None
     earlier_job_ids: set[str] = dataclasses.field(default_factory=set)
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
+    unreadable_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
     settling: bool = False
     next_occurrence_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/limpetstream/shard/tests/record_builders.py
+++ b/limpetstream/shard/tests/record_builders.py
@@ -65,6 +65,15 @@
     "highest epoch of 64 bits": b'{"epoch":9223372036854775807,"member":"m"}',
 }
 
+ODD_PROGRESS_BY_KIND = {
+    "nested": b"[" * 100_000,
+    "nested in an unknown field": NESTED_FIELD,
+    "not UTF-8": b'{"marked":true,"queue":"\xff"}',
+    "cut off": b'{"marked":true,"task_by_pl',
+    "another type": b'{"marked":"yes"}',
+    "empty": b"",
+}
+
 
 def progress(place: str) -> bytes:
     """Return the progress of a job with one task at a place."""
--- a/limpetstream/shard/tests/test_odd_records.py
+++ b/limpetstream/shard/tests/test_odd_records.py
@@ -125,6 +125,43 @@
     assert events.SHARD_FAILED not in [event for event, _ in logged]
 
 
+@pytest.mark.parametrize("kind", builders.ODD_PROGRESS_BY_KIND)
+def test_a_job_whose_progress_is_lost_is_not_started_again(kind, logged):
+    """Guards against second runs of tasks that an earlier owner has started.
+
+    Some have ended, and the others run where the new owner reaches nobody.
+    """
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        job_ids = [schedules.job_id(number) for number in range(2)]
+        assert await cluster.submit(
+            job_ids[0], schedules.steps(16, chain=2), seconds=2.0
+        )
+        await asyncio.sleep(3)
+        assert cluster.breaches.acknowledged_done
+        assert cluster.breaches.starts > 16
+        await cluster.kill("m0")
+        odd = builders.ODD_PROGRESS_BY_KIND[kind]
+        entry = store_messages.Entry(job_ids[0], odd)
+        cluster.store.append(names.PROGRESS_TOPIC, 0, [entry], None, None)
+        starts = cluster.breaches.starts
+        for member in ("m1", "m2"):
+            client = cluster.start(member).executor_client
+            client.unreachable_ids.add("x0")
+            await asyncio.sleep(4)
+            assert await cluster.wait_until_final(job_ids[0], limit_s=6) == "failed"
+            await cluster.kill(member)
+        assert cluster.breaches.starts == starts
+        cluster.start("m3")
+        assert await cluster.submit(job_ids[1], schedules.steps(8), seconds=1.0)
+        assert await cluster.wait_until_final(job_ids[1], limit_s=20) == "completed"
+
+    assert not schedules.run_scenario(scenario).breaches.found
+    assert events.SHARD_FAILED not in [event for event, _ in logged]
+
+
 def test_owner_serves_a_shard_whose_estimates_are_odd(logged):
     """Guards against stored estimates that end every new owner."""
 
