--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -11,10 +12,12 @@
     events,
     executor_list,
     executor_records,
+    fences,
     housekeeping,
     journal,
     names,
     ownership,
+    proof,
     recovery,
     scheduling,
     sessions,
@@ -77,7 +80,8 @@
 
         Raises:
             WriterFenced: Another instance has claimed the shard.
-            TokenOutdated: An executor has seen the token of a later owner.
+            TokenOutdated: An executor has seen the token of a later owner, as
+                far as can be told while the store does not answer.
         """
         try:
             async with asyncio.TaskGroup() as group:
@@ -105,7 +109,7 @@
         claim: ownership.Claim,
         spawn: Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]],
     ) -> state.Shard:
-        return state.Shard(
+        shard = state.Shard(
             number=number,
             shard_count=self._shard_count,
             epoch=claim.epoch,
@@ -119,6 +123,10 @@
             ownership_proven_at=claim.proven_at,
             claimed_at=self._clock.monotonic(),
         )
+        shard.executor_client = fences.CheckingClient(
+            self._executor_client, functools.partial(proof.confirm, shard)
+        )
+        return shard
 
     async def _load_and_serve(self, shard: state.Shard) -> None:
         shard.spawn(shard.journal.run())
