Drop held requests of closed connections as a cut ends

Change: held requests wait for the end of a cut, and then ask the socket whether the sender has closed it.

--- a/soak/_cuts.py
+++ b/soak/_cuts.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 import weakref
 from collections.abc import Callable, Iterator
 
@@ -15,8 +16,6 @@
 
 from limpetstream.border import simple_server
 
-POLL_INTERVAL_S = 0.01
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Cut:
@@ -44,6 +43,7 @@
 
     def __init__(self) -> None:
         self.cuts: list[Cut] = []
+        self._cut_ended = asyncio.Event()
         self._opened_at_by_context: weakref.WeakKeyDictionary[object, float] = (
             weakref.WeakKeyDictionary()
         )
@@ -57,6 +57,8 @@
             yield
         finally:
             self.cuts.remove(cut)
+            self._cut_ended.set()
+            self._cut_ended = asyncio.Event()
 
     async def deliver(
         self,
@@ -87,8 +89,8 @@
             context, asyncio.get_running_loop().time()
         )
         while self._is_new_connection_held(source, target, opened_at):
-            await asyncio.sleep(POLL_INTERVAL_S)
-            if request.connection.stream.closed():
+            await self._cut_ended.wait()
+            if _has_given_up(request):
                 return simple_server.Response(503)
         await self._wait_until_passed(source, target)
         if life() != life_at_arrival:
@@ -108,4 +110,20 @@
 
     async def _wait_until_passed(self, source: str, target: str) -> None:
         while any(cut.holds(source, target) for cut in self.cuts):
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await self._cut_ended.wait()
+
+
+def _has_given_up(request: httputil.HTTPServerRequest) -> bool:
+    """Return whether the sender of a request has closed its connection.
+
+    The event loop may not have seen that yet, so the socket is asked too.
+    """
+    stream = request.connection.stream
+    if stream.closed():
+        return True
+    try:
+        return not stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True  # The connection was reset.
--- a/soak/tests/test_cuts.py
+++ b/soak/tests/test_cuts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import types
 
 from limpetstream import clock, errors
 from limpetstream.border import simple_server
@@ -10,6 +12,10 @@
 from standins import processes
 
 
+class _Context:
+    """Stands for the connection of a request."""
+
+
 @contextlib.asynccontextmanager
 async def open_server(network):
     """Yield the paths that arrive at a server and a client that calls it."""
@@ -89,6 +95,62 @@
     asyncio.run(run())
 
 
+def test_no_request_arrives_whose_sender_has_just_given_up():
+    """Guards against a cut that ends before the loop has seen the close."""
+
+    async def run():
+        network = _cuts.Network()
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        stream = types.SimpleNamespace(socket=near, closed=lambda: False)
+        connection = types.SimpleNamespace(context=_Context(), stream=stream)
+        request = types.SimpleNamespace(connection=connection)
+        arrived = []
+
+        async def handle(request):
+            arrived.append(request)
+            return simple_server.Response(200)
+
+        with near, far:
+            with network.cut(frozenset(["caller"]), is_inward=False):
+                held = asyncio.create_task(
+                    network.deliver("caller", "server", request, handle)
+                )
+                await asyncio.sleep(0.05)
+                far.close()
+            assert (await held).status == 503
+        assert not arrived
+
+    asyncio.run(run())
+
+
+def test_requests_wait_for_the_end_of_a_cut_without_work():
+    """Guards against held requests that keep the loop of the test busy."""
+
+    async def run():
+        network = _cuts.Network()
+        async with open_server(network) as (arrived, client):
+            assert await is_answered(client, "/open")
+            loop = asyncio.get_running_loop()
+            with network.cut(frozenset(["caller"]), is_inward=False):
+                assert not await is_answered(client, "/held")
+                assert not await is_answered(client, "/new")
+                called_at = []
+                call_at = loop.call_at
+
+                def counted(when, *args, **fields):
+                    called_at.append(when)
+                    return call_at(when, *args, **fields)
+
+                loop.call_at = counted
+                await asyncio.sleep(0.2)
+                loop.call_at = call_at
+            # This test and the HTTP client have timers; polling had 20.
+            assert len(called_at) < 5
+
+    asyncio.run(run())
+
+
 def test_traffic_within_one_side_passes():
     """Guards against a cut between members of the same side."""
 
