Start the soak's instances without stopping its platform

Cause: the process that serves the stores and executors of all clusters waited for each new instance to execute its program.

Change: a thread that lasts as long as the process starts the instances; the end of a run waits for starts that are under way.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -6,11 +6,13 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import itertools
 import os
 import pathlib
 import random
 from collections.abc import AsyncIterator
+from concurrent import futures
 
 from tornado import httputil
 
@@ -33,6 +35,10 @@
 
 
 _cluster_numbers = itertools.count()
+# A start returns only once the new process executes its program, which takes
+# seconds beside load. Its thread must outlive the processes: the kernel ends
+# them with the thread that has started them.
+_starter = futures.ThreadPoolExecutor(max_workers=1, thread_name_prefix="starter")
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +110,7 @@
         # Callers pass it the absolute URL of an instance as the path.
         self.client = http.Client(base_url="", clock=clock_module.Clock())
         self.group = group
+        self._starting: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
         self._number = next(_cluster_numbers)
 
@@ -120,6 +127,7 @@
             await self._add_instance(number)
         for instance in self.instance_by_name.values():
             self.start(instance)
+        await self.finish_starts()
         async with asyncio.TaskGroup() as task_group:
             for instance in self.instance_by_name.values():
                 task_group.create_task(self.wait_until_ready(instance))
@@ -180,12 +188,26 @@
         executors.publish_listing(self.store, linked_executor.executor)
 
     def start(self, instance: Instance) -> None:
-        """Start the process of an instance."""
-        instance.process = self.group.start_script(
+        """Start the process of an instance, which is set once it runs."""
+        self._starting.add(asyncio.create_task(self._start(instance)))
+
+    async def finish_starts(self) -> None:
+        """Wait until all processes that are being started run.
+
+        Raises:
+            ProcessFailed: One could not be started.
+        """
+        await asyncio.gather(*self._starting)
+
+    async def _start(self, instance: Instance) -> None:
+        start_script = functools.partial(
+            self.group.start_script,
             instance.name,
             deployment.PROGRAM,
             value_by_variable=deployment.environment(str(instance.settings_path)),
         )
+        loop = asyncio.get_running_loop()
+        instance.process = await loop.run_in_executor(_starter, start_script)
 
     async def wait_until_ready(self, instance: Instance) -> None:
         """Wait until an instance reports that it is ready.
@@ -198,6 +220,7 @@
 
     async def stop(self, instance: Instance) -> None:
         """Stop an instance; record a finding if it does not exit cleanly."""
+        await self.finish_starts()
         process, instance.process = instance.process, None
         if process is None:
             return
@@ -285,6 +308,7 @@
             )
             yield cluster
         finally:
+            await cluster.finish_starts()
             for instance in cluster.instance_by_name.values():
                 if instance.process is not None:
                     instance.process.kill()
