--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -11,6 +12,7 @@
     events,
     executor_list,
     executor_records,
+    fences,
     housekeeping,
     instance_quorum,
     instance_votes,
@@ -18,6 +20,7 @@
     names,
     ownership,
     peer_messages,
+    proof,
     recovery,
     scheduling,
     sessions,
@@ -87,7 +90,8 @@
 
         Raises:
             WriterFenced: Another instance has claimed the shard.
-            TokenOutdated: An executor has seen the token of a later owner.
+            TokenOutdated: An executor has seen the token of a later owner, as
+                far as can be told while the store does not answer.
         """
         try:
             async with asyncio.TaskGroup() as group:
@@ -128,7 +132,7 @@
         claim: ownership.Claim,
         spawn: Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]],
     ) -> state.Shard:
-        return state.Shard(
+        shard = state.Shard(
             number=number,
             shard_count=self._shard_count,
             epoch=claim.epoch,
@@ -149,6 +153,10 @@
                 claim.instances_vote,
             ),
         )
+        shard.executor_client = fences.CheckingClient(
+            self._executor_client, functools.partial(proof.confirm, shard)
+        )
+        return shard
 
     async def _load_and_serve(self, shard: state.Shard) -> None:
         shard.spawn(shard.journal.run())
--- a/limpetstream/shard/tests/test_instance_votes.py
+++ b/limpetstream/shard/tests/test_instance_votes.py
@@ -335,6 +335,12 @@
     assert claim_after([owner_entry(instances_vote=True)]).instances_vote
 
 
+def test_instances_bind_no_owner_whose_claim_cannot_be_read():
+    """Guards against two owners after a damaged record of a claim."""
+    entry = store_messages.Entry(names.OWNER_KEY, b"\xff")
+    assert not claim_after([entry, instances_entry(1)]).instances_vote
+
+
 def test_an_unreadable_record_of_instances_binds_nobody():
     """Guards against a shard that no instance can claim any more."""
     entry = store_messages.Entry(names.INSTANCES_KEY, b"\xff")
