Measure what an outage of the store costs

Cause: majorities prove the ownership for 20 s without an append, so a longer outage for everybody ends running work.

--- a/limpetstream/shard/tests/test_departures.py
+++ b/limpetstream/shard/tests/test_departures.py
@@ -9,6 +9,7 @@
 import loguru
 import pytest
 
+from limpetstream.shard import proof
 from limpetstream.shard.tests import schedules
 from limpetstream.workflow import messages
 
@@ -125,3 +126,23 @@
 
     cluster = schedules.run_scenario(scenario, executors=EXECUTORS)
     assert not cluster.breaches.found
+
+
+def test_lasting_tasks_run_again_after_a_long_outage_of_the_store():
+    """Guards against an owner that acts on without an end while cut off.
+
+    A successor that reaches nobody relies on that end.
+    """
+
+    async def scenario(cluster):
+        await start_lasting_tasks(cluster)
+        cluster.store.down = True
+        await asyncio.sleep(proof.MAX_WITHOUT_APPEND_S - 1)
+        assert running_tasks(cluster) == LASTING_TASKS
+        await asyncio.sleep(21)
+        assert running_tasks(cluster) == 0
+        cluster.store.down = False
+        await wait_for_running_tasks(cluster, limit_s=RECOVERY_S)
+
+    cluster = schedules.run_scenario(scenario, executors=EXECUTORS)
+    assert not cluster.breaches.found
