Bound a scheduling pass and repeat no failed search at once

On a grown site callers saw polls, leases and starts wait behind passes. Each waiting long-running task looked through all runs of all executors in each pass, 4 ms apart; the bound counted only scored executors, and steps with max_per_executor were never remembered as unplaceable.

One unit, a check of an executor or run, now counts placing, preempting and the turns of tasks, and bounds a pass. A failed search is kept by what it depends on; until it is repeated, only executors that have freed capacity or become available are searched. Tasks that a pass leaves over have their turn before any other has a second expensive one. Queues are indexed by name, tasks of a step counted for each executor, and waiting tasks kept in a dictionary. At least as much time as a pass took is left until the next one. The event passes-bounded (1599) tells of passes at their bound.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -53,6 +53,9 @@
         reserved_memory_mb: Reserved memory.
         reserved_accelerators: Reserved accelerators.
         best_effort_millicores: CPU that best-effort runs use at full speed.
+        long_running_count: Number of long-running runs.
+        run_changes: Number of runs that were added or removed so far.
+        has_freed: Whether it has freed capacity since this was last cleared.
     """
 
     listing: messages.Listing
@@ -83,8 +86,12 @@
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
     best_effort_millicores: int = 0
+    long_running_count: int = 0
+    run_changes: int = 0
+    has_freed: bool = True
     _serving_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
     _best_effort_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
+    _count_by_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def reserve(self, run: state.Run) -> None:
         """Reserve capacity for a run."""
@@ -94,7 +101,7 @@
             self._serving_by_task[name] = run
         if step.fills:
             self._best_effort_by_task[name] = run
-        self._change_reserved(step, 1)
+        self._change_reserved(run.task, 1)
 
     def release(self, run: state.Run) -> None:
         """Release the capacity of a run; a second call has no effect."""
@@ -102,7 +109,8 @@
             del self.run_by_task[run.task.name]
             self._serving_by_task.pop(run.task.name, None)
             self._best_effort_by_task.pop(run.task.name, None)
-            self._change_reserved(run.task.step, -1)
+            self._change_reserved(run.task, -1)
+            self.has_freed = True
 
     def fits(self, step: workflow_messages.Step) -> bool:
         """Return whether the free capacity suffices for a task of a step.
@@ -135,10 +143,25 @@
         """Return the runs of best-effort tasks."""
         return list(self._best_effort_by_task.values())
 
-    def _change_reserved(self, step: workflow_messages.Step, sign: int) -> None:
+    def count_of_step(self, task: state.Task) -> int:
+        """Return how many tasks of the same step it runs."""
+        return self._count_by_step.get(_step_name(task), 0)
+
+    def _change_reserved(self, task: state.Task, sign: int) -> None:
+        step, step_name = task.step, _step_name(task)
+        self.run_changes += 1
+        self.long_running_count += sign * step.long_running
+        count = self._count_by_step.pop(step_name, 0) + sign
+        if count:
+            self._count_by_step[step_name] = count
         if step.fills:
             self.best_effort_millicores += sign * step.cpu_millicores
         else:
             self.reserved_millicores += sign * step.cpu_millicores
         self.reserved_memory_mb += sign * step.memory_mb
         self.reserved_accelerators += sign * step.accelerators
+
+
+def _step_name(task: state.Task) -> str:
+    """Return the part of a task's name that the tasks of its step share."""
+    return task.name.rpartition(".")[0]
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -333,3 +333,10 @@
     "A start that was decided is not sent; its task waits again.",
     "See the reason.",
 )
+PASSES_BOUNDED = events.declare(
+    1599,
+    "passes-bounded",
+    "WARNING",
+    "Scheduling passes leave tasks over to the next ones; at most every 10 s.",
+    "Compare `at_bound` with `passes`; if most are, the owner lacks processor time.",
+)
--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -195,8 +195,7 @@
         tasks = occurrence.tasks_by_step[task.step_number]
     for member in tasks:
         workflow_state.mark_done(member)
-        if member in shard.waiting_tasks:
-            shard.waiting_tasks.remove(member)
+        shard.waiting_tasks.discard(member)
     enqueue_released(shard, occurrence)
     if workflow_state.is_finished(occurrence):
         job.finished_occurrences += 1
@@ -213,7 +212,8 @@
     job.final_ms = shard.clock.wall_ms()
     shard.next_occurrence_by_job.pop(job.submission.job_id, None)
     shard.interference_model.forget_job(job.submission.job_id)
-    shard.waiting_tasks = [task for task in shard.waiting_tasks if task.job is not job]
+    for task in [task for task in shard.waiting_tasks if task.job is job]:
+        shard.waiting_tasks.remove(task)
     save_progress(shard, job)
     for executor in shard.executor_by_id.values():
         for run in list(executor.run_by_task.values()):
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -1,15 +1,16 @@
 """Stops runs to free capacity for waiting tasks."""
 
+from collections.abc import Hashable
+
 from limpetstream.executors import tracking
-from limpetstream.shard import objectives, state, stops
-from limpetstream.workflow import eligibility, state as workflow_state
+from limpetstream.shard import searches, state, stops, victims
+from limpetstream.workflow import eligibility, placement, state as workflow_state
 
 PREEMPT_RETRY_MARGIN_S = 1.0  # Beyond the stop, for the poll that lists the end.
 SHORT_PREEMPT_AFTER_S = 1.0  # Most short tasks run for less than two seconds.
-# Capacity that is expected to be free sooner does not justify lost work.
-ENDS_SOON_S = 1.5
-# A long-running task has to run again within 6 s after its last run.
-LONG_RUNNING_MAX_WAIT_S = 2.0
+# Runs begin to work, and others come close to their end, without a change of
+# capacity; a tenth of ``victims.LONG_RUNNING_MAX_WAIT_S``.
+SEARCH_RETRY_S = 0.2
 # A preempted run takes 0.2 s to stop and free its capacity.
 LONG_RUNNING_PREEMPT_INTERVAL_S = 0.3
 LONG_RUNNING_PREEMPT_AFTER_S = 0.1  # Waits for capacity that is just being freed.
@@ -19,20 +20,6 @@
 MAX_WAITING_LONG_RUNNING_SHARE = 0.08
 
 
-def is_short(task: workflow_state.Task) -> bool:
-    """Return whether a task reserves processors and ends by itself.
-
-    That is neither a best-effort task nor a long-running one.
-    """
-    return not task.step.long_running and not task.step.fills
-
-
-def has_waited_long(shard: state.Shard, task: workflow_state.Task) -> bool:
-    """Return whether a task is long-running and its longest wait is over."""
-    waited_s = shard.clock.monotonic() - task.ready_at
-    return task.step.long_running and waited_s > LONG_RUNNING_MAX_WAIT_S
-
-
 def may_preempt(shard: state.Shard, task: workflow_state.Task, now: float) -> bool:
     """Return whether a task has waited long enough to preempt other runs."""
     if task.step.fills:
@@ -52,99 +39,82 @@
 
 
 def preempt_for(
-    shard: state.Shard, task: workflow_state.Task, context: eligibility.PlacementContext
+    shard: state.Shard,
+    task: workflow_state.Task,
+    context: eligibility.PlacementContext,
+    executors: list[tracking.Executor],
+    shape: Hashable,
 ) -> bool:
     """Stop the cheapest runs whose end makes a task fit on an executor.
 
+    The executors are compared in batches, as for placement. The search is
+    not repeated until capacity was freed or ``SEARCH_RETRY_S`` has passed;
+    then the runs, or what they are expected to need, may have changed.
+
+    Args:
+        shard: Shard of the task.
+        task: Task that waits.
+        context: What a placement depends on; the work is counted there.
+        executors: All executors.
+        shape: What the placement of the task depends on.
+
     Returns:
         Whether runs are being stopped.
     """
-    priority = shard.priority_of(task.job)
-    best_victims: list[workflow_state.Run] | None = None
-    best_executor, best_cost = None, float("inf")
-    for executor in shard.executor_by_id.values():
-        if not eligibility.accepts_new_tasks(executor, context):
-            continue
-        if not executor.fits_when_idle(task.step) or not eligibility.meets_constraints(
-            executor, task
-        ):
-            continue
-        victims = _victims(shard, executor, task, priority)
-        if victims is None:
-            continue
-        cost = sum(_lost_core_s(run, context.now) for run in victims)
-        if cost < best_cost:
-            best_victims, best_executor, best_cost = victims, executor, cost
-    if best_victims is None or best_executor is None:
-        return False
-    if not task.step.long_running:
-        shard.long_running_preempted_at = context.now
-    for run in best_victims:
-        stops.stop_run(shard, best_executor, run, f"preempted for {task.name}")
-    task.preempted_others_at = context.now
-    return True
+    priority, now = shard.priority_of(task.job), context.now
+    key = (victims.kind_of(shard, task), priority, shape)
+    searched = searches.candidates(shard.searches, key, executors, SEARCH_RETRY_S, now)
+    for batch in placement.candidate_batches(searched, task.name, now):
+        best = _cheapest(shard, batch, task, priority, context)
+        if best is not None:
+            _stop_victims(shard, task, *best, now)
+            return True
+    searches.note_failure(
+        shard.searches, key, searched_all=searched is executors, now=now
+    )
+    return False
 
 
-def _victims(
+def _cheapest(
     shard: state.Shard,
-    executor: tracking.Executor,
+    executors: list[tracking.Executor],
     task: workflow_state.Task,
     priority: int,
-) -> list[workflow_state.Run] | None:
-    """Return the cheapest runs whose end lets a task fit, or None."""
-    step = task.step
-    capacity = executor.listing.capacity
-    missing_cpu = 0 if step.fills else step.cpu_millicores
-    missing_cpu -= capacity.cpu_millicores - executor.reserved_millicores
-    missing_memory = step.memory_mb - (capacity.memory_mb - executor.reserved_memory_mb)
-    now = shard.clock.monotonic()
-    candidates = [
-        run
-        for run in executor.run_by_task.values()
-        if run.phase == workflow_state.WORKING
-        and not run.task.step.gang
-        and shard.priority_of(run.task.job) >= priority
-        and _may_preempt_run(shard, run, task)
-    ]
-    candidates.sort(
-        key=lambda run: (-shard.priority_of(run.task.job), _lost_core_s(run, now))
-    )
-    victims = []
-    for run in candidates:
-        if missing_cpu <= 0 and missing_memory <= 0:
-            break
-        frees_resource = (
-            missing_cpu > 0 and not run.task.step.fills
-        ) or missing_memory > 0
-        if not frees_resource:
+    context: eligibility.PlacementContext,
+) -> tuple[tracking.Executor, list[workflow_state.Run]] | None:
+    """Return the executor where stopping runs loses least, and these runs."""
+    best, best_cost = None, float("inf")
+    context.checked_count += len(executors)
+    for executor in executors:
+        if (
+            not executor.fits_when_idle(task.step)
+            or not eligibility.accepts_new_tasks(executor, context)
+            or not eligibility.meets_constraints(executor, task)
+            or not victims.may_suffice(shard, executor, task, priority, context)
+        ):
             continue
-        if not run.task.step.fills:
-            missing_cpu -= run.task.step.cpu_millicores
-        missing_memory -= run.task.step.memory_mb
-        victims.append(run)
-    return victims if missing_cpu <= 0 and missing_memory <= 0 else None
-
+        chosen = victims.choose(shard, executor, task, priority, context)
+        if chosen is None:
+            continue
+        cost = sum(victims.lost_core_s(run, context.now) for run in chosen)
+        if cost < best_cost:
+            best, best_cost = (executor, chosen), cost
+    return best
 
-def _may_preempt_run(
-    shard: state.Shard, run: workflow_state.Run, task: workflow_state.Task
-) -> bool:
-    """Return whether a run may be preempted for a task.
 
-    For a short task, these are the long-running runs without a limit on
-    stops. For a long-running task, they are the runs that are not
-    long-running; until the task has waited long, short runs that are expected
-    to end soon are left out.
-    """
-    is_long_running = run.task.step.long_running
+def _stop_victims(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    executor: tracking.Executor,
+    runs: list[workflow_state.Run],
+    now: float,
+) -> None:
     if not task.step.long_running:
-        return is_long_running and not run.task.step.may_miss
-    if is_long_running:
-        return False
-    if run.task.step.fills or has_waited_long(shard, task):
-        return True
-    queue = run.task.job.submission.queue
-    run_s = shard.run_s_by_queue.get(queue, objectives.DEFAULT_RUN_S)
-    return run.start_requested_at + run_s - shard.clock.monotonic() > ENDS_SOON_S
+        shard.long_running_preempted_at = now
+    for run in runs:
+        stops.stop_run(shard, executor, run, f"preempted for {task.name}")
+    victims.forget(shard, executor)
+    task.preempted_others_at = now
 
 
 def may_preempt_long_running(shard: state.Shard, now: float) -> bool:
@@ -156,23 +126,14 @@
     if now - shard.long_running_preempted_at < LONG_RUNNING_PREEMPT_INTERVAL_S:
         return False
     if not any(
-        is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
+        victims.is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
         for task in shard.waiting_tasks
     ):
         return False
     waiting = [task for task in shard.waiting_tasks if task.step.long_running]
-    if any(has_waited_long(shard, task) for task in waiting):
+    if any(victims.has_waited_long(shard, task) for task in waiting):
         return False
     long_running_count = sum(
-        run.task.step.long_running
-        for executor in shard.executor_by_id.values()
-        for run in executor.run_by_task.values()
+        executor.long_running_count for executor in shard.executor_by_id.values()
     )
     return len(waiting) < MAX_WAITING_LONG_RUNNING_SHARE * long_running_count
-
-
-def _lost_core_s(run: workflow_state.Run, now: float) -> float:
-    """Return how many core-seconds of work stopping a run would lose."""
-    if run.task.step.checkpoints:
-        return 0.5 * run.task.step.cpu_millicores / 1000
-    return (now - run.start_requested_at) * run.task.step.cpu_millicores / 1000
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -1,10 +1,23 @@
-"""Places waiting tasks on executors in the order of their priority."""
+"""Places waiting tasks on executors in the order of their priority.
+
+A pass does a bounded amount of work. What it leaves over has its turn in the
+next passes, before any task has a second expensive one.
+"""
 
-import collections
 import dataclasses
 
 from limpetstream.executors import tracking
-from limpetstream.shard import objectives, preemption, proof, sessions, starts, state
+from limpetstream.shard import (
+    events,
+    placing,
+    preemption,
+    proof,
+    searches,
+    sessions,
+    state,
+    turn_order,
+)
+from limpetstream.telemetry import logs
 from limpetstream.workflow import (
     best_effort,
     eligibility,
@@ -13,15 +26,22 @@
 )
 
 PASS_INTERVAL_S = 0.004  # Events that come close together share a pass.
+MAX_PAUSE_S = 0.1  # After a pass; the process may have been frozen in it.
 IDLE_PASS_INTERVAL_S = 0.05  # While only time has passed.
 MAX_STATUS_AGE_S = 2.5  # A start needs a poll newer than this; see design.md.
-LATE_PENALTY_MS = 20_000  # Jobs that can still be on time go before late ones.
 BEST_EFFORT_RETRY_S = 0.2  # Comparing all executors for such tasks is expensive.
 # These bound the time of one pass, which delays the polls that renew leases.
 MAX_PLACED_PER_PASS = 64
 MAX_COMPARED_PER_PASS = 2560  # Forty executors for each placed task.
-# Short tasks that wait longer than this miss latency objectives of 1.5 s.
-BACKLOG_WAIT_S = 0.3
+# A task's turn costs as much even if there is no executor to check.
+CHECKS_PER_TURN = 8
+# All work of a pass, in checks of one executor or run: what comparing so many
+# executors costs, and the turns.
+MAX_CHECKS_PER_PASS = (
+    MAX_COMPARED_PER_PASS * (1 + eligibility.CHECKS_PER_SCORE)
+    + MAX_PLACED_PER_PASS * CHECKS_PER_TURN
+)
+REPORT_INTERVAL_S = 10.0  # Of the log line about passes that reach the bound.
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,30 +50,41 @@
 
     Args:
         now: Monotonic time in seconds.
+        executors: All executors.
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
-        compared: Number of executors that were compared so far.
-        unplaceable: Shapes of tasks for which no executor was found. A shape
-            holds the service, the demands and, for best-effort tasks, the
-            image and how long the task has waited.
+        checks: Work done so far.
+        placed: Number of tasks that were placed.
+        unplaceable: Shapes of best-effort tasks for which no executor was
+            found, with their image and how long they have waited.
+        is_finished: Whether every due task has had its turn in the round.
+        is_idle: Whether no task was left out that had its turn earlier.
     """
 
     now: float
+    executors: list[tracking.Executor]
     may_preempt_long_running: bool
-    compared: int = 0
-    unplaceable: set[tuple[str, int, int, int, str, str, int]] = dataclasses.field(
-        default_factory=set
-    )
+    checks: int = 0
+    placed: int = 0
+    unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
+    is_finished: bool = True
+    is_idle: bool = True
 
 
 async def run(shard: state.Shard) -> None:
-    """Run a pass after each change, and periodically while tasks wait."""
+    """Run a pass after each change, and periodically while tasks wait.
+
+    Between two passes the owner has at least as much time for polls and ends
+    of runs as the first one took.
+    """
     while True:
         if not shard.changed.is_set():
             await _wait_for_change(shard)
         shard.changed.clear()
+        started_at = shard.clock.monotonic()
         run_pass(shard)
-        await shard.clock.sleep(PASS_INTERVAL_S)
+        took_s = shard.clock.monotonic() - started_at
+        await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
 
 async def _wait_for_change(shard: state.Shard) -> None:
@@ -77,128 +108,166 @@
         return
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
-    now = shard.clock.monotonic()
+    this_pass = _begin(shard)
+    now = this_pass.now
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
-    postponed = [task for task in shard.waiting_tasks if task.not_before > now]
-    waiting = collections.deque(_sorted_by_priority(shard, due, _has_backlog(due, now)))
-    this_pass = _Pass(now, preemption.may_preempt_long_running(shard, now))
-    shard.waiting_tasks = []
-    placed = 0
-    while (
-        waiting
-        and placed < MAX_PLACED_PER_PASS
-        and this_pass.compared < MAX_COMPARED_PER_PASS
-    ):
-        task = waiting.popleft()
+    for task in turn_order.sort(shard, due, now):
         if task.job.outcome or task.done or task.run is not None:
-            continue
-        if task.step.gang:
-            members = [task] + [other for other in waiting if _same_step(task, other)]
-            waiting = collections.deque(
-                other for other in waiting if not _same_step(task, other)
-            )
-            if _place_gang(shard, members, now):
-                placed += len(members)
-            else:
-                postponed.extend(members)
-        elif _place_task(shard, task, this_pass):
-            placed += 1
+            shard.waiting_tasks.discard(task)
+        elif _is_at_bound(this_pass):
+            this_pass.is_finished = False
+            break
+        elif _may_have_turn(shard, task, this_pass):
+            _give_turn(shard, task, this_pass)
         else:
-            if task.step.fills:
-                task.not_before = now + BEST_EFFORT_RETRY_S
-            postponed.append(task)
-    if waiting:
+            this_pass.is_idle = False
+    if not this_pass.is_finished or not this_pass.is_idle:
         shard.changed.set()  # The next pass continues with them.
-    shard.waiting_tasks = postponed + list(waiting) + shard.waiting_tasks
+    _note_bound(shard, this_pass)
+    searches.end_pass(shard.searches, is_finished=this_pass.is_finished)
 
 
-def _has_backlog(due: list[workflow_state.Task], now: float) -> bool:
-    """Return whether a short task has waited longer than it should."""
-    return any(
-        preemption.is_short(task) and now - task.ready_at > BACKLOG_WAIT_S
-        for task in due
+def _begin(shard: state.Shard) -> _Pass:
+    now = shard.clock.monotonic()
+    executors = list(shard.executor_by_id.values())
+    context = placement_context(shard, "", now)
+    searches.note_changes(
+        shard.searches,
+        executors,
+        lambda executor: eligibility.is_available(executor, context),
+        now,
     )
+    may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
+    return _Pass(now, executors, may_preempt_long_running)
 
 
-def _sorted_by_priority(
-    shard: state.Shard, due: list[workflow_state.Task], has_backlog: bool
-) -> list[workflow_state.Task]:
-    """Return waiting tasks in the order in which they are placed."""
-    now_ms = shard.clock.wall_ms()
-    rank_by_job: dict[str, tuple[int, float]] = {}
-
-    def key(task: workflow_state.Task) -> tuple[int, int, float]:
-        job_id = task.job.submission.job_id
-        rank = rank_by_job.get(job_id)
-        if rank is None:
-            due_ms = objectives.due_ms(shard, task.job)
-            if due_ms < now_ms:
-                due_ms += LATE_PENALTY_MS
-            rank = rank_by_job[job_id] = shard.priority_of(task.job), due_ms
-        return placement.order_key(
-            task,
-            *rank,
-            backlog=has_backlog and not preemption.has_waited_long(shard, task),
-        )
-
-    return sorted(due, key=key)
-
-
-def _same_step(task: workflow_state.Task, other: workflow_state.Task) -> bool:
+def _is_at_bound(this_pass: _Pass) -> bool:
     return (
-        task.job is other.job
-        and task.occurrence == other.occurrence
-        and task.step_number == other.step_number
+        this_pass.placed >= MAX_PLACED_PER_PASS
+        or this_pass.checks >= MAX_CHECKS_PER_PASS
     )
 
 
-def may_start(shard: state.Shard, task: workflow_state.Task) -> bool:
-    """Return whether no unknown run of the task can exist.
+def _may_have_turn(
+    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
+) -> bool:
+    """Return whether a task has its turn in this pass.
 
-    Until all runs of earlier owners are settled, this holds only for tasks
-    of jobs that no owner can have started.
+    In a pass that continues a round, tasks that had theirs look only through
+    executors that have changed, and only for half of the pass. Searches that
+    always look through many executors wait for the next round.
     """
-    return (
-        shard.earlier_runs_settled
-        or task.job.submission.job_id not in shard.earlier_job_ids
-    )
+    if not shard.searches.is_continued:
+        return True
+    if task.tried_in_round != shard.searches.round_number:
+        return True
+    is_cheap = not task.step.gang and not task.step.fills
+    return is_cheap and this_pass.checks < MAX_CHECKS_PER_PASS // 2
 
 
-def _place_task(
-    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
-) -> bool:
-    now, unplaceable = this_pass.now, this_pass.unplaceable
+def _give_turn(shard: state.Shard, task: workflow_state.Task, this_pass: _Pass) -> None:
+    """Look for an executor for a task and start the task there."""
+    this_pass.checks += CHECKS_PER_TURN
+    task.tried_in_round = shard.searches.round_number
     if not may_start(shard, task):
-        return False
-    step = task.step
-    service = shard.service_of(task.job)
-    shape = (
-        service,
-        step.cpu_millicores,
-        step.memory_mb,
-        step.accelerators,
-        step.required_label,
-        step.image if step.fills else "",
-        int((now - task.ready_at) / best_effort.FULL_PACE_WAIT_S) if step.fills else 0,
+        return
+    context = placement_context(shard, shard.service_of(task.job), this_pass.now)
+    if task.step.gang:
+        placed = _place_gang(shard, task, context, this_pass)
+    elif task.step.fills:
+        placed = _place_best_effort(shard, task, context, this_pass)
+    else:
+        placed = _place_or_preempt(shard, task, context, this_pass)
+    this_pass.checks += context.work
+    this_pass.placed += len(placed)
+    for each in placed:
+        shard.waiting_tasks.discard(each)
+
+
+def _place_gang(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    context: eligibility.PlacementContext,
+    this_pass: _Pass,
+) -> list[workflow_state.Task]:
+    """Place all members of a task's gang; return those that were placed."""
+    occurrence = task.job.occurrence_by_number[task.occurrence]
+    members = [
+        member
+        for member in occurrence.tasks_by_step[task.step_number]
+        if member in shard.waiting_tasks and member.not_before <= this_pass.now
+    ]
+    for member in members:
+        member.tried_in_round = shard.searches.round_number
+    is_placed = placing.place_gang(shard, members, context, this_pass.executors)
+    return members if is_placed else []
+
+
+def _place_best_effort(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    context: eligibility.PlacementContext,
+    this_pass: _Pass,
+) -> list[workflow_state.Task]:
+    """Place a best-effort task; return it if it was placed."""
+    waited_s = this_pass.now - task.ready_at
+    key = (
+        placing.shape(task, context.service),
+        task.step.image,
+        int(waited_s / best_effort.FULL_PACE_WAIT_S),
     )
-    if shape in unplaceable and not preemption.may_preempt(shard, task, now):
-        return False
-    context = placement_context(shard, service, now)
-    executor = placement.choose(shard.executor_by_id.values(), task, context)
-    this_pass.compared += context.scored_count
-    if executor is not None:
-        start_on(shard, executor, task, task.last_run + 1)
-        return True
-    if not step.max_per_executor:
-        unplaceable.add(shape)
-    if preemption.may_preempt(shard, task, now):
-        if task.step.long_running:
-            preemption.preempt_for(shard, task, context)
-        elif this_pass.may_preempt_long_running:
-            this_pass.may_preempt_long_running = not preemption.preempt_for(
-                shard, task, context
-            )
-    return False
+    if key not in this_pass.unplaceable:
+        executor = placement.choose(this_pass.executors, task, context)
+        if executor is not None:
+            placing.start_on(shard, executor, task, task.last_run + 1)
+            return [task]
+        if not task.step.max_per_executor:
+            this_pass.unplaceable.add(key)
+    task.not_before = this_pass.now + BEST_EFFORT_RETRY_S
+    return []
+
+
+def _place_or_preempt(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    context: eligibility.PlacementContext,
+    this_pass: _Pass,
+) -> list[workflow_state.Task]:
+    """Place a task or stop runs for it; return it if it was placed."""
+    executors = this_pass.executors
+    if placing.place(shard, task, context, executors):
+        return [task]
+    if preemption.may_preempt(shard, task, this_pass.now) and (
+        task.step.long_running or this_pass.may_preempt_long_running
+    ):
+        shape = placing.shape(task, context.service)
+        if preemption.preempt_for(shard, task, context, executors, shape):
+            this_pass.may_preempt_long_running &= task.step.long_running
+    return []
+
+
+def _note_bound(shard: state.Shard, this_pass: _Pass) -> None:
+    """Count passes that reach their bound, and log them from time to time."""
+    counts = shard.searches
+    counts.pass_count += 1
+    counts.bounded_count += not this_pass.is_finished
+    if this_pass.is_finished or this_pass.now - counts.logged_at < REPORT_INTERVAL_S:
+        return
+    logs.emit(
+        events.PASSES_BOUNDED,
+        shard=shard.number,
+        passes=counts.pass_count,
+        at_bound=counts.bounded_count,
+        checks=this_pass.checks,
+        placed=this_pass.placed,
+        waiting=len(shard.waiting_tasks),
+        without_turn=sum(
+            task.tried_in_round != counts.round_number for task in shard.waiting_tasks
+        ),
+        executors=len(this_pass.executors),
+    )
+    counts.pass_count = counts.bounded_count = 0
+    counts.logged_at = this_pass.now
 
 
 def placement_context(
@@ -215,51 +284,13 @@
     )
 
 
-def start_on(
-    shard: state.Shard,
-    executor: tracking.Executor,
-    task: workflow_state.Task,
-    run_number: int,
-) -> None:
-    """Reserve capacity on an executor for a run and start it there."""
-    now = shard.clock.monotonic()
-    run = workflow_state.Run(task, run_number, executor.listing.executor_id, now)
-    if task.step.fills:
-        for serving_run in executor.serving_runs():
-            shard.interference_model.note_probe(
-                serving_run.task.step.image, task.step.image, now
-            )
-    task.run = run
-    task.last_run = run_number
-    executor.reserve(run)
-    shard.forecasts.drop(executor.listing.executor_id)
-    shard.spawn(starts.start_run(shard, executor, run))
-
+def may_start(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether no unknown run of the task can exist.
 
-def _place_gang(
-    shard: state.Shard, members: list[workflow_state.Task], now: float
-) -> bool:
-    """Place all members of a gang or none; return whether any were placed."""
-    first = members[0]
-    if len(members) < first.step.count or not may_start(shard, first):
-        return False
-    context = placement_context(shard, shard.service_of(first.job), now)
-    run_number = max(member.last_run for member in members) + 1
-    checkpoint = max(member.checkpoint for member in members)
-    chosen: list[tuple[tracking.Executor, workflow_state.Run]] = []
-    for member in members:
-        executor = placement.choose(shard.executor_by_id.values(), member, context)
-        if executor is None:
-            for reserved_on, run in chosen:
-                reserved_on.release(run)
-                run.task.run = None
-            return False
-        run = workflow_state.Run(member, run_number, executor.listing.executor_id, now)
-        member.run = run
-        executor.reserve(run)
-        chosen.append((executor, run))
-    for executor, run in chosen:
-        run.task.last_run = run_number
-        run.task.checkpoint = checkpoint
-        shard.spawn(starts.start_run(shard, executor, run))
-    return True
+    Until all runs of earlier owners are settled, this holds only for tasks
+    of jobs that no owner can have started.
+    """
+    return (
+        shard.earlier_runs_settled
+        or task.job.submission.job_id not in shard.earlier_job_ids
+    )
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -7,13 +7,14 @@
 
 from limpetstream import clock as clock_module
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal as journal_module
+from limpetstream.shard import journal as journal_module, searches as searches_module
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.workflow import (
     capacity_forecast,
     interference,
     messages as workflow_messages,
     state as workflow_state,
+    waiting_tasks as waiting_tasks_module,
 )
 
 # State of an executor's record in the journal.
@@ -83,6 +84,7 @@
         nonvoting_executors: Ids of executors whose records do not belong to
             the quorum.
         waiting_tasks: Tasks that wait for capacity.
+        searches: What scheduling passes keep of earlier searches.
         changed: Set when a waiting task may have become placeable; starts a
             scheduling pass.
         ownership_proven_at: Time at which the ownership was last proven.
@@ -130,7 +132,12 @@
     inherited_executors: set[str] = dataclasses.field(default_factory=set)
     inherited_voters: set[str] = dataclasses.field(default_factory=set)
     nonvoting_executors: set[str] = dataclasses.field(default_factory=set)
-    waiting_tasks: list[workflow_state.Task] = dataclasses.field(default_factory=list)
+    waiting_tasks: waiting_tasks_module.WaitingTasks = dataclasses.field(
+        default_factory=waiting_tasks_module.WaitingTasks
+    )
+    searches: searches_module.Searches = dataclasses.field(
+        default_factory=searches_module.Searches
+    )
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     ownership_proven_at: float = 0.0
     unproven_since: float | None = None
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -3,12 +3,24 @@
 They count work, so that no verdict depends on the speed of the machine.
 """
 
+import asyncio
+import dataclasses
+
 import loguru
 import pytest
 
-from limpetstream.shard import scheduling
+from limpetstream.shard import (
+    events,
+    placing,
+    scheduling,
+    searches,
+)
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import state as workflow_state
+from limpetstream.telemetry import logs
+from limpetstream.workflow import (
+    placement,
+    state as workflow_state,
+)
 from standins import virtual_time
 
 # Sixty-four placed tasks, forty executors that are compared for each.
@@ -117,6 +129,148 @@
     assert last.run is not None
 
 
+def test_freed_capacity_is_found_in_the_next_pass(monkeypatch):
+    """Guards against tasks that wait until all executors are searched."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=176)
+    fill(shard, builders.SERVING, 4, queue="desk")
+    tasks = queue_lasting(shard, 20)
+    scheduling.run_pass(shard)
+    executor = shard.executor_by_id["x97"]
+    executor.release(next(iter(executor.run_by_task.values())))
+    visits = builders.count_visits(shard, monkeypatch)
+    advance(shard, loop, PASS_S)
+    scheduling.run_pass(shard)
+    assert [task.run.executor_id for task in tasks if task.run] == ["x97"]
+    assert visits.runs <= 4  # Those of x97, as runs to preempt.
+
+
+def test_an_executor_that_becomes_available_is_found_at_once():
+    """Guards against idle executors after a change of owner.
+
+    They answer one after the other, and tasks have been tried before.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=3)
+    for executor in shard.executor_by_id.values():
+        executor.reached = False
+    task = queue_lasting(shard, 1)[0]
+    scheduling.run_pass(shard)
+    advance(shard, loop, searches.AVAILABILITY_INTERVAL_S)
+    shard.executor_by_id["x1"].reached = True
+    scheduling.run_pass(shard)
+    assert task.run is not None
+
+
+def test_a_failed_search_is_repeated_after_a_while():
+    """Guards against tasks that never run after a change without an event.
+
+    The executor changes the label in its listing.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    executor = shard.executor_by_id["x0"]
+    task = queue_lasting(shard, 1, required_label="ssd")[0]
+    scheduling.run_pass(shard)
+    executor.listing = dataclasses.replace(executor.listing, labels=("ssd",))
+    scheduling.run_pass(shard)
+    assert task.run is None
+    advance(shard, loop, placing.SEARCH_RETRY_S)
+    scheduling.run_pass(shard)
+    assert task.run is not None
+
+
+def test_best_effort_tasks_at_the_end_have_their_turn():
+    """Guards against best-effort work behind other work that never fits.
+
+    The first tasks are due again, after 0.2 s, before the last ones had their
+    turn, if passes take long.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=80)
+    fill(shard, builders.copy_step(builders.BEST_EFFORT, cpu_millicores=64_000), 1)
+    for number in range(500):
+        step = builders.copy_step(builders.BEST_EFFORT, image=f"press-{number}")
+        shard.waiting_tasks.extend(builders.make_tasks(shard, step))
+    chosen_for = set()
+    choose = placement.choose
+
+    def recording_choose(executors, task, context):
+        chosen_for.add(task)
+        return choose(executors, task, context)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placement, "choose", recording_choose)
+        for _ in range(20):
+            scheduling.run_pass(shard)
+            advance(shard, loop, 0.1)
+    assert len(chosen_for) == 500
+
+
+def test_a_gang_does_not_use_up_every_pass():
+    """Guards against tasks that have no turn behind a gang that never fits."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=2300)
+    step = builders.copy_step(
+        builders.SHORT, count=2400, cpu_millicores=40_000, gang=True
+    )
+    shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
+    task = builders.make_tasks(shard, builders.SHORT)[0]
+    shard.waiting_tasks.append(task)
+    for _ in range(2):
+        scheduling.run_pass(shard)
+        advance(shard, loop, PASS_S)
+    assert task.run is not None
+
+
+def test_passes_at_their_bound_are_logged_from_time_to_time():
+    """Guards against a bound that is never logged, or is in each pass."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=10)
+    step = builders.copy_step(builders.SHORT, count=80, cpu_millicores=10)
+    lines = []
+
+    def observe(event, fields):
+        if event is events.PASSES_BOUNDED:
+            lines.append(fields)
+
+    logs.observers.append(observe)
+    try:
+        for _ in range(5):
+            shard.waiting_tasks.extend(builders.make_tasks(shard, step))
+            scheduling.run_pass(shard)
+            advance(shard, loop, 3.0)
+    finally:
+        logs.observers.remove(observe)
+    assert [(line["passes"], line["at_bound"]) for line in lines] == [(1, 1), (4, 4)]
+    assert lines[0]["without_turn"] == lines[0]["waiting"] == 16
+
+
+def test_the_owner_has_time_between_passes():
+    """Guards against polls and ends that wait behind pass after pass."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    paused_s = []
+
+    def slow_pass(shard):
+        loop._virtual.now += 0.03
+        shard.changed.set()
+
+    async def sleep(seconds):
+        paused_s.append(seconds)
+        if len(paused_s) == 3:
+            raise asyncio.CancelledError
+        await asyncio.sleep(seconds)
+
+    shard.clock = dataclasses.replace(shard.clock, sleep=sleep)
+    shard.changed.set()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(scheduling, "run_pass", slow_pass)
+        with pytest.raises(asyncio.CancelledError):
+            virtual_time.run(scheduling.run(shard), loop=loop)
+    assert paused_s == pytest.approx([0.03] * 3)
+
+
 def simulate(shard, loop, visits, seconds):
     """Run passes that take time by what they look at.
 
--- a/limpetstream/shard/tests/test_starts.py
+++ b/limpetstream/shard/tests/test_starts.py
@@ -7,7 +7,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import scheduling, sessions, starts, state, status_reports
+from limpetstream.shard import placing, sessions, starts, state, status_reports
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import state as workflow_state
 from standins import virtual_time
@@ -105,7 +105,7 @@
         raise errors.ExecutorReplaced("x0")
 
     client.start = refuse
-    scheduling.start_on(shard, executor, task, 1)
+    placing.start_on(shard, executor, task, 1)
     run = task.run
     scene.advance(0.5)
     shard.spawn(sessions.run(shard, executor))
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -1,7 +1,7 @@
 """Decides which executors may run a task, before they are scored."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.workflow import capacity_forecast, interference, state
@@ -9,6 +9,8 @@
 DATA_RACK_BONUS_CORES = 1000.0  # Off the data's rack a task takes far_x as long.
 FULL_PACE_BONUS_CORES = 500.0  # Best-effort work prefers to keep its full speed.
 FAILURE_PENALTY_CORES = 30.0  # Moves work away from executors where runs fail.
+# Scoring an executor takes about 5 us, checking it 0.3 us (bench pass_cost).
+CHECKS_PER_SCORE = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,6 +26,7 @@
         interference_model: How images slow each other down on one executor.
         forecasts: Forecasts of what best-effort work can expect.
         scored_count: Number of executors that have been scored so far.
+        checked_count: Number of executors and runs that have been checked.
     """
 
     now: float
@@ -33,17 +36,29 @@
     interference_model: interference.InterferenceModel
     forecasts: capacity_forecast.ForecastCache
     scored_count: int = 0
+    checked_count: int = 0
+
+    @property
+    def work(self) -> int:
+        """Work done so far, in checks of one executor or run."""
+        return self.checked_count + CHECKS_PER_SCORE * self.scored_count
 
 
 def accepts_new_tasks(executor: tracking.Executor, context: PlacementContext) -> bool:
-    """Return whether an executor may get a new task of any kind now."""
+    """Return whether an executor may get a new task of the service now."""
+    return executor.listing.service == context.service and is_available(
+        executor, context
+    )
+
+
+def is_available(executor: tracking.Executor, context: PlacementContext) -> bool:
+    """Return whether an executor may get a new task of its own service now."""
     listing = executor.listing
     return (
         executor.reached
         and executor.recorded
         and executor.listed
         and listing.state == executor_messages.READY
-        and listing.service == context.service
         and listing.data_centre not in context.closed_data_centres
         and executor.silent_since is None
         and not executor.unknown_runs
@@ -61,18 +76,19 @@
     step = task.step
     if step.required_label and step.required_label not in executor.listing.labels:
         return False
-    if step.max_per_executor:
-        prefix = f"{task.name.rpartition('.')[0]}."
-        same_step = sum(name.startswith(prefix) for name in executor.run_by_task)
-        if same_step >= step.max_per_executor:
-            return False
-    return True
+    return (
+        not step.max_per_executor
+        or executor.count_of_step(task) < step.max_per_executor
+    )
 
 
 def eligible_executors(
-    executors: Iterable[tracking.Executor], task: state.Task, context: PlacementContext
+    executors: Collection[tracking.Executor],
+    task: state.Task,
+    context: PlacementContext,
 ) -> list[tracking.Executor]:
     """Return the executors that may run a task and have capacity for it."""
+    context.checked_count += len(executors)
     return [
         executor
         for executor in executors
--- a/limpetstream/workflow/messages.py
+++ b/limpetstream/workflow/messages.py
@@ -152,6 +152,13 @@
     queues: list[Queue]
     guarded_services: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
+    _queue_by_name: dict[str, Queue] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Index the queues; the first of two with one name counts."""
+        self._queue_by_name = {queue.name: queue for queue in reversed(self.queues)}
 
     def select_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host with the longest matching path prefix."""
@@ -164,4 +171,4 @@
 
     def queue_by_name(self, name: str) -> Queue | None:
         """Return the queue with a name; None if there is none."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self._queue_by_name.get(name)
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -32,10 +32,12 @@
         task: Task to place.
         context: What else the placement depends on.
     """
-    executors = list(executors)
+    if not isinstance(executors, list):
+        executors = list(executors)
     rack_labels: frozenset[str] = frozenset()
     if task.step.rack_sensitive:
         rack_labels = _labels_of_step(executors, task)
+        context.checked_count += len(executors)
     batches: Iterable[list[tracking.Executor]] = [executors]
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
@@ -78,9 +80,9 @@
     start = zlib.crc32(f"{name} {int(now / BATCH_ROTATION_S)}".encode()) % len(
         executors
     )
-    rotated = executors[start:] + executors[:start]
-    for first in range(0, len(rotated), BATCH_SIZE):
-        yield rotated[first : first + BATCH_SIZE]
+    for first in range(start, start + len(executors), BATCH_SIZE):
+        stop = min(first + BATCH_SIZE, start + len(executors))
+        yield [executors[index % len(executors)] for index in range(first, stop)]
 
 
 def _has_few_candidates(step: messages.Step) -> bool:
@@ -135,11 +137,10 @@
     executors: Iterable[tracking.Executor], task: state.Task
 ) -> frozenset[str]:
     """Return the labels of the executors that run the step's other tasks."""
-    prefix = f"{task.name.rpartition('.')[0]}."
     return frozenset(
         label
         for executor in executors
-        if any(name.startswith(prefix) for name in executor.run_by_task)
+        if executor.count_of_step(task)
         for label in executor.listing.labels
     )
 
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -79,6 +79,8 @@
             stopped to make capacity for it.
         moved_at: Monotonic time at which it was last stopped to run on another
             executor.
+        tried_in_round: Number of the newest round of scheduling passes in
+            which an executor was looked for.
     """
 
     job: "Job"
@@ -97,6 +99,7 @@
     not_before: float = 0.0
     preempted_others_at: float = -math.inf
     moved_at: float = -math.inf
+    tried_in_round: int = -1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
