Stop a finished job's runs without a look at all others

The end of each job looked through all runs of all executors and all waiting tasks, 23,000 runs for each job at 2,300 executors. Its own tasks know their runs.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -212,13 +212,12 @@
     job.final_ms = shard.clock.wall_ms()
     shard.next_occurrence_by_job.pop(job.submission.job_id, None)
     shard.interference_model.forget_job(job.submission.job_id)
-    for task in [task for task in shard.waiting_tasks if task.job is job]:
-        shard.waiting_tasks.remove(task)
     save_progress(shard, job)
-    for executor in shard.executor_by_id.values():
-        for run in list(executor.run_by_task.values()):
-            if run.task.job is job:
-                stops.stop_run(shard, executor, run, outcome)
+    for task in workflow_state.tasks_of(job):
+        shard.waiting_tasks.discard(task)
+        executor = shard.executor_by_id.get(task.run.executor_id) if task.run else None
+        if executor is not None and executor.run_by_task.get(task.name) is task.run:
+            stops.stop_run(shard, executor, task.run, outcome)
     shard.spawn(_publish_outcome(shard, job))
 
 
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -11,6 +11,7 @@
 
 from limpetstream.shard import (
     events,
+    jobs,
     placing,
     scheduling,
     searches,
@@ -18,6 +19,7 @@
 from limpetstream.shard.tests import builders
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
+    messages,
     placement,
     state as workflow_state,
 )
@@ -223,6 +225,20 @@
     assert task.run is not None
 
 
+def test_finishing_a_job_looks_only_at_its_own_runs(monkeypatch):
+    """Guards against work for each end of a job that grows with all runs."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=176)
+    fill(shard, builders.SHORT, 5)
+    tasks = builders.make_tasks(shard, builders.copy_step(builders.SHORT, count=2))
+    run = builders.start_run(shard.executor_by_id["x3"], tasks[0])
+    shard.waiting_tasks.append(tasks[1])
+    visits = builders.count_visits(shard, monkeypatch)
+    jobs.finish(shard, tasks[0].job, messages.CANCELLED)
+    assert run.phase == workflow_state.STOPPING
+    assert len(shard.waiting_tasks) == 0
+    assert visits == builders.Visits()
+
+
 def test_passes_at_their_bound_are_logged_from_time_to_time():
     """Guards against a bound that is never logged, or is in each pass."""
     loop = virtual_time.Loop()
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from limpetstream.workflow import messages
 
@@ -217,6 +218,13 @@
     return get_occurrence(job, occurrence).tasks_by_step[step][index]
 
 
+def tasks_of(job: Job) -> Iterator[Task]:
+    """Yield the tasks of a job that have been created."""
+    for occurrence in job.occurrence_by_number.values():
+        for tasks in occurrence.tasks_by_step:
+            yield from tasks
+
+
 def mark_done(task: Task) -> None:
     """Mark a task as done; a second call has no effect."""
     if not task.done:
