Bound the search for better executors for paused runs

Every 0.1 s each paused best-effort run was compared with all executors, again and again while nothing had room for it: paused runs times executors.

--- a/limpetstream/shard/searches.py
+++ b/limpetstream/shard/searches.py
@@ -65,6 +65,7 @@
         is_continued: Whether the last pass left tasks of the round over.
         freeable_by_executor: Freeable capacity, by executor id and kind of
             task.
+        next_relocation: Index of the executor whose paused runs come next.
         pass_count: Passes since the last log line about bounded passes.
         bounded_count: Those among them that reached their bound.
         logged_at: Time of that line.
@@ -80,6 +81,7 @@
     freeable_by_executor: dict[tuple[str, str], Freeable] = dataclasses.field(
         default_factory=dict
     )
+    next_relocation: int = 0
     pass_count: int = 0
     bounded_count: int = 0
     logged_at: float = float("-inf")
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -13,12 +13,15 @@
     events,
     jobs,
     placing,
+    relocation,
     scheduling,
     searches,
 )
 from limpetstream.shard.tests import builders
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
+    best_effort,
+    eligibility,
     messages,
     placement,
     state as workflow_state,
@@ -239,6 +242,37 @@
     assert visits == builders.Visits()
 
 
+def test_relocation_is_bounded_and_continues():
+    """Guards against paused runs that each compare all executors, every 0.1 s.
+
+    Nothing has room for any of them.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=176)
+    step = builders.copy_step(
+        builders.BEST_EFFORT, cpu_millicores=60_000, checkpoints=True
+    )
+    fill(shard, step, 2)
+    for executor in shard.executor_by_id.values():
+        for run in executor.run_by_task.values():
+            run.pace = 0
+    tried = []
+    has_better_executor = best_effort.has_better_executor
+
+    def recording(executors, task, context):
+        tried.append(task)
+        return has_better_executor(executors, task, context)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(best_effort, "has_better_executor", recording)
+        relocation.relocate_paused_runs(shard)
+        search_checks = 176 * (1 + eligibility.CHECKS_PER_SCORE)
+        assert 0 < len(tried) <= relocation.MAX_CHECKS // search_checks + 1
+        for _ in range(150):
+            relocation.relocate_paused_runs(shard)
+    assert len(tried) == len(set(tried)) == 2 * 176
+
+
 def test_passes_at_their_bound_are_logged_from_time_to_time():
     """Guards against a bound that is never logged, or is in each pass."""
     loop = virtual_time.Loop()
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -72,6 +72,7 @@
         executor for executor in executors if task.name not in executor.run_by_task
     ]
     for executor in eligibility.eligible_executors(others, task, context):
+        context.scored_count += 1
         candidate = _Candidate(executor, task, context)
         if candidate.cpu_share < MIN_CPU_SHARE or candidate.pace < MIN_PACE:
             continue
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -39,6 +39,8 @@
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
         progressed_at: Monotonic time at which ``percent`` last changed.
+        relocation_tried_at: Monotonic time at which no better executor was
+            last found for it.
     """
 
     task: "Task"
@@ -55,6 +57,7 @@
     giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
+    relocation_tried_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, eq=False)
