--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -334,9 +334,16 @@
     "See the reason.",
 )
 EARLIER_PROOFS_ENDED = events.declare(
-    1560,
+    1554,
     "earlier-proofs-ended",
     "INFO",
     "No earlier owner can prove any more that it owns the shard.",
     "If ended_by is time, find out why neither executors nor instances answered.",
 )
+PASSES_BOUNDED = events.declare(
+    1555,
+    "passes-bounded",
+    "WARNING",
+    "Scheduling passes leave tasks over to the next ones; at most every 10 s.",
+    "Compare `at_bound` with `passes`; if most are, the owner lacks processor time.",
+)
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
+import pytest
+
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.shard import journal, names, peer_messages, state
@@ -172,6 +174,73 @@
     return run
 
 
+@dataclasses.dataclass(slots=True)
+class Visits:
+    """How many executors and runs a pass has looked at."""
+
+    executors: int = 0
+    runs: int = 0
+
+
+class _CountedDict(dict[str, Any]):
+    """Counts each value, item or key that an iteration yields."""
+
+    def __init__(
+        self, items: dict[str, Any], note_visit: Callable[[], None], /
+    ) -> None:
+        super().__init__(items)
+        self._note_visit = note_visit
+
+    def _counted(self, entries: Iterable[Any]) -> Iterator[Any]:
+        for entry in entries:
+            self._note_visit()
+            yield entry
+
+    def __iter__(self) -> Iterator[str]:
+        return self._counted(super().__iter__())
+
+    def values(self) -> Iterator[Any]:
+        return self._counted(super().values())
+
+    def items(self) -> Iterator[Any]:
+        return self._counted(super().items())
+
+
+def count_visits(shard: state.Shard, patch: pytest.MonkeyPatch) -> Visits:
+    """Count from now on which executors are checked and which runs read.
+
+    The counts are taken where the data are used, so they hold for any
+    implementation of a pass.
+    """
+    visits = Visits()
+
+    def note_executor() -> None:
+        visits.executors += 1
+
+    def note_run() -> None:
+        visits.runs += 1
+
+    for executor in shard.executor_by_id.values():
+        executor.run_by_task = _CountedDict(executor.run_by_task, note_run)
+    for name in ("fits", "fits_when_idle"):
+        patch.setattr(
+            tracking.Executor,
+            name,
+            _noting_calls(getattr(tracking.Executor, name), note_executor),
+        )
+    return visits
+
+
+def _noting_calls(
+    method: Callable[..., bool], note_call: Callable[[], None]
+) -> Callable[..., bool]:
+    def noting(executor: tracking.Executor, step: messages.Step) -> bool:
+        note_call()
+        return method(executor, step)
+
+    return noting
+
+
 def copy_step(step: messages.Step, **changes: Any) -> messages.Step:
     """Return a copy of a step with some fields changed."""
     return dataclasses.replace(step, **changes)
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from limpetstream.workflow import messages
 
@@ -38,6 +39,8 @@
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
         progressed_at: Monotonic time at which ``percent`` last changed.
+        relocation_tried_at: Monotonic time at which no better executor was
+            last found for it.
     """
 
     task: "Task"
@@ -54,6 +57,7 @@
     giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
+    relocation_tried_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -79,6 +83,8 @@
             stopped to make capacity for it.
         moved_at: Monotonic time at which it was last stopped to run on another
             executor.
+        tried_in_round: Number of the newest round of scheduling passes in
+            which an executor was looked for.
     """
 
     job: "Job"
@@ -97,6 +103,7 @@
     not_before: float = 0.0
     preempted_others_at: float = -math.inf
     moved_at: float = -math.inf
+    tried_in_round: int = -1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -214,6 +221,13 @@
     return get_occurrence(job, occurrence).tasks_by_step[step][index]
 
 
+def tasks_of(job: Job) -> Iterator[Task]:
+    """Yield the tasks of a job that have been created."""
+    for occurrence in job.occurrence_by_number.values():
+        for tasks in occurrence.tasks_by_step:
+            yield from tasks
+
+
 def mark_done(task: Task) -> None:
     """Mark a task as done; a second call has no effect."""
     if not task.done:
