Log how an owner is doing and which tasks it lost track of

owner-state tells each 5 s how long the event loop stood still, the number of queues, of leaving and silent executors, and of open and waiting tasks. task-untracked names an open task that neither waits nor runs. executor-silent and executor-lapsed tell how long ago the executor said that it will leave, executor-lapsed also how many long-running runs it still held.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -49,6 +49,8 @@
             last found to be gone.
         start_slots: Limits the number of concurrent start requests.
         listed: Whether the list of executors still contains it.
+        draining_since: Monotonic time at which its entry was first seen to
+            say that it will leave; None before.
         reserved_millicores: CPU reserved by runs that are not best-effort.
         reserved_memory_mb: Reserved memory.
         reserved_accelerators: Reserved accelerators.
@@ -79,6 +81,7 @@
         default_factory=lambda: asyncio.Semaphore(MAX_STARTS_AT_ONCE)
     )
     listed: bool = True
+    draining_since: float | None = None
     reserved_millicores: int = 0
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -333,3 +333,17 @@
     "A start that was decided is not sent; its task waits again.",
     "See the reason.",
 )
+OWNER_STATE = events.declare(
+    870,
+    "owner-state",
+    "INFO",
+    "The state of a shard at its owner, each 5 s.",
+    "See OPERATIONS.md; a `delay_ms` of seconds: the owner is overloaded.",
+)
+TASK_UNTRACKED = events.declare(
+    871,
+    "task-untracked",
+    "ERROR",
+    "An open task neither waits nor runs, so it never runs again under this owner.",
+    "Report it as a fault of the program, with all lines of the task.",
+)
--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -54,6 +54,7 @@
     """
     executor = tracking.Executor(listing, listed=listed, recorded=not listed)
     executor.lease.duration_s = min(executor.lease.duration_s, shard.timing.max_lease_s)
+    _note_draining(shard, executor)
     shard.executor_by_id[listing.executor_id] = executor
     shard.spawn(sessions.run(shard, executor))
     if listed:
@@ -71,6 +72,14 @@
         shard.changed.set()
     executor.listing = listing
     executor.listed = True
+    _note_draining(shard, executor)
+
+
+def _note_draining(shard: state.Shard, executor: tracking.Executor) -> None:
+    if not is_draining(executor):
+        executor.draining_since = None
+    elif executor.draining_since is None:
+        executor.draining_since = shard.clock.monotonic()
 
 
 def _mark_unlisted(shard: state.Shard, executor_id: str) -> None:
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -1,8 +1,8 @@
 """Does an owner's periodic work for its shard.
 
 It queues due occurrences, stops long-running runs on draining executors, moves
-paused runs, reports why tasks wait, stores learned estimates, and drops jobs
-whose retention time is over.
+paused runs, reports why tasks wait and how the owner is doing, stores learned
+estimates, and drops jobs whose retention time is over.
 """
 
 from limpetstream import errors
@@ -11,6 +11,7 @@
     events,
     jobs,
     names,
+    owner_reports,
     proof,
     relocation,
     state,
@@ -34,6 +35,9 @@
     next_cleanup_at = shard.clock.monotonic() + CLEANUP_INTERVAL_S
     next_report_at = shard.clock.monotonic() + wait_reports.REPORT_INTERVAL_S
     dropped_submissions: set[str] = set()
+    reporter = owner_reports.Reporter(
+        shard.clock.monotonic() + owner_reports.REPORT_INTERVAL_S
+    )
     while True:
         release_due_occurrences(shard)
         if proof.is_proven(shard):
@@ -43,11 +47,16 @@
         if now >= next_report_at:
             next_report_at = now + wait_reports.REPORT_INTERVAL_S
             wait_reports.report_waiting_jobs(shard)
+        owner_reports.report_if_due(shard, reporter)
         if now >= next_cleanup_at:
             next_cleanup_at = now + CLEANUP_INTERVAL_S
             stored_estimates.save(shard)
             await _drop_final_jobs(shard, dropped_submissions)
+        slept_at = shard.clock.monotonic()
         await shard.clock.sleep(HOUSEKEEPING_INTERVAL_S)
+        owner_reports.note_delay(
+            reporter, shard.clock.monotonic() - slept_at - HOUSEKEEPING_INTERVAL_S
+        )
 
 
 def release_due_occurrences(shard: state.Shard) -> None:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -156,11 +156,19 @@
             events.EXECUTOR_SILENT,
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
+            draining_ms_ago=_draining_ms_ago(shard, executor),
             error=error,
         )
     check_earlier_runs(shard)
 
 
+def _draining_ms_ago(shard: state.Shard, executor: tracking.Executor) -> int | None:
+    """Return how long ago it said that it will leave; None if it did not."""
+    if executor.draining_since is None:
+        return None
+    return round((shard.clock.monotonic() - executor.draining_since) * 1000)
+
+
 def _have_leases_expired(shard: state.Shard, executor: tracking.Executor) -> bool:
     """Return whether every lease on an executor has expired."""
     return shard.clock.monotonic() > _leases_expire_at(shard, executor)
@@ -234,6 +242,10 @@
             events.EXECUTOR_LAPSED,
             executor=executor.listing.executor_id,
             runs=len(executor.run_by_task),
+            long_running=sum(
+                run.task.step.long_running for run in executor.run_by_task.values()
+            ),
+            draining_ms_ago=_draining_ms_ago(shard, executor),
             silent_s=round(now - (silent_since or now), 3),
             expired_ms_ago=round((now - expired_at) * 1000),
             proven_ms_ago=round(proof.age_s(shard) * 1000),
