Apply no reply of an executor that was removed

A poll that was in flight when its executor was removed took over the runs in its reply, and nothing polls such an executor any more: the task would neither run nor wait.

--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -85,6 +85,8 @@
         wait_ms=int(wait_s * 1000),
         timeout_s=wait_s + POLL_MARGIN_S,
     )
+    if shard.executor_by_id.get(executor.listing.executor_id) is not executor:
+        return  # It was removed in the meantime, and its runs were given up.
     executor.polled_at = sent_at
     executor.answered_at = shard.clock.monotonic()
     status_reports.apply_report(shard, executor, reply, sent_at)
--- a/limpetstream/shard/tests/test_sessions.py
+++ b/limpetstream/shard/tests/test_sessions.py
@@ -1,5 +1,7 @@
 """Tests of what an owner concludes from executors that do not reply."""
 
+import asyncio
+
 import loguru
 import pytest
 
@@ -272,3 +274,37 @@
     scene.advance(4.0)
     assert task.run is None
     assert not scene.errors
+
+
+def test_a_reply_after_the_removal_of_its_executor_changes_nothing(open_scene):
+    """Guards against a task that waits for a run on a removed executor.
+
+    The run in the reply was given up when the executor was removed. It was
+    taken over again, on an executor that nothing polls any more.
+    """
+    scene = open_scene()
+    executor, run = make_silent(scene)
+    executor.listed = False
+    scene.client.rows = [
+        executor_messages.RunningRow(run.task.name, run.number, "", 50, 0)
+    ]
+    scene.store_client.faults.delay_s = 0.1
+    sessions._give_up(scene.shard, executor)
+    scene.shard.spawn(hold_reply(scene.client, 0.15))
+    scene.shard.spawn(sessions.run(scene.shard, executor))
+    scene.advance(1.0)
+    assert not scene.shard.executor_by_id
+    assert run.task.run is None
+    assert run.task in scene.shard.waiting_tasks
+
+
+async def hold_reply(client, seconds):
+    """Let the polls that are sent from now on wait for their reply."""
+    poll = client.poll
+
+    async def late(*args, **kwargs):
+        reply = await poll(*args, **kwargs)
+        await asyncio.sleep(seconds)
+        return reply
+
+    client.poll = late
