Give a large answer more time once it has begun to arrive

Callers of a new route got 404 from an instance with 10 Mbit/s, 5 s after the configuration was acknowledged (CONFIG). Each read of the operator's records ended after 1.7 s, with 524 of 960 KB received, and the next one began anew; the third configuration was in force after 9.1 s. A load never gets more than 2 s, so a restarted instance on such a link might never be ready.

A call that was cut off while its answer arrived is followed by one with 4 s more. A call without any answer keeps its short limit.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -1,8 +1,27 @@
-"""Workarounds for tornado's libcurl client: pool sizes and safe closing."""
+"""Workarounds for tornado's libcurl client.
+
+They concern pool sizes, safe closing, and what a failed call has received.
+"""
+
+import re
 
 import pycurl
 from tornado import curl_httpclient
 
+_RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
+
+
+def received_bytes(error: Exception) -> int:
+    """Return how much of the answer's body a call got before its time limit.
+
+    Tornado discards it and keeps only the text of libcurl's error.
+
+    >>> received_bytes(Exception("timed out with 12 out of 90 bytes received"))
+    12
+    """
+    match = _RECEIVED.search(str(error))
+    return int(match[1]) if match else 0
+
 
 def close(client: curl_httpclient.CurlAsyncHTTPClient) -> None:
     """Close a client so that none of its timers fires afterwards.
--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -39,11 +39,20 @@
     Args:
         message: The call and how it failed.
         not_applied: Whether the call certainly had no effect.
+        answer_began: Whether a part of the answer arrived before the time
+            limit.
     """
 
-    def __init__(self, message: str = "", *, not_applied: bool = False) -> None:
+    def __init__(
+        self,
+        message: str = "",
+        *,
+        not_applied: bool = False,
+        answer_began: bool = False,
+    ) -> None:
         super().__init__(message)
         self.not_applied = not_applied
+        self.answer_began = answer_began
 
 
 class LogUnavailable(PlatformUnavailable):
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -137,7 +137,8 @@
                 status is 503, or the path or a header cannot be sent.
                 ``not_applied`` is true if nothing was sent or the connection
                 was refused, and after 503, which is taken to mean that the
-                call had no effect.
+                call had no effect. ``answer_began`` is true if a part of the
+                answer's body arrived before the time limit.
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
@@ -153,7 +154,10 @@
             # Tornado raises time-outs and failed connections here, although
             # raise_error is false, because they have no HTTP response.
             self.traffic.failures += 1
-            raise errors.PlatformUnavailable(f"{method} {path}: {error}") from error
+            raise errors.PlatformUnavailable(
+                f"{method} {path}: {error}",
+                answer_began=_curl.received_bytes(error) > 0,
+            ) from error
         raw = response.body or b""
         self.traffic.received_bytes += len(raw)
         if response.code in (503, NO_ANSWER_STATUS):
--- a/limpetstream/platform/tests/test_clients.py
+++ b/limpetstream/platform/tests/test_clients.py
@@ -85,6 +85,34 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "sent", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"]
+)
+def test_an_answer_that_is_cut_off_is_told_from_silence(sent: bytes) -> None:
+    """Guards against a large answer that never gets a longer time limit."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await reader.read()
+        writer.close()
+
+    async def main() -> None:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = http.Client(base_url=f"http://127.0.0.1:{port}", clock=clock.Clock())
+        with pytest.raises(errors.PlatformUnavailable) as caught:
+            await client.call("GET", "/", timeout_s=0.2)
+        assert caught.value.answer_began == bool(sent)
+        client.close()
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(main())
+
+
 def test_refused_connection_is_unavailable() -> None:
     """Guards against a raw network error that reaches other packages."""
 
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -142,5 +142,5 @@
             return await shard.store.newest(topic, shard.number, timeout_s=timeout_s)
         except errors.PlatformUnavailable as error:
             logs.emit(events.LIST_READ_FAILED, topic=topic, error=str(error))
-        timeout_s = min(follower.MAX_LOAD_TIMEOUT_S, 2 * timeout_s)
+            timeout_s = follower.next_load_timeout_s(timeout_s, error)
         await shard.clock.sleep(RETRY_S)
--- a/limpetstream/store/follower.py
+++ b/limpetstream/store/follower.py
@@ -11,6 +11,9 @@
 INITIAL_LOAD_TIMEOUT_S = 0.5
 MAX_LOAD_TIMEOUT_S = 2.0
 READ_MARGIN_S = 0.7  # What a read may take in addition to its requested wait.
+# For the call after one whose answer was cut off: the largest answer of the
+# store, 1 MB, at 2 Mbit/s.
+LONG_ANSWER_S = 4.0
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5
 
@@ -39,6 +42,7 @@
         failing_since: Monotonic time at which reading began to fail; None
             while it works.
         load_timeout_s: Time limit of the next load; it grows with failures.
+        read_margin_s: What the next read may take in addition to its wait.
     """
 
     store: messages.Store
@@ -54,6 +58,7 @@
     read_at: float = float("-inf")
     failing_since: float | None = None
     load_timeout_s: float = INITIAL_LOAD_TIMEOUT_S
+    read_margin_s: float = READ_MARGIN_S
 
     async def load(self) -> None:
         """Read the newest value of every key.
@@ -62,9 +67,13 @@
             PlatformUnavailable: The store returned no usable answer.
         """
         sent_at = self.clock.monotonic()
-        timeout_s = self.load_timeout_s
-        self.load_timeout_s = min(MAX_LOAD_TIMEOUT_S, 2 * timeout_s)
-        page = await self.store.newest(self.topic, self.partition, timeout_s=timeout_s)
+        try:
+            page = await self.store.newest(
+                self.topic, self.partition, timeout_s=self.load_timeout_s
+            )
+        except errors.PlatformUnavailable as error:
+            self.load_timeout_s = next_load_timeout_s(self.load_timeout_s, error)
+            raise
         self.load_timeout_s = INITIAL_LOAD_TIMEOUT_S
         self.apply(page.entries, True)
         self.position = page.end
@@ -89,12 +98,16 @@
                 self.partition,
                 self.position,
                 wait_s=wait_s,
-                timeout_s=wait_s + READ_MARGIN_S,
+                timeout_s=wait_s + self.read_margin_s,
             )
         except errors.OffsetExpired:
             self.position = None
             await self.load()
             return
+        except errors.PlatformUnavailable as error:
+            self.read_margin_s = LONG_ANSWER_S if error.answer_began else READ_MARGIN_S
+            raise
+        self.read_margin_s = READ_MARGIN_S
         if page.entries:
             self.apply(page.entries, False)
             # Another call may have advanced the position in the meantime.
@@ -120,3 +133,15 @@
                 self.failing_since = None
             if self.pause_s:
                 await self.clock.sleep(self.pause_s)
+
+
+def next_load_timeout_s(timeout_s: float, error: errors.PlatformUnavailable) -> float:
+    """Return the time limit of a load, in seconds, after one that has failed.
+
+    Args:
+        timeout_s: Time limit of the load that has failed.
+        error: How it has failed.
+    """
+    if error.answer_began:
+        return LONG_ANSWER_S
+    return min(MAX_LOAD_TIMEOUT_S, 2 * timeout_s)
--- a/limpetstream/store/tests/test_follower.py
+++ b/limpetstream/store/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from limpetstream import errors
 from limpetstream.store import follower, messages
 from standins import keyed_store, virtual_time
 
@@ -63,3 +64,86 @@
 
     virtual_time.run(scenario(), loop=loop)
     assert loaded_at
+
+
+def applied_at(*, load, transfer_s, seconds=8.0):
+    """Return when a record is applied whose answer arrives slowly.
+
+    Args:
+        load: Whether it is there before the follower starts.
+        transfer_s: Time from the first to the last byte of each answer.
+        seconds: Virtual time after which the attempt ends.
+    """
+    loop = virtual_time.Loop()
+    found = []
+
+    async def scenario():
+        store = keyed_store.Store()
+        client = keyed_store.Client(store)
+        topic_follower = follower.Follower(
+            client,
+            TOPIC,
+            0,
+            virtual_time.make_clock(loop),
+            lambda entries, complete: entries and found.append(loop.time()),
+            wait_s=1.0,
+        )
+        if not load:
+            await topic_follower.load()
+        store.append(TOPIC, 0, [messages.Entry("key", b"value")], None, None)
+        client.faults.transfer_s = transfer_s
+        task = asyncio.create_task(topic_follower.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    virtual_time.run(scenario(), loop=loop)
+    return found[0] if found else None
+
+
+def test_a_record_that_arrives_slowly_is_read():
+    """Guards against a large configuration that is never read on a slow link.
+
+    Seen on bwc-limpet-grown: 960 KB at 10 Mbit/s beside other traffic did not
+    arrive within 1.7 s, and each repeated read was cut off as well.
+    """
+    assert applied_at(load=False, transfer_s=3.0) < 5.0
+
+
+def test_a_record_that_arrives_slowly_is_loaded():
+    """Guards against an instance that is never ready on a slow link."""
+    assert applied_at(load=True, transfer_s=3.0) < 4.0
+
+
+def test_a_read_without_an_answer_keeps_its_short_limit():
+    """Guards against a dead connection that is noticed late.
+
+    Only an answer that began to arrive is worth waiting for.
+    """
+    loop = virtual_time.Loop()
+    limits = []
+
+    class SilentStore:
+        async def newest(self, topic, partition, *, timeout_s):
+            return messages.Page([], 0)
+
+        async def read(self, topic, partition, start, *, wait_s, timeout_s):
+            limits.append(timeout_s)
+            await asyncio.sleep(timeout_s)
+            began = len(limits) == 1
+            raise errors.PlatformUnavailable("no answer", answer_began=began)
+
+    async def scenario():
+        topic_follower = follower.Follower(
+            SilentStore(),
+            TOPIC,
+            0,
+            virtual_time.make_clock(loop),
+            lambda entries, complete: None,
+            wait_s=1.0,
+        )
+        task = asyncio.create_task(topic_follower.run())
+        await asyncio.sleep(12.0)
+        task.cancel()
+
+    virtual_time.run(scenario(), loop=loop)
+    assert limits[:4] == [1.7, 5.0, 1.7, 1.7]
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -183,6 +183,8 @@
         delayed_share: Share of the appends that take effect seconds later,
             without an answer.
         delay_s: Additional delay of every answer.
+        transfer_s: Time from the first to the last byte of an answer with
+            records.
     """
 
     cut: bool = False
@@ -190,6 +192,7 @@
     lost_answer_share: float = 0.0
     delayed_share: float = 0.0
     delay_s: float = 0.0
+    transfer_s: float = 0.0
 
 
 class Client:
@@ -261,6 +264,7 @@
             OffsetExpired: The record at ``start`` was dropped.
         """
         loop = asyncio.get_running_loop()
+        limit_at = loop.time() + timeout_s
         deadline = loop.time() + wait_s
         await self._simulate_network(timeout_s)
         while True:
@@ -270,7 +274,9 @@
             entries = found.records[start - found.first :]
             remaining_s = deadline - loop.time()
             if entries or remaining_s < MIN_WAIT_S:
-                return messages.Page(list(entries), found.end)
+                page = messages.Page(list(entries), found.end)
+                await self._simulate_transfer(page, limit_at - loop.time())
+                return page
             changed = self.store.changed
             try:
                 async with asyncio.timeout(remaining_s):
@@ -284,10 +290,12 @@
         """Return the newest record of each key, sorted by key."""
         await self._simulate_network(timeout_s)
         newest = self.store.newest(topic, partition)
-        return messages.Page(
+        page = messages.Page(
             [newest[key] for key in sorted(newest)],
             self.store.partition(topic, partition).end,
         )
+        await self._simulate_transfer(page, timeout_s)
+        return page
 
     async def join(
         self,
@@ -350,6 +358,12 @@
             raise errors.PlatformUnavailable("no answer in time", not_applied=True)
         await asyncio.sleep(delay_s)
 
+    async def _simulate_transfer(self, page: messages.Page, timeout_s: float) -> None:
+        if page.entries and self.faults.transfer_s >= timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("the answer is cut", answer_began=True)
+        await asyncio.sleep(self.faults.transfer_s if page.entries else 0.0)
+
 
 def _check_sizes(entries: list[messages.Entry]) -> None:
     """Check the platform's limits of keys and records.
