--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -347,3 +347,17 @@
     "Scheduling passes leave tasks over to the next ones; at most every 10 s.",
     "Compare `at_bound` with `passes`; if most are, the owner lacks processor time.",
 )
+OWNER_STATE = events.declare(
+    1556,
+    "owner-state",
+    "INFO",
+    "The state of a shard at its owner, each 5 s.",
+    "See OPERATIONS.md; a `delay_ms` of seconds: the owner is overloaded.",
+)
+TASK_UNTRACKED = events.declare(
+    1557,
+    "task-untracked",
+    "ERROR",
+    "An open task neither waits nor runs, so it never runs again under this owner.",
+    "Report it as a fault of the program, with all lines of the task.",
+)
