Look at an executor's clock before a start if it is not fresh

Change: a start is sent only within 0.25 s of a reading of the clock. Without one, a poll without a deadline precedes it; another birth or a lower clock sends no start, and the executor gets none for 0.3 s. The lease keeps the time before which a reading was not taken, also of polls that wait.

--- a/limpetstream/executors/leases.py
+++ b/limpetstream/executors/leases.py
@@ -33,6 +33,7 @@
         clock_ms: Newest reading of the executor's clock; None before the
             first.
         received_at: Monotonic time after the call that returned the reading.
+        read_after: Monotonic time before which that reading was not taken.
         deadline_ms: Latest deadline that the executor can have been sent, on
             its clock; 0 before the first.
         expires_at: Monotonic time after which the lease has certainly expired
@@ -43,21 +44,29 @@
     duration_s: float = LEASE_S
     clock_ms: int | None = None
     received_at: float = 0.0
+    read_after: float = -math.inf
     deadline_ms: int = 0
     expires_at: float = -math.inf
 
-    def observe(self, clock_ms: int, received_at: float) -> None:
+    def observe(
+        self, clock_ms: int, received_at: float, sent_at: float = -math.inf
+    ) -> None:
         """Record a reading of the executor's clock, unless it is lower.
 
         The clock does not go back, so a reading that is lower than the newest
-        one is older and is ignored.
+        one is older and is ignored. It does not run fast, so two readings are
+        at least as far apart as they say.
 
         Args:
             clock_ms: Reading of the executor's clock.
             received_at: Monotonic time after the call that returned it.
+            sent_at: Monotonic time before that call.
         """
-        if self.clock_ms is not None and clock_ms < self.clock_ms:
-            return
+        if self.clock_ms is not None:
+            if clock_ms < self.clock_ms:
+                return
+            self.read_after += (clock_ms - self.clock_ms) / 1000
+        self.read_after = max(self.read_after, sent_at)
         self.clock_ms = clock_ms
         self.received_at = received_at
         if self.deadline_ms:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -88,7 +88,7 @@
     executor.polled_at = sent_at
     executor.answered_at = shard.clock.monotonic()
     status_reports.apply_report(shard, executor, reply, sent_at)
-    executor.lease.observe(reply.clock_ms, shard.clock.monotonic())
+    executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
     _note_reply(shard, executor)
     if proof.is_proven(shard):
         pacing.adjust(shard, executor)
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -2,7 +2,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import events, jobs, pacing, proof, state, stops
+from limpetstream.shard import events, jobs, pacing, proof, sessions, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -24,6 +24,8 @@
     have started. That append is fenced, so no earlier owner can start a job
     that a later owner considers not started.
 
+    Nor is anything sent to an executor that may have restarted unnoticed.
+
     A start without an answer is retried. If it stays in doubt, the run is
     stopped before the task can run again.
     """
@@ -34,7 +36,10 @@
             async with executor.start_slots:
                 if run.phase != workflow_state.STARTING:
                     return  # Stopped, or reported by a poll, while it waited.
-                obstacle = _obstacle(shard, executor)
+                obstacle = _obstacle(shard, executor) or await _look(shard, executor)
+                if run.phase != workflow_state.STARTING:
+                    return
+                obstacle = obstacle or _obstacle(shard, executor)
                 if obstacle:
                     break
                 if not is_sent:
@@ -73,6 +78,45 @@
     return ""
 
 
+async def _look(shard: state.Shard, executor: tracking.Executor) -> str:
+    """Make sure that the known clock is that of the present incarnation.
+
+    The deadline of a start is a time on that clock. An executor that has
+    restarted takes it for one far ahead and grants the longest lease, for
+    which no later owner waits. A start is therefore sent only within
+    ``sessions.MIN_RESTART_S`` of a reading of the clock. If there is none, the
+    executor is polled first, without a deadline.
+
+    Returns:
+        Why no start may be sent; empty if one may.
+    """
+    sent_at, known_clock_ms = shard.clock.monotonic(), executor.lease.clock_ms or 0
+    if sent_at - executor.lease.read_after <= sessions.MIN_RESTART_S:
+        return ""
+    try:
+        reply = await shard.executor_client.poll(
+            executor.listing,
+            token=shard.epoch,
+            acknowledged=0,
+            deadline_ms=None,
+            wait_ms=0,
+            timeout_s=START_TIMEOUT_S,
+        )
+    except (errors.ExecutorReplaced, errors.PlatformUnavailable) as error:
+        obstacle = f"the executor does not answer a poll: {error}"
+    else:
+        if reply.born_ms == executor.born_ms and reply.clock_ms >= known_clock_ms:
+            now = shard.clock.monotonic()
+            executor.lease.observe(reply.clock_ms, now, sent_at)
+            return ""
+        obstacle = "the executor has restarted"
+    # Polls find it silent or restarted, and what ran on it lost.
+    executor.avoid_until = max(
+        executor.avoid_until, shard.clock.monotonic() + REFUSED_PAUSE_S
+    )
+    return obstacle
+
+
 async def _record_job(shard: state.Shard, job: workflow_state.Job) -> None:
     """Wait until the journal records that the job may have started."""
     if not job.start_recorded:
@@ -139,7 +183,7 @@
         timeout_s=START_TIMEOUT_S,
     )
     if reply.clock_ms is not None:
-        executor.lease.observe(reply.clock_ms, shard.clock.monotonic())
+        executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
     return reply
 
 
