Start no task again whose end a late poll has acknowledged

Cause: an executor that restarts under its id numbers its ends from 1 again. A poll from before the restart that came late acknowledged the first ends of the new process, which nobody had applied; the owner found the runs gone and started their tasks again after their acknowledged ends.

Change: a run that vanishes from an executor that has not restarted has ended, nobody knows how, and its end is acknowledged. Its job fails, unless the tasks are restarted however they end. Nothing changes at executors that do not tell their birth.

Measured: the new test in the simulated cluster failed before (four tasks started after their acknowledged end) and passes now. That a call survives a restart is allowed by the platform's page, not observed.

--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -3,7 +3,10 @@
 from limpetstream.executors import leases, messages, tracking
 from limpetstream.shard import events, jobs, proof, state, stops
 from limpetstream.telemetry import logs
-from limpetstream.workflow import state as workflow_state
+from limpetstream.workflow import (
+    messages as workflow_messages,
+    state as workflow_state,
+)
 
 MAX_LISTED_ENDS = 500  # Per reply; more ends may follow when the list is full.
 STOP_MARGIN_S = 0.3  # Beyond the longest stop, before a run counts as lost.
@@ -165,6 +168,10 @@
 ) -> None:
     """Mark runs as lost that the executor lists no longer and without an end.
 
+    An executor forgets an end only when it is acknowledged. If it has not
+    restarted, a poll from before an earlier restart has arrived late, with a
+    number that was meant for other ends.
+
     A run whose stop was confirmed may take ``max_stop_s`` to end.
     """
     for run in list(executor.run_by_task.values()):
@@ -172,7 +179,9 @@
             continue
         if run.phase == workflow_state.WORKING:
             if run.seen_at is not None and sent_at > run.seen_at:
-                _lose(shard, executor, run, "the executor no longer lists it")
+                reason = "the executor no longer lists it"
+                is_end_unknown = executor.born_ms != 0  # It would show a restart.
+                _lose(shard, executor, run, reason, is_end_unknown=is_end_unknown)
         elif run.stop_confirmed_at is not None:
             gone_at = run.stop_confirmed_at + shard.timing.max_stop_s + STOP_MARGIN_S
             if sent_at > gone_at:
@@ -184,11 +193,23 @@
     executor: tracking.Executor,
     run: workflow_state.Run,
     reason: str,
+    *,
+    is_end_unknown: bool = False,
 ) -> None:
-    """Mark a run without a listed end as lost, once ownership is confirmed."""
+    """Mark a run without a listed end as lost, once ownership is confirmed.
+
+    Args:
+        shard: Shard of the run.
+        executor: Its executor.
+        run: The run.
+        reason: Reason for the log.
+        is_end_unknown: Whether it has ended, nobody knows how, and its end is
+            acknowledged. A task must not be started again after such an end,
+            so its job fails.
+    """
     if not run.giving_up:
         run.giving_up = True
-        shard.spawn(_lose_once_confirmed(shard, executor, run, reason))
+        shard.spawn(_lose_once_confirmed(shard, executor, run, reason, is_end_unknown))
 
 
 async def _lose_once_confirmed(
@@ -196,6 +217,7 @@
     executor: tracking.Executor,
     run: workflow_state.Run,
     reason: str,
+    is_end_unknown: bool,
 ) -> None:
     """Mark a run as lost after an append that begins now is confirmed.
 
@@ -206,5 +228,10 @@
         await proof.confirm(shard)
     finally:
         run.giving_up = False
-    if executor.run_by_task.get(run.task.name) is run:
-        jobs.mark_run_lost(shard, executor, run, reason)
+    if executor.run_by_task.get(run.task.name) is not run:
+        return
+    jobs.mark_run_lost(shard, executor, run, reason)
+    task = run.task
+    is_open = not task.job.outcome and not task.done
+    if is_end_unknown and is_open and not task.step.long_running:
+        jobs.finish(shard, task.job, workflow_messages.FAILED)
--- a/limpetstream/shard/tests/test_ends.py
+++ b/limpetstream/shard/tests/test_ends.py
@@ -1,11 +1,13 @@
 """Tests of ends that are listed late, and of the numbers of runs."""
 
+import asyncio
+
 import loguru
 import pytest
 
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import jobs, recovery, scheduling, status_reports
-from limpetstream.shard.tests import builders
+from limpetstream.shard.tests import builders, schedules
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, records, state as workflow_state
 from standins import virtual_time
@@ -137,3 +139,70 @@
     ]
     assert sorted(set(runs)) == sorted(runs)
     assert len(runs) == 2
+
+
+def test_an_end_that_a_late_poll_has_acknowledged_starts_no_task_again():
+    """Guards against a second run after an end that nobody has applied.
+
+    An executor that restarts numbers its ends from 1 again. A poll from before
+    the restart, which acknowledges ends up to a number, arrives afterwards.
+    """
+
+    async def scenario(cluster):
+        client = cluster.start("m0").executor_client
+        x0 = cluster.executor_by_id["x0"]
+        sent = []
+        poll = client.poll
+
+        async def recorded(listing, **fields):
+            sent.append(fields)
+            return await poll(listing, **fields)
+
+        client.poll = recorded
+        await asyncio.sleep(2)
+        job_ids = [schedules.job_id(number) for number in range(2)]
+        assert await cluster.submit(job_ids[0], schedules.steps(4), seconds=0.5)
+        assert await cluster.wait_until_final(job_ids[0], limit_s=6) == "completed"
+        late = next(fields for fields in sent if fields["acknowledged"] == 4)
+        x0.cut = True
+        x0.restart()
+        await asyncio.sleep(0.5)
+        x0.cut = False
+        cluster.list_executor(x0)
+        await asyncio.sleep(2)
+        assert await cluster.submit(job_ids[1], schedules.steps(4), seconds=2.0)
+        await asyncio.sleep(1)
+        assert len(x0.run_by_task) == 4
+        loop = asyncio.get_running_loop()
+        ends_at = max(run.ends_at for run in x0.run_by_task.values())
+        await asyncio.sleep(ends_at - loop.time() + 0.001)
+        x0.poll(late["token"], late["acknowledged"], None)
+        await cluster.wait_until_final(job_ids[1], limit_s=6)
+
+    cluster = schedules.run_scenario(scenario, executors=1)
+    assert not cluster.breaches.found
+
+
+@pytest.mark.parametrize(
+    "changes, born_ms, outcome",
+    [({}, 1, messages.FAILED), ({}, 0, ""), ({"long_running": True}, 1, "")],
+    ids=["short", "birth not told", "long-running"],
+)
+def test_a_run_that_vanishes_fails_its_job_only_if_it_may_be_done(
+    changes, born_ms, outcome
+):
+    """Guards against jobs that fail although their tasks may start again."""
+    scene = builders.JournaledShard()
+    shard = scene.shard
+    executor = shard.executor_by_id["x0"]
+    executor.born_ms = born_ms
+    step = builders.copy_step(builders.SHORT, **changes)
+    task = builders.make_tasks(shard, step)[0]
+    builders.start_run(executor, task).seen_at = 0.0
+    reply = executor_messages.PollReply(0, born_ms, [], [])
+    status_reports.apply_report(shard, executor, reply, 1.0)
+    scene.advance(0.1)
+    assert task.job.outcome == outcome
+    assert task.run is None
+    assert (task in shard.waiting_tasks) == (not outcome)
+    scene.close()
