Print what failed in listed tests, and when the soak stood still

Change: the summary prints the message of each listed test that failed. The soak's tests tell the findings of all their seeds, the faults, and the number, length and processor time of the stalls of their loop. They check what they checked before; run_seeds asserts it for its three callers.

--- a/conftest.py
+++ b/conftest.py
@@ -27,7 +27,10 @@
 
 
 def pytest_terminal_summary(terminalreporter) -> None:  # noqa: ANN001
-    """Print the listed tests that failed, and those that passed."""
+    """Print the listed tests that failed or passed, with their messages."""
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(f"KNOWN-RED {outcome}: {report.nodeid}")
+            crash = getattr(report.longrepr, "reprcrash", None)
+            if crash is not None:
+                terminalreporter.write_line(crash.message)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,7 +6,7 @@
 import loguru
 import pytest
 
-from soak import _faults, _run
+from soak import _faults, _run, _stalls
 
 SEEDS = (1, 2)
 SECONDS = 10.0
@@ -35,17 +35,30 @@
 
 
 def run_seeds(duration_by_seed, *, cuts):
-    """Run seeds at the same time and return their outcomes."""
+    """Run seeds at the same time and check that their guarantees hold.
 
-    async def runs():
-        return await asyncio.gather(
-            *[
-                _run.run(seed, seconds=seconds, cuts=cuts)
-                for seed, seconds in duration_by_seed.items()
-            ]
-        )
+    The message tells all findings, so that a red listed test can be traced.
+    """
 
-    return asyncio.run(runs())
+    async def runs():
+        async with _stalls.watch() as stalls:
+            outcomes = await asyncio.gather(
+                *[
+                    _run.run(seed, seconds=seconds, cuts=cuts)
+                    for seed, seconds in duration_by_seed.items()
+                ]
+            )
+        return outcomes, stalls
+
+    outcomes, stalls = asyncio.run(runs())
+    found = [
+        f"seed {outcome.seed}: {finding}"
+        for outcome in outcomes
+        for finding in outcome.findings
+    ]
+    faults = [f"seed {outcome.seed}: {outcome.faults}" for outcome in outcomes]
+    assert not found, "\n".join([*found, _stalls.summarize(stalls), *faults])
+    return outcomes
 
 
 def test_guarantees_hold_under_external_faults():
@@ -53,21 +66,16 @@
     for outcome in run_seeds(dict.fromkeys(SEEDS, SECONDS), cuts=True):
         assert outcome.accepted
         assert outcome.starts
-        assert not outcome.findings, outcome
 
 
 def test_seeds_that_failed_pass():
     """Guards against regressions of faults that the soak test has found."""
-    duration_by_seed = {seed: seconds for seed, seconds, _cause in FAILED_RUNS}
-    for outcome in run_seeds(duration_by_seed, cuts=False):
-        assert not outcome.findings, outcome
+    run_seeds({seed: seconds for seed, seconds, _cause in FAILED_RUNS}, cuts=False)
 
 
 def test_seeds_that_failed_with_one_way_cuts_pass():
     """Guards against regressions of faults that one-way cuts have shown."""
-    duration_by_seed = {seed: seconds for seed, seconds, _cause in FAILED_CUT_RUNS}
-    for outcome in run_seeds(duration_by_seed, cuts=True):
-        assert not outcome.findings, outcome
+    run_seeds({seed: seconds for seed, seconds, _cause in FAILED_CUT_RUNS}, cuts=True)
 
 
 def test_every_kind_of_fault_is_drawn():
