Show that an unanswered stop holds a task for ever

Cause: a run that is being stopped ends when its end is listed, when its stop is confirmed, or with its executor. An executor that answers polls but no stop gives none of these, and the task gets no other run.

--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -7,7 +7,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal, names, state
+from limpetstream.shard import journal, names, scheduling, sessions, state
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, state as workflow_state
 from standins import keyed_store, shard_cluster, virtual_time
@@ -202,3 +202,69 @@
             store_messages.Writer(names.WRITER, self.shard.epoch + 1, 0),
             None,
         )
+
+
+class PolledShard(JournaledShard):
+    """A journaled shard whose executors are polled.
+
+    The client leaves the calls in ``unanswered``, pairs of the call and the
+    executor's id, without an answer and an effect.
+    """
+
+    def __init__(self, *, executors=1):
+        super().__init__(executors=executors)
+        self.client = self.shard.executor_client = SelectiveClient(self.loop)
+        for executor_id, executor in self.shard.executor_by_id.items():
+            executor.listing.address = "10.0.0.1:7000"
+            self.shard.record_state_by_id[executor_id] = state.KEPT
+            self.shard.spawn(sessions.run(self.shard, executor))
+        self.advance(0.1)
+
+    def executor(self, executor_id):
+        """Return an executor by its id."""
+        return self.shard.executor_by_id[executor_id]
+
+    def schedule(self):
+        """Place waiting tasks from now on."""
+        self.shard.spawn(scheduling.run(self.shard))
+
+
+class SelectiveClient(RecordingClient):
+    """Answers the calls to each executor differently.
+
+    ``unanswered`` holds pairs of a call and an executor's id that get no
+    answer, ``rows_by_id`` the runs that the replies of an executor list,
+    ``starts`` and ``stops`` the executor's id of each such call.
+    """
+
+    def __init__(self, loop):
+        super().__init__()
+        self.unanswered = set()
+        self.rows_by_id = {}
+        self.starts = []
+        self.stops = []
+        self._loop = loop
+
+    async def start(self, listing, request, *, timeout_s):
+        self.starts.append(listing.executor_id)
+        await self._answer("start", listing, timeout_s)
+        return executor_messages.StartReply(executor_messages.STARTED)
+
+    async def stop(self, listing, task, run, token, *, timeout_s):
+        self.stops.append(listing.executor_id)
+        await self._answer("stop", listing, timeout_s)
+
+    async def poll(
+        self, listing, *, token, acknowledged, deadline_ms, wait_ms, timeout_s
+    ):
+        await self._answer("poll", listing, timeout_s)
+        await asyncio.sleep(max(wait_ms / 1000, 0.004))
+        rows = self.rows_by_id.get(listing.executor_id, [])
+        return executor_messages.PollReply(
+            int(self._loop.time() * 1000), 1, list(rows), []
+        )
+
+    async def _answer(self, call, listing, timeout_s):
+        if (call, listing.executor_id) in self.unanswered:
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("no answer")
