End the wait for a run whose stop has no answer

Cause: only a listed end, a confirmed stop or the end of the executor released the run. Callers saw a task that never ran again while its executor answered polls but no stop.

Change: a run that is being stopped has also ended once replies to polls have not listed it for the longest stop, counted from the first reply in which it was gone although it had been listed, or in which the executor's clock had passed the deadline of its last start: a later start is rejected. As before, an append confirms it. A restart of the executor starts the wait anew.

--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -125,6 +125,7 @@
         raise errors.PlatformUnavailable(
             "the executor's clock is unknown, so its lease cannot be extended"
         )
+    run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     task = run.task
     reply = await shard.executor_client.start(
         executor.listing,
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -39,7 +39,7 @@
         executor.unknown_runs = unknown_runs
         shard.changed.set()
     if len(reply.ended) < MAX_LISTED_ENDS:
-        _mark_vanished_runs_lost(shard, executor, listed, sent_at)
+        _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
 
 def note_replaced(shard: state.Shard, executor: tracking.Executor, reason: str) -> None:
@@ -73,6 +73,7 @@
     present = {(row.task, row.run) for row in reply.running}
     present |= {(end.task, end.run) for end in reply.ended}
     for run in list(executor.run_by_task.values()):
+        run.missing_since = None  # Its deadline is one of the former clock.
         if run.phase == workflow_state.STARTING:
             continue  # The request may still reach the restarted executor.
         if (run.task.name, run.number) not in present:
@@ -100,6 +101,7 @@
         if run is None:
             return False
     run.seen_at = sent_at
+    run.missing_since = None
     run.task.job.started = True
     if run.phase == workflow_state.STARTING:
         run.phase = workflow_state.WORKING
@@ -162,23 +164,43 @@
     executor: tracking.Executor,
     listed: set[tuple[str, int]],
     sent_at: float,
+    clock_ms: int,
 ) -> None:
     """Mark runs as lost that the executor lists no longer and without an end.
 
-    A run whose stop was confirmed may take ``max_stop_s`` to end.
+    A run that is being stopped may take ``max_stop_s`` to end, counted from
+    when the stop was confirmed. An unanswered stop may have arrived at any
+    time, so the time counts from the reply that showed that the run was gone
+    from the list and could not start any more.
     """
+    stop_s = shard.timing.max_stop_s + STOP_MARGIN_S
     for run in list(executor.run_by_task.values()):
         if (run.task.name, run.number) in listed:
             continue
         if run.phase == workflow_state.WORKING:
             if run.seen_at is not None and sent_at > run.seen_at:
                 _lose(shard, executor, run, "the executor no longer lists it")
-        elif run.stop_confirmed_at is not None:
-            gone_at = run.stop_confirmed_at + shard.timing.max_stop_s + STOP_MARGIN_S
-            if sent_at > gone_at:
+        elif run.phase == workflow_state.STOPPING:
+            if run.missing_since is None and _can_start_no_more(run, clock_ms):
+                run.missing_since = shard.clock.monotonic()
+            ended_from = (run.stop_confirmed_at, run.missing_since)
+            if any(
+                since is not None and sent_at > since + stop_s for since in ended_from
+            ):
                 _lose(shard, executor, run, "stopped")
 
 
+def _can_start_no_more(run: workflow_state.Run, clock_ms: int) -> bool:
+    """Return whether a run was listed before or is too late to start.
+
+    A start that arrives after its deadline on the executor's clock is
+    rejected.
+    """
+    if run.seen_at is not None:
+        return True
+    return run.start_deadline_ms is not None and clock_ms > run.start_deadline_ms
+
+
 def _lose(
     shard: state.Shard,
     executor: tracking.Executor,
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -28,6 +28,11 @@
         stop_confirmed_at: Monotonic time at which the executor confirmed the
             stop.
         seen_at: Monotonic time of the newest poll that listed it.
+        start_deadline_ms: Latest deadline of a start request that was sent,
+            on the executor's clock; None if none was sent.
+        missing_since: Monotonic time of the first of the consecutive replies
+            to polls that did not list it although it can no longer start;
+            None while it may still start or is listed.
         percent: Progress of the work. For a serving task, how far it has
             started to serve.
         load: Tail latency in ms of a serving task, otherwise millicores in
@@ -48,6 +53,8 @@
     stop_reason: str = ""
     stop_confirmed_at: float | None = None
     seen_at: float | None = None
+    start_deadline_ms: int | None = None
+    missing_since: float | None = None
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
