Show that a task is started for ever where no start arrives

Cause: a start in doubt leaves no mark on its executor. One that answers polls but no start stays eligible, and as nothing runs there it has the most free capacity: the task comes back to it after each doubt. The tries of several starts alternate, so that the doubt about each comes after all first tries.

--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from limpetstream.executors import leases, messages as executor_messages
-from limpetstream.shard import scheduling, stops
+from limpetstream.shard import jobs, scheduling, stops
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import state as workflow_state
 
@@ -68,3 +68,55 @@
     scene.client.rows_by_id.clear()
     scene.advance(4.5)
     assert task.run is not run
+
+
+def test_a_task_goes_elsewhere_after_a_start_in_doubt(open_scene):
+    """Guards against a task that is started for ever where no start arrives.
+
+    The executor answers polls, so it stays eligible, and it has the most free
+    capacity because nothing ever runs there.
+    """
+    scene = open_scene(executors=2)
+    other = scene.executor("x1")
+    builders.start_run(other, builders.make_tasks(scene.shard, builders.SHORT)[0])
+    for task in other.run_by_task.values():
+        row = executor_messages.RunningRow(task.task.name, 1, "", 50, 0)
+        scene.client.rows_by_id["x1"] = [row]
+    scene.client.unanswered = {("start", "x0")}
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    jobs.enqueue(scene.shard, task)
+    scene.schedule()
+    scene.advance(6.0)
+    assert scene.client.starts[:3] == ["x0"] * 3
+    assert scene.client.starts[3:] == ["x1"]
+    assert not scene.errors
+
+
+def test_tasks_behind_a_start_in_doubt_go_elsewhere(open_scene):
+    """Guards against a wait that grows with the starts on one executor.
+
+    Two starts are sent at once, and each is tried for 1.2 s.
+    """
+    scene = open_scene(executors=1)
+    scene.client.unanswered = {("start", "x0")}
+    step = builders.copy_step(builders.SHORT, count=10)
+    tasks = builders.make_tasks(scene.shard, step)
+    for task in tasks:
+        scheduling.start_on(scene.shard, scene.executor("x0"), task, 1)
+    scene.advance(1.5)
+    waiting = scene.shard.waiting_tasks
+    assert sorted(task.name for task in waiting) == [task.name for task in tasks[2:]]
+
+
+def test_an_executor_in_doubt_is_tried_again_when_it_is_the_only_one(open_scene):
+    """Guards against room that is never used again after a start in doubt."""
+    scene = open_scene()
+    scene.client.unanswered = {("start", "x0")}
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    jobs.enqueue(scene.shard, task)
+    scene.schedule()
+    scene.advance(1.5)
+    scene.client.unanswered.clear()
+    scene.advance(4.0)
+    assert len(scene.client.starts) > 3
+    assert task.run is not None
