Prefer other executors after a start in doubt

Cause: a start without an answer left no mark on its executor, which answered polls, stayed eligible and had the most free capacity. Callers saw a task that never ran although other executors had room.

Change: a start in doubt marks its executor until a start there is answered or 10 s have passed; marked executors come after all others, and are still used when no other suits. Starts that were placed before the doubt and not yet sent are withdrawn.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -40,6 +40,8 @@
         failure_score: Decaying number of recent failures on it, of runs of
             several jobs.
         avoid_until: Monotonic time before which no task is placed on it.
+        doubted_at: Monotonic time at which the answers to a start were last
+            given up; minus infinity once a later start has been answered.
         recorded: Whether the journal durably holds a record of it.
         unknown_runs: Task names and run numbers of runs on it that no open job
             needs; they are being stopped and still use capacity.
@@ -70,6 +72,7 @@
     silent_since: float | None = None
     failure_score: float = 0.0
     avoid_until: float = float("-inf")
+    doubted_at: float = float("-inf")
     recorded: bool = False
     unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     pace_changed_at: float = float("-inf")
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -1,5 +1,7 @@
 """Sends the requests that start runs."""
 
+import math
+
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.shard import events, jobs, pacing, proof, state, stops
@@ -28,24 +30,32 @@
     stopped before the task can run again.
     """
     await _record_job(shard, run.task.job)
+    async with executor.start_slots:
+        await _try_to_start(shard, executor, run)
+
+
+async def _try_to_start(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Send a start until it is answered, for a bounded number of times."""
     is_sent, obstacle = False, ""
     for _ in range(START_TRIES):
+        if run.phase != workflow_state.STARTING:
+            return  # Stopped, or reported by a poll, while it waited.
+        obstacle = _obstacle(shard, executor, run, is_sent=is_sent)
+        if obstacle:
+            break
+        if not is_sent:
+            _log_start(shard, executor, run)
+        is_first_try, is_sent = not is_sent, True
         try:
-            async with executor.start_slots:
-                if run.phase != workflow_state.STARTING:
-                    return  # Stopped, or reported by a poll, while it waited.
-                obstacle = _obstacle(shard, executor)
-                if obstacle:
-                    break
-                if not is_sent:
-                    _log_start(shard, executor, run)
-                is_first_try, is_sent = not is_sent, True
-                reply = await _send(shard, executor, run)
+            reply = await _send(shard, executor, run)
         except errors.ExecutorReplaced:
             break  # Polls may reach the executor at a newer address.
         except errors.PlatformUnavailable as error:
             _log_unanswered(executor, run, error)
             continue
+        executor.doubted_at = -math.inf
         if not is_first_try and reply.outcome != executor_messages.STARTED:
             break  # The unanswered try may still take effect.
         _apply_reply(shard, executor, run, reply)
@@ -61,15 +71,24 @@
         run=run.number,
         executor=executor.listing.executor_id,
     )
+    executor.doubted_at = shard.clock.monotonic()
     stops.stop_run(shard, executor, run, "start in doubt")
 
 
-def _obstacle(shard: state.Shard, executor: tracking.Executor) -> str:
+def _obstacle(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    *,
+    is_sent: bool,
+) -> str:
     """Return why no start may be sent now; empty if one may."""
     if not proof.is_proven(shard):
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
+    if not is_sent and run.start_requested_at < executor.doubted_at:
+        return "an earlier start there has no answer"
     return ""
 
 
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -75,6 +75,8 @@
         candidate = _Candidate(executor, task, context)
         if candidate.cpu_share < MIN_CPU_SHARE or candidate.pace < MIN_PACE:
             continue
+        if eligibility.is_in_doubt(executor, context.now):
+            continue
         if not _is_over_target(executor) and _may_probe(executor, task, context):
             return True
     return False
@@ -109,6 +111,8 @@
         if rack and rack in executor.listing.labels:
             self.score += eligibility.DATA_RACK_BONUS_CORES
         self.score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
+        if eligibility.is_in_doubt(executor, context.now):
+            self.score -= eligibility.IN_DOUBT_PENALTY_CORES
 
 
 def _is_over_target(executor: tracking.Executor) -> bool:
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -9,6 +9,10 @@
 DATA_RACK_BONUS_CORES = 1000.0  # Off the data's rack a task takes far_x as long.
 FULL_PACE_BONUS_CORES = 500.0  # Best-effort work prefers to keep its full speed.
 FAILURE_PENALTY_CORES = 30.0  # Moves work away from executors where runs fail.
+# More than all bonuses: an executor in doubt comes after every other one.
+IN_DOUBT_PENALTY_CORES = 10_000.0
+# Longer than a start in doubt may hold its task (design.md, 11.8).
+IN_DOUBT_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +56,15 @@
     )
 
 
+def is_in_doubt(executor: tracking.Executor, now: float) -> bool:
+    """Return whether an executor has lately left a start without an answer.
+
+    It may answer polls all the while. Tasks go there only if no other executor
+    suits them.
+    """
+    return now - executor.doubted_at < IN_DOUBT_S
+
+
 def meets_constraints(executor: tracking.Executor, task: state.Task) -> bool:
     """Return whether an executor satisfies the task's placement constraints.
 
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -43,6 +43,7 @@
         # Scoring is expensive for best-effort work, and the next pass, 0.2 s
         # later, starts at other executors.
         batches = itertools.islice(batches, 1)
+    in_doubt = None
     for batch in batches:
         allowed = eligibility.eligible_executors(batch, task, context)
         context.scored_count += len(allowed)
@@ -51,12 +52,15 @@
         else:
             chosen = max(
                 allowed,
-                key=lambda executor: _score(executor, task, rack_labels),
+                key=lambda executor: _score(executor, task, rack_labels, context.now),
                 default=None,
             )
-        if chosen is not None:
+        if chosen is None:
+            continue
+        if not eligibility.is_in_doubt(chosen, context.now):
             return chosen
-    return None
+        in_doubt = in_doubt or chosen
+    return in_doubt
 
 
 def candidate_batches(
@@ -106,7 +110,10 @@
 
 
 def _score(
-    executor: tracking.Executor, task: state.Task, rack_labels: frozenset[str]
+    executor: tracking.Executor,
+    task: state.Task,
+    rack_labels: frozenset[str],
+    now: float,
 ) -> float:
     """Return how well an executor suits a task, in cores; higher is better."""
     step = task.step
@@ -128,6 +135,8 @@
         # rack share more.
         shared = len(rack_labels.intersection(executor.listing.labels))
         score += SAME_RACK_BONUS_CORES * shared
+    if eligibility.is_in_doubt(executor, now):
+        score -= eligibility.IN_DOUBT_PENALTY_CORES
     return score - eligibility.FAILURE_PENALTY_CORES * executor.failure_score
 
 
