Show that a stop without effect is never repeated

Cause: a stop is sent until it is confirmed and then no more. If the run stays listed, its task gets no other run; if no task needs the run, its executor gets no tasks. One way: the executor confirms, restarts under its id between two polls, and a delayed start of the same run arrives afterwards.

--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -120,3 +120,41 @@
     scene.advance(4.0)
     assert len(scene.client.starts) > 3
     assert task.run is not None
+
+
+def test_a_confirmed_stop_without_effect_is_sent_again(open_scene):
+    """Guards against a run that is listed for ever after a confirmed stop."""
+    scene = open_scene()
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    scene.client.rows_by_id["x0"] = [
+        executor_messages.RunningRow(task.name, 1, "", 50, 0)
+    ]
+    scene.advance(1.5)
+    stops.stop_run(scene.shard, scene.executor("x0"), task.run, "test")
+    scene.advance(10.0)
+    assert 3 <= len(scene.client.stops) <= 8
+
+
+def test_an_unknown_run_that_stays_listed_is_stopped_again(open_scene):
+    """Guards against an executor that gets no tasks any more.
+
+    It had confirmed the stop, restarted, and received the start afterwards.
+    """
+    scene = open_scene()
+    row = executor_messages.RunningRow("unknown.0.0.0", 1, "", 50, 0)
+    scene.client.rows_by_id["x0"] = [row]
+    scene.advance(10.0)
+    assert 3 <= len(scene.client.stops) <= 8
+    scene.client.rows_by_id.clear()
+    scene.advance(1.5)
+    assert not scene.executor("x0").unknown_runs
+
+
+def test_an_unknown_run_has_one_unanswered_stop_at_a_time(open_scene):
+    """Guards against stops that grow in number while none is answered."""
+    scene = open_scene()
+    row = executor_messages.RunningRow("unknown.0.0.0", 1, "", 50, 0)
+    scene.client.rows_by_id["x0"] = [row]
+    scene.client.unanswered = {("stop", "x0")}
+    scene.advance(10.0)
+    assert len(scene.client.stops) <= 18
