Send a stop again while the run stays listed

Cause: a stop was sent once it was confirmed no more, also if the run stayed listed. Callers saw a task that never ran again, or an executor that got no tasks because of a run that no task needs.

Change: a run that is listed longer than the longest stop after the stop was confirmed is stopped again, with one unanswered stop at a time. The unknown runs of an executor are a dict that holds when each stop was confirmed; the test data of the wait reasons is changed to that type.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -43,8 +43,9 @@
         doubted_at: Monotonic time at which the answers to a start were last
             given up; minus infinity once a later start has been answered.
         recorded: Whether the journal durably holds a record of it.
-        unknown_runs: Task names and run numbers of runs on it that no open job
-            needs; they are being stopped and still use capacity.
+        unknown_runs: Runs on it that no open job needs; they are being stopped
+            and still use capacity. By task name and run number; the value is
+            the monotonic time at which the stop was confirmed, or None.
         pace_changed_at: Monotonic time of the last change of a run's pace.
         best_effort_seen: Names of the best-effort tasks at the newest poll.
         best_effort_ended_at: Monotonic time at which one of these tasks was
@@ -74,7 +75,9 @@
     avoid_until: float = float("-inf")
     doubted_at: float = float("-inf")
     recorded: bool = False
-    unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    unknown_runs: dict[tuple[str, int], float | None] = dataclasses.field(
+        default_factory=dict
+    )
     pace_changed_at: float = float("-inf")
     best_effort_seen: frozenset[str] = frozenset()
     best_effort_ended_at: float = float("-inf")
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -30,14 +30,16 @@
         if end.number > executor.applied_end:
             executor.applied_end = end.number
             jobs.apply_end(shard, executor, end)
-    listed, unknown_runs = set(), set()
+    listed: set[tuple[str, int]] = set()
+    unknown_runs: dict[tuple[str, int], float | None] = {}
     for row in reply.running:
-        listed.add((row.task, row.run))
+        key = row.task, row.run
+        listed.add(key)
         if not _apply_row(shard, executor, row, sent_at):
-            unknown_runs.add((row.task, row.run))
-    if executor.unknown_runs != unknown_runs:
-        executor.unknown_runs = unknown_runs
+            unknown_runs[key] = _stop_unknown(shard, executor, key, sent_at)
+    if executor.unknown_runs.keys() != unknown_runs.keys():
         shard.changed.set()
+    executor.unknown_runs = unknown_runs
     if len(reply.ended) < MAX_LISTED_ENDS:
         _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
@@ -110,11 +112,46 @@
         run.percent = row.percent
         run.progressed_at = sent_at
     run.load = row.load
+    if run.phase == workflow_state.STOPPING and _has_had_no_effect(
+        shard, run.stop_confirmed_at, sent_at
+    ):
+        stops.stop_again(shard, executor, run)
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
     return True
 
 
+def _stop_unknown(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    key: tuple[str, int],
+    sent_at: float,
+) -> float | None:
+    """Stop a run that no open task needs, unless it is being stopped.
+
+    Returns:
+        Monotonic time at which the stop was confirmed; None before.
+    """
+    confirmed_at = executor.unknown_runs.get(key)
+    is_ineffective = _has_had_no_effect(shard, confirmed_at, sent_at)
+    if key in executor.unknown_runs and not is_ineffective:
+        return confirmed_at
+    stops.stop_unknown_run(shard, executor, *key, "no open task needs it")
+    return None
+
+
+def _has_had_no_effect(
+    shard: state.Shard, confirmed_at: float | None, sent_at: float
+) -> bool:
+    """Return whether a run that is listed should have ended by its stop.
+
+    An executor that restarts forgets a stop that it has confirmed, and a
+    delayed start may reach it afterwards.
+    """
+    stop_s = shard.timing.max_stop_s + STOP_MARGIN_S
+    return confirmed_at is not None and sent_at > confirmed_at + stop_s
+
+
 def _adopt(
     shard: state.Shard, executor: tracking.Executor, row: messages.RunningRow
 ) -> workflow_state.Run | None:
@@ -124,15 +161,11 @@
     task from being started until its end is known.
 
     Returns:
-        The run, or None if no task needs it; it is then being stopped.
+        The run, or None if no open task needs it.
     """
     task = jobs.find_task(shard, row.task)
     current = executor.run_by_task.get(row.task)
     if task is None or current is not None or not _is_open(task):
-        if (row.task, row.run) not in executor.unknown_runs:
-            stops.stop_unknown_run(
-                shard, executor, row.task, row.run, "no open task needs it"
-            )
         return None
     now = shard.clock.monotonic()
     run = workflow_state.Run(
--- a/limpetstream/shard/stops.py
+++ b/limpetstream/shard/stops.py
@@ -31,6 +31,15 @@
     shard.spawn(_send_until_confirmed(shard, executor, run.task.name, run.number, run))
 
 
+def stop_again(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Stop a run that is still listed long after its stop was confirmed."""
+    run.stop_confirmed_at = None
+    run.phase = workflow_state.WORKING
+    stop_run(shard, executor, run, run.stop_reason)
+
+
 def stop_unknown_run(
     shard: state.Shard, executor: tracking.Executor, task: str, number: int, reason: str
 ) -> None:
@@ -84,6 +93,9 @@
                 )
             await shard.clock.sleep(STOP_RETRY_S)
             continue
+        confirmed_at = shard.clock.monotonic()
         if run is not None:
-            run.stop_confirmed_at = shard.clock.monotonic()
+            run.stop_confirmed_at = confirmed_at
+        elif (task, number) in executor.unknown_runs:
+            executor.unknown_runs[task, number] = confirmed_at
         return
--- a/limpetstream/workflow/tests/test_wait_reasons.py
+++ b/limpetstream/workflow/tests/test_wait_reasons.py
@@ -25,7 +25,7 @@
         ({"recorded": False}, "not in the journal yet"),
         ({"listed": False}, "not listed any more"),
         ({"silent_since": 0.0}, "silent"),
-        ({"unknown_runs": {("t", 1)}}, "holds unknown runs"),
+        ({"unknown_runs": {("t", 1): None}}, "holds unknown runs"),
         ({"polled_at": -10.0}, "look too old"),
         ({"avoid_until": 9.0}, "avoided after a failed order"),
     ],
