Check that every open task waits or has a run

Cause: nothing in the owner would find a task that it has forgotten; callers would see an accepted job that never goes on.

Change: ten times a second, housekeeping checks at most 200 open tasks of released steps. One that neither waits nor has a run that its executor holds is logged (task-forgotten), and queued again if no executor holds or lists a run of it. All scenarios on virtual time now require that there is no such task.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -333,3 +333,10 @@
     "A start that was decided is not sent; its task waits again.",
     "See the reason.",
 )
+TASK_FORGOTTEN = events.declare(
+    1560,
+    "task-forgotten",
+    "ERROR",
+    "An open task had neither a run nor a place among the tasks that wait.",
+    "Report it as a fault of the program, with the lines of this task before it.",
+)
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -1,13 +1,14 @@
 """Does an owner's periodic work for its shard.
 
 It queues due occurrences, stops long-running runs on draining executors, moves
-paused runs, reports why tasks wait, stores learned estimates, and drops jobs
-whose retention time is over.
+paused runs, finds forgotten tasks, reports why tasks wait, stores learned
+estimates, and drops jobs whose retention time is over.
 """
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import (
+    audits,
     events,
     jobs,
     names,
@@ -34,11 +35,13 @@
     next_cleanup_at = shard.clock.monotonic() + CLEANUP_INTERVAL_S
     next_report_at = shard.clock.monotonic() + wait_reports.REPORT_INTERVAL_S
     dropped_submissions: set[str] = set()
+    audit = audits.Audit(shard)
     while True:
         release_due_occurrences(shard)
         if proof.is_proven(shard):
             stop_runs_on_draining_executors(shard)
             relocation.relocate_paused_runs(shard)
+        audit.check_some()
         now = shard.clock.monotonic()
         if now >= next_report_at:
             next_report_at = now + wait_reports.REPORT_INTERVAL_S
--- a/limpetstream/shard/tests/schedules.py
+++ b/limpetstream/shard/tests/schedules.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from limpetstream.shard import events
+from limpetstream.telemetry import logs
 from limpetstream.workflow import messages
 from standins import shard_cluster, virtual_time
 
@@ -22,7 +24,19 @@
             await cluster.kill(member)
         return cluster
 
-    return virtual_time.run(bounded(), loop=loop)
+    forgotten = []
+
+    def observe(event, fields):
+        if event is events.TASK_FORGOTTEN:
+            forgotten.append(fields)
+
+    logs.observers.append(observe)
+    try:
+        cluster = virtual_time.run(bounded(), loop=loop)
+    finally:
+        logs.observers.remove(observe)
+    assert not forgotten
+    return cluster
 
 
 def steps(count=4, *, chain=1, cpu=4000):
