Log the runs that hold a task without working

Cause: task-waits covers tasks without a run only. A task whose run was in doubt, being stopped or on a silent executor had no line, however long.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -340,3 +340,10 @@
     "An open task had neither a run nor a place among the tasks that wait.",
     "Report it as a fault of the program, with the lines of this task before it.",
 )
+RUN_UNSETTLED = events.declare(
+    1561,
+    "run-unsettled",
+    "INFO",
+    "A run has been starting, being stopped or out of reach for long.",
+    "See the reason in OPERATIONS.md; its task gets no other run meanwhile.",
+)
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -46,6 +46,7 @@
         if now >= next_report_at:
             next_report_at = now + wait_reports.REPORT_INTERVAL_S
             wait_reports.report_waiting_jobs(shard)
+            wait_reports.report_unsettled_runs(shard)
         if now >= next_cleanup_at:
             next_cleanup_at = now + CLEANUP_INTERVAL_S
             stored_estimates.save(shard)
--- a/limpetstream/shard/stops.py
+++ b/limpetstream/shard/stops.py
@@ -21,6 +21,8 @@
         return
     run.phase = workflow_state.STOPPING
     run.stop_reason = reason
+    if run.stop_ordered_at is None:
+        run.stop_ordered_at = shard.clock.monotonic()
     logs.emit(
         events.STOP_ORDERED,
         task=run.task.name,
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -12,6 +12,8 @@
 
 # A job of one second whose objective is 1.5 s is late after this wait.
 FIRST_WAIT_REPORT_S = 0.5
+# Longer than all tries of a start, or a stop of 0.9 s and the poll after it.
+FIRST_UNSETTLED_REPORT_S = 2.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -25,6 +27,7 @@
         start_requested_at: Monotonic time of the first start request.
         phase: ``starting``, ``working``, ``stopping`` or ``gone``.
         stop_reason: Why it is being stopped.
+        stop_ordered_at: Monotonic time at which its stop was decided.
         stop_confirmed_at: Monotonic time at which the executor confirmed the
             stop.
         seen_at: Monotonic time of the newest poll that listed it.
@@ -43,6 +46,8 @@
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
         progressed_at: Monotonic time at which ``percent`` last changed.
+        report_threshold_s: Seconds that it must have been unsettled for the
+            next log line that says why.
     """
 
     task: "Task"
@@ -51,6 +56,7 @@
     start_requested_at: float
     phase: str = STARTING
     stop_reason: str = ""
+    stop_ordered_at: float | None = None
     stop_confirmed_at: float | None = None
     seen_at: float | None = None
     start_deadline_ms: int | None = None
@@ -61,6 +67,7 @@
     giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
+    report_threshold_s: float = FIRST_UNSETTLED_REPORT_S
 
 
 @dataclasses.dataclass(slots=True, eq=False)
