Test that each wait of a task ends

Cause: several ends of a wait, such as the runs of a replaced executor or an entry that is listed again, had no test that fails without them.

Change: tests for those ends; section 11.8 of design.md names the test of each.

--- /dev/null
+++ b/limpetstream/shard/tests/test_waits_end.py
@@ -0,0 +1,356 @@
+"""Tests that every wait that the owner can end does end.
+
+Each test belongs to a row of section 11.8 of design.md, and fails when what
+ends that wait is removed.
+"""
+
+import asyncio
+
+import loguru
+import pytest
+
+from limpetstream import errors
+from limpetstream.executors import messages as executor_messages
+from limpetstream.shard import events, housekeeping, jobs, proof, scheduling, state
+from limpetstream.shard.tests import builders, schedules
+from limpetstream.telemetry import logs
+from limpetstream.workflow import messages, state as workflow_state
+from standins import virtual_time
+
+POLL_BOUND_S = 1.6  # A poll waits for 1 s at most, and its answer 0.6 s.
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    loguru.logger.remove()
+
+
+@pytest.fixture
+def open_scene():
+    scenes = []
+
+    def open_one(**options):
+        scenes.append(builders.PolledShard(**options))
+        return scenes[-1]
+
+    yield open_one
+    for scene in scenes:
+        scene.close()
+
+
+def make_listed_run(scene):
+    """Return a task with a run that x0 lists."""
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    row = executor_messages.RunningRow(task.name, 1, "", 50, 0)
+    scene.client.rows_by_id["x0"] = [row]
+    scene.advance(POLL_BOUND_S)
+    assert task.run is not None
+    return task
+
+
+def test_a_run_that_is_listed_no_more_ends(open_scene):
+    """Guards against a task that waits for a run that is gone."""
+    scene = open_scene()
+    task = make_listed_run(scene)
+    scene.client.rows_by_id.clear()
+    scene.advance(POLL_BOUND_S + 0.1)
+    assert task.run is None
+    assert task in scene.shard.waiting_tasks
+
+
+def test_a_stopped_run_without_a_listed_end_ends(open_scene):
+    """Guards against a task that waits for the end of a start in doubt.
+
+    The stop is confirmed, and the start has not arrived before it.
+    """
+    scene = open_scene()
+    scene.client.unanswered = {("start", "x0")}
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    scheduling.start_on(scene.shard, scene.executor("x0"), task, 1)
+    stop_s = scene.shard.timing.max_stop_s + 0.3
+    scene.advance(1.3 + stop_s + 2 * POLL_BOUND_S)
+    assert task.run is None
+    assert task in scene.shard.waiting_tasks
+
+
+def test_a_stop_is_sent_until_it_is_answered(open_scene):
+    """Guards against a run that nothing stops after one lost answer."""
+    scene = open_scene()
+    task = make_listed_run(scene)
+    run = task.run
+    scene.client.unanswered = {("stop", "x0")}
+    executor = scene.executor("x0")
+    jobs.finish(scene.shard, task.job, messages.CANCELLED)
+    scene.advance(2.0)
+    assert run.stop_confirmed_at is None
+    scene.client.unanswered.clear()
+    scene.advance(1.0)
+    assert run.stop_confirmed_at is not None
+    assert executor.run_by_task[task.name] is run
+
+
+def test_runs_of_a_replaced_executor_end(open_scene):
+    """Guards against a task that waits for an executor that was replaced."""
+    scene = open_scene()
+    task = make_listed_run(scene)
+
+    async def refuse(listing, **options):
+        raise errors.ExecutorReplaced(listing.executor_id)
+
+    scene.client.poll = refuse
+    scene.advance(POLL_BOUND_S)
+    assert task.run is None
+    assert "x0" not in scene.shard.executor_by_id
+
+
+def test_a_start_that_waited_for_the_journal_is_sent(open_scene):
+    """Guards against a first start that an outage of the store swallows."""
+    scene = open_scene()
+    scene.store.down = True
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    scheduling.start_on(scene.shard, scene.executor("x0"), task, 1)
+    scene.advance(1.0)
+    assert not scene.client.starts
+    scene.store.down = False
+    scene.advance(1.0)
+    assert scene.client.starts == ["x0"]
+
+
+def test_an_unwilling_executor_is_tried_again(open_scene):
+    """Guards against room that is never used again after a refusal."""
+    scene = open_scene()
+    start = scene.client.start
+
+    async def refuse(listing, request, *, timeout_s):
+        return executor_messages.StartReply(executor_messages.UNWILLING)
+
+    scene.client.start = refuse
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    jobs.enqueue(scene.shard, task)
+    scene.schedule()
+    scene.advance(0.5)
+    assert task.run is None
+    scene.client.start = start
+    scene.advance(1.5)
+    assert scene.client.starts
+
+
+def test_a_failed_run_is_started_again_after_its_pause(open_scene):
+    """Guards against a task that its first failure puts aside."""
+    scene = open_scene()
+    scene.schedule()
+    task = make_listed_run(scene)
+    end = executor_messages.EndRow(1, task.name, 1, executor_messages.FAILED, "")
+    scene.client.rows_by_id.clear()
+    jobs.apply_end(scene.shard, scene.executor("x0"), end)
+    scene.advance(0.5)
+    assert scene.client.starts
+
+
+def test_a_gang_is_placed_once_its_last_member_waits():
+    """Guards against a gang that waits after the end of a member's run."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=3)
+    step = builders.copy_step(builders.SHORT, count=3, gang=True)
+    first, *others = builders.make_tasks(shard, step)
+    run = builders.start_run(shard.executor_by_id["x0"], first)
+    for task in others:
+        jobs.enqueue(shard, task)
+    scheduling.run_pass(shard)
+    assert all(task.run is None for task in others)
+    end = executor_messages.EndRow(1, first.name, run.number, "alone", "")
+    jobs.apply_end(shard, shard.executor_by_id["x0"], end)
+    scheduling.run_pass(shard)
+    assert all(task.run is not None for task in [first, *others])
+
+
+def test_a_spread_limit_ends_with_the_run_that_reached_it():
+    """Guards against a step that an ended run keeps from an executor."""
+    shard = builders.make_shard(virtual_time.Loop())
+    step = builders.copy_step(builders.SHORT, count=2, max_per_executor=1)
+    first, second = builders.make_tasks(shard, step)
+    run = builders.start_run(shard.executor_by_id["x0"], first)
+    jobs.enqueue(shard, second)
+    scheduling.run_pass(shard)
+    assert second.run is None
+    end = executor_messages.EndRow(1, first.name, run.number, "done", "")
+    jobs.apply_end(shard, shard.executor_by_id["x0"], end)
+    scheduling.run_pass(shard)
+    assert second.run is not None
+
+
+def test_a_due_occurrence_is_queued():
+    """Guards against a scheduled job whose time passes unnoticed."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    tasks = builders.make_tasks(shard, builders.SHORT)
+    job = tasks[0].job
+    job.submission.occurrences = 2
+    job.submission.first_due_ms = int(shard.clock.wall_ms() + 1000)
+    job.submission.interval_ms = 1000
+    jobs.open_job(shard, job)
+
+    async def bounded(seconds):
+        task = asyncio.create_task(housekeeping.run(shard))
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    virtual_time.run(bounded(0.9), loop=loop)
+    assert not shard.waiting_tasks
+    loop = virtual_time.Loop()
+    shard.clock = virtual_time.make_clock(loop)
+    job.submission.first_due_ms = int(shard.clock.wall_ms() + 1000)
+    virtual_time.run(bounded(2.2), loop=loop)
+    assert [task.occurrence for task in shard.waiting_tasks] == [0, 1]
+
+
+def run_listing_scenario(change, restore):
+    """Return the starts after the entries of all executors were restored.
+
+    ``change`` and ``restore`` are called with the cluster and an executor.
+    """
+    starts = []
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        for executor in cluster.executor_by_id.values():
+            change(cluster, executor)
+        await asyncio.sleep(1)
+        job_id = schedules.job_id(1)
+        assert await cluster.submit(job_id, schedules.steps(), seconds=0.5)
+        await asyncio.sleep(2)
+        assert cluster.breaches.starts == 0
+        for executor in cluster.executor_by_id.values():
+            restore(cluster, executor)
+        await asyncio.sleep(1)
+        starts.append(cluster.breaches.starts)
+
+    assert not schedules.run_scenario(scenario).breaches.found
+    return starts[0]
+
+
+def test_executors_that_are_listed_again_get_work():
+    """Guards against an executor whose entry was missing for a while."""
+    assert run_listing_scenario(
+        lambda cluster, executor: cluster.unlist_executor(executor.listing.executor_id),
+        lambda cluster, executor: cluster.list_executor(executor),
+    )
+
+
+@pytest.mark.parametrize(
+    ("field", "away", "back"),
+    [
+        ("state", executor_messages.DRAINING, executor_messages.READY),
+        ("service", "other", "service"),
+        ("data_centre", "closed", "a"),
+    ],
+)
+def test_executors_whose_entry_allows_tasks_again_get_work(field, away, back):
+    """Guards against an executor that an earlier entry shuts out."""
+
+    def change(cluster, executor, value=away):
+        cluster.view.closed_data_centres = frozenset({"closed"})
+        setattr(executor.listing, field, value)
+        cluster.list_executor(executor)
+
+    assert run_listing_scenario(
+        change, lambda cluster, executor: change(cluster, executor, back)
+    )
+
+
+def test_a_shard_is_loaded_once_the_store_answers():
+    """Guards against an owner that fails, or waits, after a failed load."""
+    failed = []
+
+    def observe(event, fields):
+        if event is events.SHARD_FAILED:
+            failed.append(fields)
+
+    async def scenario(cluster):
+        instance = cluster.start("m0")
+        await asyncio.sleep(2)
+        job_id = schedules.job_id(1)
+        assert await cluster.submit(job_id, schedules.steps(), seconds=1.0)
+        await cluster.kill("m0")
+        instance = cluster.start("m1")
+        newest = instance.store.newest
+        calls = []
+
+        async def sometimes(topic, partition, *, timeout_s):
+            calls.append(topic)
+            if len(calls) % 3:
+                await asyncio.sleep(timeout_s)
+                raise errors.PlatformUnavailable("no answer")
+            return await newest(topic, partition, timeout_s=timeout_s)
+
+        instance.store.newest = sometimes
+        await asyncio.sleep(20)
+        instance.store.newest = newest
+        assert await cluster.wait_until_final(job_id, limit_s=15) == "completed"
+
+    logs.observers.append(observe)
+    try:
+        schedules.run_scenario(scenario)
+    finally:
+        logs.observers.remove(observe)
+    assert not failed
+
+
+def test_an_owner_without_a_proof_starts_work_once_it_has_one(open_scene):
+    """Guards against an idle owner that places nothing any more."""
+    scene = open_scene()
+    scene.client.unanswered = {("poll", "x0")}
+    scene.store.down = True
+    scene.schedule()
+    scene.advance(proof.VALIDITY_S + 3.0)
+    task = builders.make_tasks(scene.shard, builders.SHORT)[0]
+    jobs.enqueue(scene.shard, task)
+    scene.advance(1.0)
+    assert task.run is None
+    scene.store.down = False
+    scene.client.unanswered.clear()
+    scene.advance(3.0)
+    assert scene.client.starts
+
+
+def test_best_effort_work_starts_at_a_low_pace_after_a_long_wait():
+    """Guards against best-effort work that always waits for its full pace."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    executor = shard.executor_by_id["x0"]
+    serving = builders.copy_step(builders.SERVING, cpu_millicores=30_000)
+    run = builders.start_run(executor, builders.make_tasks(shard, serving)[0])
+    run.load = 15.0
+    filling = builders.copy_step(builders.BEST_EFFORT, cpu_millicores=30_000)
+    builders.start_run(executor, builders.make_tasks(shard, filling)[0])
+    task = builders.make_tasks(shard, builders.BEST_EFFORT)[0]
+    jobs.enqueue(shard, task)
+
+    async def passes():
+        while loop.time() < 30.0 and task.run is None:
+            executor.polled_at = shard.ownership_proven_at = loop.time()
+            scheduling.run_pass(shard)
+            await asyncio.sleep(0.05)
+
+    virtual_time.run(passes(), loop=loop)
+    assert task.run is not None
+    assert task.run.phase == workflow_state.STARTING
+
+
+def test_an_executor_back_while_its_record_is_deleted_is_recorded(open_scene):
+    """Guards against an executor whose record nothing writes again."""
+    scene = open_scene()
+    executor = scene.executor("x0")
+    scene.client.unanswered = {("poll", "x0")}
+    scene.advance(0.7)
+    scene.store.down = True
+    scene.advance(3.0)
+    assert scene.shard.record_state_by_id["x0"] == state.DROPPING
+    scene.client.unanswered.clear()
+    scene.advance(1.0)
+    assert executor.silent_since is None
+    assert not executor.recorded
+    scene.store.down = False
+    scene.advance(3.0)
+    assert executor.recorded
