--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -9,7 +9,8 @@
 from limpetstream.executors import leases, messages as executor_messages
 from limpetstream.shard import jobs, scheduling, stops
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import state as workflow_state
+from limpetstream.workflow import checks, records, state as workflow_state
+from standins import keyed_store, virtual_time
 
 # The deadline of the last of three tries, and two polls after it.
 UNANSWERED_STOP_BOUND_S = 1.2 + leases.LEASE_S / leases.MIN_CLOCK_RATE + 4.0
@@ -158,3 +159,34 @@
     scene.client.unanswered = {("stop", "x0")}
     scene.advance(10.0)
     assert len(scene.client.stops) <= 18
+
+
+@pytest.mark.parametrize("done", [False, True])
+def test_the_progress_of_the_largest_job_fits_into_a_record(done):
+    """Guards against a journal that one job stops for all others.
+
+    The store refuses a record that is too large, and the append that holds it
+    is repeated for ever.
+    """
+    shard = builders.make_shard(virtual_time.Loop())
+    step = builders.copy_step(builders.SHORT, count=checks.MAX_TASKS)
+    tasks = builders.make_tasks(shard, step)
+    for task in tasks:
+        task.ended_run = task.last_run = 100_001
+        task.checkpoint = "c" * 16
+        task.done = done
+    stored = records.encode_progress(tasks[0].job)
+    assert len(stored) < keyed_store.MAX_RECORD_BYTES
+
+
+def test_the_progress_of_a_long_schedule_fits_into_a_record():
+    """Guards against the same for a job that has run very often."""
+    shard = builders.make_shard(virtual_time.Loop())
+    job = builders.make_tasks(shard, builders.copy_step(builders.SHORT, count=2))[0].job
+    job.submission.occurrences = checks.MAX_OCCURRENCES
+    for number in range(checks.MAX_OCCURRENCES):
+        for task in workflow_state.get_occurrence(job, number).tasks_by_step[0]:
+            task.ended_run = task.last_run = 100_001
+            task.done = True
+    stored = records.encode_progress(job)
+    assert len(stored) < keyed_store.MAX_RECORD_BYTES
