Show that a gang that is done opens again

Cause: one end as done stands for all members of a gang, and the ends of the others change nothing. The progress holds only tasks with an end of their own. A new owner takes the others for open; a gang is placed when all members wait, and the first one is done.

Measured: after the restart the second member waits for ever, and the next step is not released.

--- a/limpetstream/shard/tests/test_waits_end.py
+++ b/limpetstream/shard/tests/test_waits_end.py
@@ -13,7 +13,7 @@
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import housekeeping, jobs, proof, scheduling, state
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import messages, state as workflow_state
+from limpetstream.workflow import messages, records, state as workflow_state
 from standins import virtual_time
 
 POLL_BOUND_S = 1.6  # A poll waits for 1 s at most, and its answer 0.6 s.
@@ -263,3 +263,29 @@
     scene.store.down = False
     scene.advance(3.0)
     assert executor.recorded
+
+
+def test_a_gang_that_is_done_stays_done_for_the_next_owner():
+    """Guards against a member that waits for ever for the others of its gang.
+
+    One end as done stands for all members. Those without an end of their own
+    were open again after a change of owner, and never all waited.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    gang = builders.copy_step(builders.SHORT, count=2, gang=True)
+    later = builders.copy_step(builders.SHORT, after=(0,))
+    submission = messages.Submission("0" * 16, "batch", "service", "", [gang, later])
+    job = workflow_state.Job(submission)
+    shard.job_by_id[submission.job_id] = job
+    members = workflow_state.get_occurrence(job, 0).tasks_by_step[0]
+    for number, task in enumerate(members):
+        builders.start_run(shard.executor_by_id[f"x{number}"], task)
+    for number, task in enumerate(members):
+        end = executor_messages.EndRow(1, task.name, 1, executor_messages.DONE, "")
+        jobs.apply_end(shard, shard.executor_by_id[f"x{number}"], end)
+    progress = records.decode_progress(records.encode_progress(job))
+    restored = workflow_state.Job(submission)
+    records.restore(restored, progress)
+    shard.waiting_tasks.clear()
+    jobs.open_job(shard, restored)
+    assert [task.step_number for task in shard.waiting_tasks] == [1]
