Keep all members of a gang done across owners

Cause: the progress of a gang held only the members with an end of their own, and a new owner opened the others again. Callers saw a job that never went on after a change of owner.

Change: a stored task of a gang that is done marks all members as done when it is loaded, as its end does when it is applied.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -190,11 +190,7 @@
 def _finish_task(shard: state.Shard, task: workflow_state.Task) -> None:
     job = task.job
     occurrence = job.occurrence_by_number[task.occurrence]
-    tasks = [task]
-    if task.step.gang:
-        tasks = occurrence.tasks_by_step[task.step_number]
-    for member in tasks:
-        workflow_state.mark_done(member)
+    for member in workflow_state.mark_done_with_gang(task):
         if member in shard.waiting_tasks:
             shard.waiting_tasks.remove(member)
     enqueue_released(shard, occurrence)
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -137,7 +137,7 @@
         task.last_run = max([task.last_run, stored.run, *stored.failed_runs])
         task.checkpoint = stored.checkpoint
         if stored.done:
-            state.mark_done(task)
+            state.mark_done_with_gang(task)
 
 
 def _without_defaults(value: Any) -> dict[str, Any]:
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -228,6 +228,21 @@
     return get_occurrence(job, occurrence).tasks_by_step[step][index]
 
 
+def mark_done_with_gang(task: Task) -> list[Task]:
+    """Mark a task as done, and with it all members of its gang.
+
+    Returns:
+        The tasks that are done thereby.
+    """
+    tasks = [task]
+    if task.step.gang:
+        occurrence = task.job.occurrence_by_number[task.occurrence]
+        tasks = occurrence.tasks_by_step[task.step_number]
+    for member in tasks:
+        mark_done(member)
+    return tasks
+
+
 def mark_done(task: Task) -> None:
     """Mark a task as done; a second call has no effect."""
     if not task.done:
