Store no checkpoint of a task that is done

Callers would see that no job of the shard goes on.

Change: of a task that is done, only the number of its run is stored.

--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -87,12 +87,7 @@
                 for task in tasks:
                     if task.ended_run or task.failed_runs:
                         place = f"{task.occurrence}.{task.step_number}.{task.index}"
-                        progress.task_by_place[place] = TaskProgress(
-                            task.done,
-                            sorted(task.failed_runs),
-                            task.ended_run,
-                            task.checkpoint,
-                        )
+                        progress.task_by_place[place] = _task_progress(task)
     value = _without_defaults(progress)
     if progress.task_by_place:
         value["task_by_place"] = {
@@ -102,6 +97,18 @@
     return msgspec.json.encode(value)
 
 
+def _task_progress(task: state.Task) -> TaskProgress:
+    """Return the progress of a task; of one that is done, only its run.
+
+    Owners of earlier versions write no task without the number of a run.
+    """
+    if task.done:
+        return TaskProgress(done=True, run=task.ended_run)
+    return TaskProgress(
+        False, sorted(task.failed_runs), task.ended_run, task.checkpoint
+    )
+
+
 def decode_progress(raw: bytes) -> Progress:
     """Decode stored progress.
 
