Test when best-effort work starts beside serving work

Cause: no test failed when the wait of best-effort work in an idle service was made endless.

Change: a test for an idle service; the one for a busy service also states when the work starts.

--- a/limpetstream/shard/tests/test_waits_end.py
+++ b/limpetstream/shard/tests/test_waits_end.py
@@ -223,28 +223,43 @@
     assert scene.client.starts
 
 
-def test_best_effort_work_starts_at_a_low_pace_after_a_long_wait():
-    """Guards against best-effort work that always waits for its full pace."""
+def wait_for_best_effort(serving_millicores, filling_millicores):
+    """Return when best-effort work starts on a shared executor, in seconds."""
     loop = virtual_time.Loop()
     shard = builders.make_shard(loop)
     executor = shard.executor_by_id["x0"]
-    serving = builders.copy_step(builders.SERVING, cpu_millicores=30_000)
+    serving = builders.copy_step(builders.SERVING, cpu_millicores=serving_millicores)
     run = builders.start_run(executor, builders.make_tasks(shard, serving)[0])
     run.load = 15.0
-    filling = builders.copy_step(builders.BEST_EFFORT, cpu_millicores=30_000)
+    filling = builders.copy_step(
+        builders.BEST_EFFORT, cpu_millicores=filling_millicores
+    )
     builders.start_run(executor, builders.make_tasks(shard, filling)[0])
     task = builders.make_tasks(shard, builders.BEST_EFFORT)[0]
     jobs.enqueue(shard, task)
 
     async def passes():
-        while loop.time() < 30.0 and task.run is None:
+        while loop.time() < 40.0 and task.run is None:
             executor.polled_at = shard.ownership_proven_at = loop.time()
             scheduling.run_pass(shard)
             await asyncio.sleep(0.05)
 
     virtual_time.run(passes(), loop=loop)
-    assert task.run is not None
-    assert task.run.phase == workflow_state.STARTING
+    return loop.time() if task.run else None
+
+
+def test_best_effort_work_starts_at_a_low_pace_after_a_long_wait():
+    """Guards against best-effort work that always waits for its full pace."""
+    started_at = wait_for_best_effort(30_000, 30_000)
+    assert started_at is not None
+    assert 4.0 < started_at < 26.0
+
+
+def test_best_effort_work_starts_soon_in_an_idle_service():
+    """Guards against best-effort work that waits although most is unused."""
+    started_at = wait_for_best_effort(10_000, 20_000)
+    assert started_at is not None
+    assert started_at < 2.0
 
 
 def test_an_executor_back_while_its_record_is_deleted_is_recorded(open_scene):
