Show that a lasting task waits for an executor in doubt

Cause: a long-running task preempts only if no executor suits it. One that answers polls and no starts suits it, if nothing else is free, and the task is started there again and again.

--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -190,3 +190,23 @@
             task.done = True
     stored = records.encode_progress(job)
     assert len(stored) < keyed_store.MAX_RECORD_BYTES
+
+
+def test_a_lasting_task_preempts_rather_than_wait_for_one_in_doubt(open_scene):
+    """Guards against a lasting task that only tries the executor in doubt.
+
+    It is the only one with free capacity, so no other run gives way.
+    """
+    scene = open_scene(executors=2)
+    step = builders.copy_step(builders.SHORT, cpu_millicores=60_000)
+    for task in builders.make_tasks(scene.shard, step):
+        builders.start_run(scene.executor("x1"), task)
+        row = executor_messages.RunningRow(task.name, 1, "", 50, 0)
+        scene.client.rows_by_id["x1"] = [row]
+    scene.client.unanswered = {("start", "x0")}
+    step = builders.copy_step(builders.SHORT, long_running=True)
+    lasting = builders.make_tasks(scene.shard, step)[0]
+    jobs.enqueue(scene.shard, lasting)
+    scene.schedule()
+    scene.advance(12.0)
+    assert "x1" in scene.client.stops
