--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -354,10 +354,17 @@
     "The state of a shard at its owner, each 5 s.",
     "See OPERATIONS.md; a `delay_ms` of seconds: the owner is overloaded.",
 )
-TASK_UNTRACKED = events.declare(
+TASK_FORGOTTEN = events.declare(
     1557,
-    "task-untracked",
+    "task-forgotten",
     "ERROR",
-    "An open task neither waits nor runs, so it never runs again under this owner.",
-    "Report it as a fault of the program, with all lines of the task.",
+    "An open task had neither a run nor a place among the tasks that wait.",
+    "Report it as a fault of the program, with the lines of this task before it.",
+)
+RUN_UNSETTLED = events.declare(
+    1558,
+    "run-unsettled",
+    "INFO",
+    "A run has been starting, being stopped or out of reach for long.",
+    "See the reason in OPERATIONS.md; its task gets no other run meanwhile.",
 )
--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -70,11 +70,19 @@
     if executor.listing.state != listing.state or not executor.listed:
         _log_change(listing, listing.state)
         shard.changed.set()
+    if _suitability(executor.listing) != _suitability(listing):
+        executor.has_freed = True  # Searches that failed may succeed there now.
+        shard.changed.set()
     executor.listing = listing
     executor.listed = True
     _note_draining(shard, executor)
 
 
+def _suitability(listing: messages.Listing) -> tuple[object, ...]:
+    """Return what decides which tasks an executor suits, besides its state."""
+    return listing.service, listing.data_centre, listing.capacity, listing.labels
+
+
 def _note_draining(shard: state.Shard, executor: tracking.Executor) -> None:
     if not is_draining(executor):
         executor.draining_since = None
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -1,13 +1,14 @@
 """Does an owner's periodic work for its shard.
 
 It queues due occurrences, stops long-running runs on draining executors, moves
-paused runs, reports why tasks wait and how the owner is doing, stores learned
-estimates, and drops jobs whose retention time is over.
+paused runs, finds forgotten tasks, reports why tasks wait and how the owner is
+doing, stores learned estimates, and drops jobs whose retention time is over.
 """
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import (
+    audits,
     events,
     jobs,
     names,
@@ -38,16 +39,19 @@
     reporter = owner_reports.Reporter(
         shard.clock.monotonic() + owner_reports.REPORT_INTERVAL_S
     )
+    audit = audits.Audit(shard)
     while True:
         release_due_occurrences(shard)
         if proof.is_proven(shard):
             stop_runs_on_draining_executors(shard)
             relocation.relocate_paused_runs(shard)
+        audit.check_some()
         now = shard.clock.monotonic()
         if now >= next_report_at:
             next_report_at = now + wait_reports.REPORT_INTERVAL_S
             wait_reports.report_waiting_jobs(shard)
-        owner_reports.report_if_due(shard, reporter)
+            wait_reports.report_unsettled_runs(shard)
+        owner_reports.report_if_due(shard, reporter, audit)
         if now >= next_cleanup_at:
             next_cleanup_at = now + CLEANUP_INTERVAL_S
             stored_estimates.save(shard)
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -33,16 +33,18 @@
         if end.number > executor.applied_end:
             executor.applied_end = end.number
             jobs.apply_end(shard, executor, end)
-    listed, unknown_runs = set(), set()
+    listed: set[tuple[str, int]] = set()
+    unknown_runs: dict[tuple[str, int], float | None] = {}
     for row in reply.running:
-        listed.add((row.task, row.run))
+        key = row.task, row.run
+        listed.add(key)
         if not _apply_row(shard, executor, row, sent_at):
-            unknown_runs.add((row.task, row.run))
-    if executor.unknown_runs != unknown_runs:
-        executor.unknown_runs = unknown_runs
+            unknown_runs[key] = _stop_unknown(shard, executor, key, sent_at)
+    if executor.unknown_runs.keys() != unknown_runs.keys():
         shard.changed.set()
+    executor.unknown_runs = unknown_runs
     if len(reply.ended) < MAX_LISTED_ENDS:
-        _mark_vanished_runs_lost(shard, executor, listed, sent_at)
+        _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
 
 def note_replaced(shard: state.Shard, executor: tracking.Executor, reason: str) -> None:
@@ -76,6 +78,7 @@
     present = {(row.task, row.run) for row in reply.running}
     present |= {(end.task, end.run) for end in reply.ended}
     for run in list(executor.run_by_task.values()):
+        run.missing_since = None  # Its deadline is one of the former clock.
         if run.phase == workflow_state.STARTING:
             continue  # The request may still reach the restarted executor.
         if (run.task.name, run.number) not in present:
@@ -103,6 +106,7 @@
         if run is None:
             return False
     run.seen_at = sent_at
+    run.missing_since = None
     run.task.job.started = True
     if run.phase == workflow_state.STARTING:
         run.phase = workflow_state.WORKING
@@ -111,11 +115,46 @@
         run.percent = row.percent
         run.progressed_at = sent_at
     run.load = row.load
+    if run.phase == workflow_state.STOPPING and _has_had_no_effect(
+        shard, run.stop_confirmed_at, sent_at
+    ):
+        stops.stop_again(shard, executor, run)
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
     return True
 
 
+def _stop_unknown(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    key: tuple[str, int],
+    sent_at: float,
+) -> float | None:
+    """Stop a run that no open task needs, unless it is being stopped.
+
+    Returns:
+        Monotonic time at which the stop was confirmed; None before.
+    """
+    confirmed_at = executor.unknown_runs.get(key)
+    is_ineffective = _has_had_no_effect(shard, confirmed_at, sent_at)
+    if key in executor.unknown_runs and not is_ineffective:
+        return confirmed_at
+    stops.stop_unknown_run(shard, executor, *key, "no open task needs it")
+    return None
+
+
+def _has_had_no_effect(
+    shard: state.Shard, confirmed_at: float | None, sent_at: float
+) -> bool:
+    """Return whether a run that is listed should have ended by its stop.
+
+    An executor that restarts forgets a stop that it has confirmed, and a
+    delayed start may reach it afterwards.
+    """
+    stop_s = shard.timing.max_stop_s + STOP_MARGIN_S
+    return confirmed_at is not None and sent_at > confirmed_at + stop_s
+
+
 def _adopt(
     shard: state.Shard, executor: tracking.Executor, row: messages.RunningRow
 ) -> workflow_state.Run | None:
@@ -125,15 +164,11 @@
     task from being started until its end is known.
 
     Returns:
-        The run, or None if no task needs it; it is then being stopped.
+        The run, or None if no open task needs it.
     """
     task = jobs.find_task(shard, row.task)
     current = executor.run_by_task.get(row.task)
     if task is None or current is not None or not _is_open(task):
-        if (row.task, row.run) not in executor.unknown_runs:
-            stops.stop_unknown_run(
-                shard, executor, row.task, row.run, "no open task needs it"
-            )
         return None
     now = shard.clock.monotonic()
     run = workflow_state.Run(
@@ -165,6 +200,7 @@
     executor: tracking.Executor,
     listed: set[tuple[str, int]],
     sent_at: float,
+    clock_ms: int,
 ) -> None:
     """Mark runs as lost that the executor lists no longer and without an end.
 
@@ -172,8 +208,12 @@
     restarted, a poll from before an earlier restart has arrived late, with a
     number that was meant for other ends.
 
-    A run whose stop was confirmed may take ``max_stop_s`` to end.
+    A run that is being stopped may take ``max_stop_s`` to end, counted from
+    when the stop was confirmed. An unanswered stop may have arrived at any
+    time, so the time counts from the reply that showed that the run was gone
+    from the list and could not start any more.
     """
+    stop_s = shard.timing.max_stop_s + STOP_MARGIN_S
     for run in list(executor.run_by_task.values()):
         if (run.task.name, run.number) in listed:
             continue
@@ -182,12 +222,27 @@
                 reason = "the executor no longer lists it"
                 is_end_unknown = executor.born_ms != 0  # It would show a restart.
                 _lose(shard, executor, run, reason, is_end_unknown=is_end_unknown)
-        elif run.stop_confirmed_at is not None:
-            gone_at = run.stop_confirmed_at + shard.timing.max_stop_s + STOP_MARGIN_S
-            if sent_at > gone_at:
+        elif run.phase == workflow_state.STOPPING:
+            if run.missing_since is None and _can_start_no_more(run, clock_ms):
+                run.missing_since = shard.clock.monotonic()
+            ended_from = (run.stop_confirmed_at, run.missing_since)
+            if any(
+                since is not None and sent_at > since + stop_s for since in ended_from
+            ):
                 _lose(shard, executor, run, "stopped")
 
 
+def _can_start_no_more(run: workflow_state.Run, clock_ms: int) -> bool:
+    """Return whether a run was listed before or is too late to start.
+
+    A start that arrives after its deadline on the executor's clock is
+    rejected.
+    """
+    if run.seen_at is not None:
+        return True
+    return run.start_deadline_ms is not None and clock_ms > run.start_deadline_ms
+
+
 def _lose(
     shard: state.Shard,
     executor: tracking.Executor,
--- a/limpetstream/shard/tests/test_owner_reports.py
+++ b/limpetstream/shard/tests/test_owner_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limpetstream.shard import housekeeping, jobs, owner_reports
+from limpetstream.shard import audits, housekeeping, jobs, owner_reports
 from limpetstream.shard.tests import builders
 from limpetstream.telemetry import logs
 from standins import virtual_time
@@ -39,10 +39,10 @@
     builders.start_run(shard.executor_by_id["x0"], running)
     builders.start_run(shard.executor_by_id["x1"], on_removed)
     run = builders.start_run(shard.executor_by_id["x0"], released)
-    assert owner_reports.find_untracked_tasks(shard) == [dropped]
+    assert builders.untracked_tasks(shard) == [dropped]
     del shard.executor_by_id["x1"]
     shard.executor_by_id["x0"].release(run)
-    assert owner_reports.find_untracked_tasks(shard) == [dropped, on_removed, released]
+    assert builders.untracked_tasks(shard) == [dropped, on_removed, released]
 
 
 def test_tasks_that_need_no_run_count_as_tracked():
@@ -51,27 +51,19 @@
     builders.make_tasks(shard, builders.SHORT)
     make_open_tasks(shard, builders.SHORT, 1)[0].done = True
     make_open_tasks(shard, builders.SHORT, 1)[0].job.outcome = "cancelled"
-    assert owner_reports.find_untracked_tasks(shard) == []
+    assert builders.untracked_tasks(shard) == []
 
 
-def test_an_untracked_task_is_logged_once(lines):
-    """Guards against a line each interval for a task that stays untracked."""
-    loop = virtual_time.Loop()
-    shard = builders.make_shard(loop)
-    tasks = make_open_tasks(shard, builders.SHORT, 6)
-    reporter = owner_reports.Reporter(0.0)
-
-    async def reports():
-        for _ in range(5):
-            owner_reports.report_if_due(shard, reporter)
-            await asyncio.sleep(owner_reports.REPORT_INTERVAL_S)
-
-    virtual_time.run(reports(), loop=loop)
-    found = fields_of(lines, "task-untracked")
-    assert [fields["task"] for fields in found] == [task.name for task in tasks]
-    assert [fields["untracked"] for fields in fields_of(lines, "owner-state")] == [
-        6
-    ] * 5
+def test_the_report_counts_forgotten_tasks(lines):
+    """Guards against metrics that hide tasks which the owner has dropped."""
+    shard = builders.make_shard(virtual_time.Loop())
+    make_open_tasks(shard, builders.SHORT, 6)
+    audit = audits.Audit(shard)
+    for _ in range(2):  # The first call only begins a round.
+        audit.check_some()
+    owner_reports.report_if_due(shard, owner_reports.Reporter(0.0), audit)
+    (state,) = fields_of(lines, "owner-state")
+    assert (state["open_tasks"], state["waiting"], state["forgotten"]) == (6, 6, 6)
 
 
 def test_the_longest_delay_of_the_event_loop_is_logged(lines):
--- a/limpetstream/shard/tests/test_replaced_executors.py
+++ b/limpetstream/shard/tests/test_replaced_executors.py
@@ -8,8 +8,7 @@
 import pytest
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import owner_reports
-from limpetstream.shard.tests import schedules
+from limpetstream.shard.tests import builders, schedules
 from limpetstream.workflow import messages
 from standins import shard_cluster
 
@@ -40,7 +39,7 @@
 
 def untracked(cluster):
     shard = shard_cluster.shard_zero(cluster.instance_by_member["m0"])
-    return [task.name for task in owner_reports.find_untracked_tasks(shard)]
+    return [task.name for task in builders.untracked_tasks(shard)]
 
 
 def test_tasks_that_are_cut_off_by_a_leaving_executor_run_again():
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -13,6 +13,8 @@
 
 # A job of one second whose objective is 1.5 s is late after this wait.
 FIRST_WAIT_REPORT_S = 0.5
+# Longer than all tries of a start, or a stop of 0.9 s and the poll after it.
+FIRST_UNSETTLED_REPORT_S = 2.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -26,9 +28,15 @@
         start_requested_at: Monotonic time of the first start request.
         phase: ``starting``, ``working``, ``stopping`` or ``gone``.
         stop_reason: Why it is being stopped.
+        stop_ordered_at: Monotonic time at which its stop was decided.
         stop_confirmed_at: Monotonic time at which the executor confirmed the
             stop.
         seen_at: Monotonic time of the newest poll that listed it.
+        start_deadline_ms: Latest deadline of a start request that was sent,
+            on the executor's clock; None if none was sent.
+        missing_since: Monotonic time of the first of the consecutive replies
+            to polls that did not list it although it can no longer start;
+            None while it may still start or is listed.
         percent: Progress of the work. For a serving task, how far it has
             started to serve.
         load: Tail latency in ms of a serving task, otherwise millicores in
@@ -41,6 +49,8 @@
         progressed_at: Monotonic time at which ``percent`` last changed.
         relocation_tried_at: Monotonic time at which no better executor was
             last found for it.
+        report_threshold_s: Seconds that it must have been unsettled for the
+            next log line that says why.
     """
 
     task: "Task"
@@ -49,8 +59,11 @@
     start_requested_at: float
     phase: str = STARTING
     stop_reason: str = ""
+    stop_ordered_at: float | None = None
     stop_confirmed_at: float | None = None
     seen_at: float | None = None
+    start_deadline_ms: int | None = None
+    missing_since: float | None = None
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
@@ -58,6 +71,7 @@
     over_target_since: float | None = None
     progressed_at: float = 0.0
     relocation_tried_at: float = -math.inf
+    report_threshold_s: float = FIRST_UNSETTLED_REPORT_S
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -228,6 +242,21 @@
             yield from tasks
 
 
+def mark_done_with_gang(task: Task) -> list[Task]:
+    """Mark a task as done, and with it all members of its gang.
+
+    Returns:
+        The tasks that are done thereby.
+    """
+    tasks = [task]
+    if task.step.gang:
+        occurrence = task.job.occurrence_by_number[task.occurrence]
+        tasks = occurrence.tasks_by_step[task.step_number]
+    for member in tasks:
+        mark_done(member)
+    return tasks
+
+
 def mark_done(task: Task) -> None:
     """Mark a task as done; a second call has no effect."""
     if not task.done:
