Leave a shard that the store does not let this member serve

Callers saw: no task of a shard ran while its owner kept its membership and the store refused its appends; others wait for it to leave the group. Cause: the membership alone says that an owner is alive, and nothing ended it (row "no owner that works" of design.md, 11.8). Change: after 20 s, when no proof of ownership is left, the member leaves the group for 3 s; a claim or a load that fails for as long ends alike. The line shard-stalled tells of it.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -368,3 +368,10 @@
     "A run has been starting, being stopped or out of reach for long.",
     "See the reason in OPERATIONS.md; its task gets no other run meanwhile.",
 )
+SHARD_STALLED = events.declare(
+    1559,
+    "shard-stalled",
+    "WARNING",
+    "This instance leaves the group for 3 s, as it cannot serve its shard.",
+    "Check the store's partition of the shard; see journal-failing before it.",
+)
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -33,6 +33,10 @@
 VACANCY_CHECK_INTERVAL_S = 0.4  # Between checks whether an owner has left.
 STANDBY_INTERVAL_S = 1.0  # As long as a membership in the main group.
 ACTIVE_INTERVAL_S = 2.0  # Shards are being served, so half as often is enough.
+# An owner that the store refuses for so long has no proof of its ownership any
+# more (``proof.MAX_WITHOUT_APPEND_S``), so leaving its shard loses nothing.
+STALLED_S = 20.0
+REJOIN_PAUSE_S = 3.0  # Time for another member to claim what this one has left.
 # Runs are numbered from the epoch times ``jobs.RUN_NUMBERS_PER_EPOCH``, which
 # executors report as whole numbers below 2**53.
 MAX_EPOCH = 2**39
@@ -87,6 +91,9 @@
         reserve: Whether this member belongs to the reserve.
         membership_ttl_s: Seconds after which the group drops a member that
             does not renew its membership.
+        stalled_s: Returns for how many seconds the store has refused or not
+            answered what a shard needs to be served, although this member
+            reaches the group.
     """
 
     def __init__(
@@ -99,6 +106,7 @@
         *,
         reserve: bool = False,
         membership_ttl_s: float = MEMBERSHIP_TTL_S,
+        stalled_s: Callable[[int], float] = lambda shard: 0.0,
     ) -> None:
         self.task_by_shard: dict[int, asyncio.Task[None]] = {}
         self.claimed_shards: set[int] = set()
@@ -115,6 +123,9 @@
         self._membership_ttl_s = membership_ttl_s
         self._generation = 0
         self._unreachable_since: float | None = None
+        self._stalled_s = stalled_s
+        self._claiming_since_by_shard: dict[int, float] = {}
+        self._rejoin_at = float("-inf")
 
     async def run(self) -> None:
         """Renew the membership and follow the assignments until cancelled."""
@@ -123,7 +134,7 @@
         )
         try:
             while not self.leaving:
-                if not self._standby:
+                if not self._standby and self._clock.monotonic() >= self._rejoin_at:
                     await self._join()
                 await self._clock.sleep(JOIN_INTERVAL_S)
         finally:
@@ -199,6 +210,25 @@
             logs.emit(events.GROUP_REACHED, after_s=after_s)
         if not self.leaving and not self._standby:
             await self._apply_assignment(assignment)
+            await self._leave_if_stalled()
+
+    async def _leave_if_stalled(self) -> None:
+        """Leave the group for a while if a shard cannot be served from here.
+
+        The membership says that this member is alive, so no other one would
+        claim the shard.
+        """
+        now = self._clock.monotonic()
+        for shard in self.claimed_shards:
+            claiming_since = self._claiming_since_by_shard.get(shard, now)
+            stalled_s = max(self._stalled_s(shard), now - claiming_since)
+            if stalled_s > STALLED_S:
+                logs.emit(
+                    events.SHARD_STALLED, shard=shard, stalled_s=round(stalled_s, 3)
+                )
+                self._rejoin_at = now + REJOIN_PAUSE_S
+                await self._leave_group()
+                return
 
     async def _apply_assignment(self, assignment: messages.Assignment) -> None:
         assigned = {
@@ -233,7 +263,9 @@
         try:
             await self._wait_until_vacant(shard)
             self.claimed_shards.add(shard)
+            self._claiming_since_by_shard[shard] = self._clock.monotonic()
             claimed = await claim(self._store, shard, self._member, self._clock)
+            del self._claiming_since_by_shard[shard]
             epoch = claimed.epoch
             logs.emit(events.SHARD_CLAIMED, shard=shard, epoch=epoch)
             announcing = asyncio.create_task(self._announce(shard))
@@ -250,6 +282,7 @@
             logs.emit(events.SHARD_FAILED, shard=shard, epoch=epoch, error=reason)
         finally:
             self.claimed_shards.discard(shard)
+            self._claiming_since_by_shard.pop(shard, None)
             logs.emit(events.SHARD_RELEASED, shard=shard, epoch=epoch, reason=reason)
         await self._withdraw_announcement(shard)
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -104,6 +104,20 @@
             # The text of a group names none of its errors.
             raise _first_error(caught) from caught
 
+    def stalled_s(self, number: int) -> float:
+        """Return for how long the store has kept a shard from being served.
+
+        The journal fails, or the shard cannot be loaded although there is a
+        configuration.
+        """
+        shard = self.shard_by_number.get(number)
+        if shard is None or shard.view.configuration is None:
+            return 0.0
+        since = shard.journal.failing_since
+        if since is None and not shard.recovered:
+            since = shard.claimed_at
+        return 0.0 if since is None else self._clock.monotonic() - since
+
     def answer_epoch(
         self, request: peer_messages.PeerRequest
     ) -> peer_messages.PeerReply:
--- a/limpetstream/shard/tests/test_waits_of_clusters.py
+++ b/limpetstream/shard/tests/test_waits_of_clusters.py
@@ -12,7 +12,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import events, scheduling
+from limpetstream.shard import events, names, ownership, scheduling
 from limpetstream.shard.tests import schedules
 from limpetstream.telemetry import logs
 
@@ -148,3 +148,34 @@
 
     assert not schedules.run_scenario(scenario).breaches.found
     assert failures
+
+
+@pytest.mark.parametrize("has_claimed", [True, False], ids=["owner", "claimant"])
+def test_a_shard_that_its_member_cannot_write_gets_another_owner(has_claimed):
+    """Guards against a member that keeps a shard which it cannot serve.
+
+    The store answers its renewals of the membership, and refuses its appends.
+    """
+
+    async def scenario(cluster):
+        instance = cluster.start("m0")
+        append = instance.store.append
+
+        async def refused(topic, partition, entries, **fields):
+            if topic == names.PROGRESS_TOPIC:
+                raise errors.PlatformUnavailable("refused", not_applied=True)
+            return await append(topic, partition, entries, **fields)
+
+        if has_claimed:
+            await asyncio.sleep(3)
+            assert cluster.owner_member() == "m0"
+        instance.store.append = refused
+        await asyncio.sleep(1)
+        cluster.start("m1")
+        job_id = schedules.job_id(1)
+        assert await cluster.submit(job_id, schedules.steps(), seconds=0.5)
+        await asyncio.sleep(ownership.STALLED_S)
+        assert await cluster.wait_until_final(job_id, limit_s=12) == "completed"
+        assert cluster.owner_member() == "m1"
+
+    assert not schedules.run_scenario(scenario).breaches.found
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -192,6 +192,7 @@
             server.serve,
             clock,
             reserve=reserve,
+            stalled_s=server.stalled_s,
         )
         api = job_api.JobApi(
             store=_FreezableClient(store, gate),
