--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -34,6 +34,8 @@
     task: workflow_state.Task,
     context: eligibility.PlacementContext,
     executors: list[tracking.Executor],
+    *,
+    accepts_doubt: bool = True,
 ) -> bool:
     """Start a task if an executor suits it; return whether one does.
 
@@ -42,8 +44,10 @@
         task: Task that waits and is neither best-effort nor of a gang.
         context: What the placement depends on; the work is counted there.
         executors: All executors.
+        accepts_doubt: Whether an executor in doubt is taken if no other one
+            suits the task.
     """
-    key = shape(task, context.service)
+    key = (shape(task, context.service), accepts_doubt)
     searched = searches.candidates(
         shard.searches, key, executors, SEARCH_RETRY_S, context.now
     )
@@ -51,7 +55,7 @@
         return False
     if task.step.rack_sensitive:
         searched = executors  # The racks of the step's other tasks count.
-    executor = placement.choose(searched, task, context)
+    executor = placement.choose(searched, task, context, accepts_doubt=accepts_doubt)
     if executor is None:
         searches.note_failure(
             shard.searches, key, searched_all=searched is executors, now=context.now
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -89,6 +89,7 @@
         if (
             not executor.fits_when_idle(task.step)
             or not eligibility.accepts_new_tasks(executor, context)
+            or eligibility.is_in_doubt(executor, context.now)
             or not eligibility.meets_constraints(executor, task)
             or not victims.may_suffice(shard, executor, task, priority, context)
         ):
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -16,6 +16,7 @@
     sessions,
     state,
     turn_order,
+    victims,
 )
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
@@ -233,9 +234,14 @@
     context: eligibility.PlacementContext,
     this_pass: _Pass,
 ) -> list[workflow_state.Task]:
-    """Place a task or stop runs for it; return it if it was placed."""
+    """Place a task or stop runs for it; return it if it was placed.
+
+    A long-running task takes an executor in doubt only if it has waited long
+    and no runs can be stopped for it elsewhere.
+    """
     executors = this_pass.executors
-    if placing.place(shard, task, context, executors):
+    accepts_doubt = not task.step.long_running
+    if placing.place(shard, task, context, executors, accepts_doubt=accepts_doubt):
         return [task]
     if preemption.may_preempt(shard, task, this_pass.now) and (
         task.step.long_running or this_pass.may_preempt_long_running
@@ -243,6 +249,10 @@
         shape = placing.shape(task, context.service)
         if preemption.preempt_for(shard, task, context, executors, shape):
             this_pass.may_preempt_long_running &= task.step.long_running
+        elif victims.has_waited_long(shard, task) and placing.place(
+            shard, task, context, executors
+        ):
+            return [task]
     return []
 
 
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -24,6 +24,8 @@
     executors: Iterable[tracking.Executor],
     task: state.Task,
     context: eligibility.PlacementContext,
+    *,
+    accepts_doubt: bool = True,
 ) -> tracking.Executor | None:
     """Return the best executor for a task; None if no executor suits it now.
 
@@ -31,6 +33,8 @@
         executors: Executors to choose from.
         task: Task to place.
         context: What else the placement depends on.
+        accepts_doubt: Whether to return an executor in doubt if no other one
+            suits the task.
     """
     if not isinstance(executors, list):
         executors = list(executors)
@@ -62,7 +66,7 @@
         if not eligibility.is_in_doubt(chosen, context.now):
             return chosen
         in_doubt = in_doubt or chosen
-    return in_doubt
+    return in_doubt if accepts_doubt else None
 
 
 def candidate_batches(
