Check in the soak that lasting tasks run again in time

Cause: users saw lasting tasks whose runs were gone never run again, with room for them. The soak looked at lasting tasks only at the end, after up to 30 s. Change: the executors are looked at every 0.1 s; a lasting task with room that has no run for the last 3 s of 7 s without a fault, 6 s after its last run, is a finding. The bounds are the users' rule LOST. A fault lasts until the processes that it ended are ready again. Each run ends with at least 15 s without a fault. The checks at the end are as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,10 @@
 
 
 def main(
-    first: int = 1, seeds: int = 1, seconds: float = 30.0, cuts: bool = True
+    first: int = 1,
+    seeds: int = 1,
+    seconds: float = 30.0,
+    cuts: bool = True,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,7 +8,7 @@
 from emulator import deployment
 from limpetstream import errors
 from limpetstream.workflow import messages
-from soak import _cluster
+from soak import _cluster, _executors
 
 DEADLINE_MS = 3000  # Most requests of real users have this deadline, here all.
 TIMEOUT_S = 4.0  # One second more than the deadline, for late answers.
@@ -35,6 +35,7 @@
         cancelled: Whether an instance has acknowledged the cancellation, or
             has answered it with 410 (unknown job).
         cancel_requested: Whether a cancellation was ever sent.
+        accepted_at: Loop time of the acknowledgement of the submission.
         final_state: Final state that an instance has reported; "lost" if an
             accepted job is unknown.
     """
@@ -46,6 +47,7 @@
     outcome_unknown: bool = False
     cancelled: bool = False
     cancel_requested: bool = False
+    accepted_at: float = 0.0
     final_state: str | None = None
 
 
@@ -127,18 +129,20 @@
     async def _submit_random_job(self) -> None:
         generator = self._random
         long_running = generator.random() < LONG_RUNNING_SHARE
-        cpu = generator.choice([500, 1000, 2000, 4000])
+        cpu = generator.choice([500, 1000, 2000, _executors.MAX_TASK_MILLICORES])
         count = generator.randint(1, 3 if long_running else 6)
         step_count = 1 if long_running else generator.randint(1, 3)
         seconds = 0.0 if long_running else generator.uniform(0.1, 1.5)
         job_id = f"{generator.getrandbits(64):016x}"
         # The spec of the job is its id; executors look up the size by it.
         self._cluster.size_by_spec[job_id] = (cpu, seconds)
+        if long_running:
+            self._cluster.lasting_millicores += cpu * count
         steps = [
             messages.Step(
                 count,
                 cpu_millicores=cpu,
-                memory_mb=50,
+                memory_mb=_executors.TASK_MEMORY_MB,
                 estimate_ms=int(seconds * 1000),
                 after=(number - 1,) if number else (),
                 long_running=long_running,
@@ -157,6 +161,7 @@
             status, _answer = await self._call("POST", job, body)
             if status == 200:
                 job.accepted = True
+                job.accepted_at = asyncio.get_running_loop().time()
                 return
             if status is None or status == 504:
                 job.outcome_unknown = True
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -19,13 +19,12 @@
 from limpetstream.border import simple_server
 from limpetstream.executors import messages
 from limpetstream.platform import http
-from soak import _cuts, _owners
+from soak import _cuts, _executors, _lasting, _owners
 from standins import keyed_store, link, processes, step_executors
 
 DIRECTORY = "build/soak"
 STORE = "store"
 DATA_CENTRES = ("a", "b")
-CAPACITY = messages.Capacity(16_000, 64_000, 0)  # 16 cores, 64,000 MB.
 READY_TIMEOUT_S = 20.0
 MAX_CLUSTERS_AT_ONCE = 5  # Clusters of one process at the same time.
 # Time from SIGTERM to SIGKILL, as the platform's documentation states.
@@ -61,21 +60,6 @@
     is_busy: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class LinkedExecutor:
-    """One executor and the link to it.
-
-    Args:
-        executor: The executor.
-        link: Link to it.
-        is_restarting: Whether it has crashed and is not back yet.
-    """
-
-    executor: step_executors.Executor
-    link: link.Link
-    is_restarting: bool = False
-
-
 class Cluster:
     """All parts of one run.
 
@@ -97,8 +81,10 @@
         self.owners = _owners.Owners(self.store)
         self.breaches = step_executors.Breaches(loop)
         self.size_by_spec: dict[str, tuple[int, float]] = {}
+        self.lasting_millicores = 0  # Of all jobs that callers tried to submit.
+        self.disturbances = _lasting.Disturbances()
         self.instance_by_name: dict[str, Instance] = {}
-        self.linked_executor_by_id: dict[str, LinkedExecutor] = {}
+        self.linked_executor_by_id: dict[str, _executors.LinkedExecutor] = {}
         self.findings: list[str] = []
         self.version = 0
         # Callers pass it the absolute URL of an instance as the path.
@@ -106,6 +92,7 @@
         self.group = group
         self._stack = contextlib.AsyncExitStack()
         self._number = next(_cluster_numbers)
+        self._starts: set[asyncio.Task[None]] = set()
 
     async def build(self, *, instance_count: int, executor_count: int) -> None:
         """Start store and executors, then the instances.
@@ -126,6 +113,8 @@
 
     async def close(self) -> None:
         """Stop everything except the processes."""
+        for start in self._starts:
+            start.cancel()
         self.client.close()
         await self._stack.aclose()
 
@@ -137,6 +126,13 @@
     async def add_executor(self, executor_id: str) -> None:
         """Add an executor behind its own link and publish its entry."""
         number = len(self.linked_executor_by_id)
+        self.linked_executor_by_id[executor_id] = await self._open_executor(
+            executor_id, number, self.random
+        )
+
+    async def _open_executor(
+        self, executor_id: str, number: int, choices: random.Random
+    ) -> _executors.LinkedExecutor:
         executor = step_executors.Executor(
             messages.Listing(
                 executor_id,
@@ -144,14 +140,14 @@
                 DATA_CENTRES[number % len(DATA_CENTRES)],
                 "service",
                 messages.READY,
-                CAPACITY,
+                _executors.CAPACITY,
                 ("kind", f"rack-{number % 2}"),
                 born_ms=1000,
             ),
             self.breaches,
             self.size_by_spec,
-            self.random,
-            rate=self.random.choice([0.98, 1.0]),
+            choices,
+            rate=choices.choice([0.98, 1.0]),
             born_at=asyncio.get_running_loop().time(),
         )
         handler = executors.ExecutorHandler(executor)
@@ -168,16 +164,10 @@
 
         executor_link = await self._serve_behind_link(answer)
         executor.listing.address = f"127.0.0.1:{executor_link.port}"
-        self.linked_executor_by_id[executor_id] = LinkedExecutor(
-            executor, executor_link
-        )
         self.breaches.advance_by_executor[executor_id] = executor.advance
-        executors.publish_listing(self.store, executor)
-
-    def restart_executor(self, linked_executor: LinkedExecutor) -> None:
-        """Restart an executor, which loses its runs, and publish its entry."""
-        linked_executor.executor.restart()
-        executors.publish_listing(self.store, linked_executor.executor)
+        linked = _executors.LinkedExecutor(executor, executor_link, self.store)
+        linked.publish()
+        return linked
 
     def start(self, instance: Instance) -> None:
         """Start the process of an instance."""
@@ -186,6 +176,17 @@
             deployment.PROGRAM,
             value_by_variable=deployment.environment(str(instance.settings_path)),
         )
+        start = asyncio.create_task(self._disturb_until_ready(instance))
+        self._starts.add(start)
+        start.add_done_callback(self._starts.discard)
+
+    async def _disturb_until_ready(self, instance: Instance) -> None:
+        """Count a start as a disturbance until it is ready or ends."""
+        with (
+            self.disturbances.active(),
+            contextlib.suppress(processes.ProcessFailed),
+        ):
+            await self.wait_until_ready(instance)
 
     async def wait_until_ready(self, instance: Instance) -> None:
         """Wait until an instance reports that it is ready.
@@ -239,8 +240,8 @@
     def members_of(self, data_centre: str) -> frozenset[str]:
         """Return the names of the instances and executors in a data centre."""
         members = {
-            executor_id
-            for executor_id, linked in self.linked_executor_by_id.items()
+            linked.executor_id
+            for linked in self.linked_executor_by_id.values()
             if linked.executor.listing.data_centre == data_centre
         }
         for number, name in enumerate(self.instance_by_name):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,7 @@
 
 # Longer than a lease and than the time-to-live of a member of a group.
 MAX_FAULT_S = 6.0
+MIN_FAULT_S = 0.3
 DELAY_MS = 120.0  # Thirty times the delay between two data centres.
 POLL_INTERVAL_S = 0.01
 EXECUTOR_RESTART_S = 0.5  # A real executor process cannot start faster.
@@ -26,7 +27,7 @@
     if instance is None:
         return
     instance.process.kill()
-    await _restart(cluster, instance)
+    await restart(cluster, instance, cluster.fault_choices)
 
 
 async def terminate(cluster: _cluster.Cluster) -> None:
@@ -36,7 +37,7 @@
         return
     await _wait_for_signal_handlers(instance)
     await cluster.stop(instance)
-    await _restart(cluster, instance)
+    await restart(cluster, instance, cluster.fault_choices)
 
 
 async def pause(cluster: _cluster.Cluster) -> None:
@@ -45,7 +46,7 @@
     if instance is None:
         return
     instance.process.pause()
-    await _hold_fault(cluster.fault_choices)
+    await hold(cluster.fault_choices)
     instance.process.resume()
     instance.is_busy = False
 
@@ -70,7 +71,9 @@
     for instance in instances:
         instance.is_busy = True
         instance.process.kill()
-    await asyncio.gather(*[_restart(cluster, instance) for instance in instances])
+    await asyncio.gather(
+        *[restart(cluster, instance, cluster.fault_choices) for instance in instances]
+    )
 
 
 async def store_link(cluster: _cluster.Cluster) -> None:
@@ -94,7 +97,7 @@
 async def store_down(cluster: _cluster.Cluster) -> None:
     """Make the store refuse all calls."""
     cluster.store.down = True
-    await _hold_fault(cluster.fault_choices)
+    await hold(cluster.fault_choices)
     cluster.store.down = False
 
 
@@ -103,7 +106,7 @@
     faults = _choose(cluster, cluster.instance_by_name).client.faults
     faults.lost_answer_share = cluster.fault_choices.choice([0.0, 0.3])
     faults.delayed_share = 0.3 - faults.lost_answer_share
-    await _hold_fault(cluster.fault_choices)
+    await hold(cluster.fault_choices)
     faults.lost_answer_share = faults.delayed_share = 0.0
 
 
@@ -120,7 +123,7 @@
     linked_executor.is_restarting = True
     linked_executor.link.cut()
     await asyncio.sleep(EXECUTOR_RESTART_S)
-    cluster.restart_executor(linked_executor)
+    linked_executor.restart()
     linked_executor.is_restarting = False
     linked_executor.link.restore()
 
@@ -129,7 +132,7 @@
     """Apply start requests at an executor seconds later, without an answer."""
     executor = _choose(cluster, cluster.linked_executor_by_id).executor
     executor.delayed_share = 0.5
-    await _hold_fault(cluster.fault_choices)
+    await hold(cluster.fault_choices)
     executor.delayed_share = 0.0
 
 
@@ -199,9 +202,12 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-async def _restart(cluster: _cluster.Cluster, instance: _cluster.Instance) -> None:
+async def restart(
+    cluster: _cluster.Cluster, instance: _cluster.Instance, choices: random.Random
+) -> None:
+    """Start the process of an instance again after 0.2 to 2 s."""
     instance.process = None
-    await asyncio.sleep(cluster.fault_choices.uniform(0.2, 2.0))
+    await asyncio.sleep(choices.uniform(0.2, 2.0))
     cluster.start(instance)
     instance.is_busy = False
 
@@ -219,7 +225,7 @@
     else:
         disturbed.cut()
     if disturbance != "reset":
-        await _hold_fault(cluster.fault_choices)
+        await hold(cluster.fault_choices)
     disturbed.restore()
     disturbed.delay_ms = 0.0
 
@@ -227,11 +233,12 @@
 async def _cut_one_way(cluster: _cluster.Cluster, inside: frozenset[str]) -> None:
     is_inward = cluster.cut_choices.choice([False, True])
     with cluster.network.cut(inside, is_inward=is_inward):
-        await _hold_fault(cluster.cut_choices)
+        await hold(cluster.cut_choices)
 
 
-async def _hold_fault(choices: random.Random) -> None:
-    await asyncio.sleep(choices.uniform(0.3, MAX_FAULT_S))
+async def hold(choices: random.Random) -> None:
+    """Wait as long as a fault lasts."""
+    await asyncio.sleep(choices.uniform(MIN_FAULT_S, MAX_FAULT_S))
 
 
 def _choose(cluster: _cluster.Cluster, value_by_name: dict) -> object:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 
-from soak import _callers, _cluster, _faults
+from soak import _callers, _cluster, _faults, _lasting, _watch
 
 INSTANCES = 5
 EXECUTORS = 6
@@ -18,6 +18,9 @@
 MEAN_SERIES_INTERVAL_S = 2.5  # Between the starts of two series of faults.
 MEAN_CUT_INTERVAL_S = 12.0  # The same for cuts.
 MAX_FAULTS_IN_SERIES = 4
+# The longest lease of an executor (6 s) may end a run without disturbance; the
+# rule for lasting tasks holds from 6 s later, for waits of 3 s.
+CALM_END_S = 15.0
 # Recovery takes up to 12 s; the silence of an executor adds 6 s.
 SETTLE_TIMEOUT_S = 30.0
 
@@ -28,7 +31,8 @@
 
     Args:
         seed: Seed of the run.
-        faults: Kind and time of each injected fault.
+        faults: Kind and time of each injected fault, and times for which the
+            soak itself stood still.
         jobs: Number of jobs that callers tried to submit.
         accepted: Number of jobs whose submission was acknowledged.
         refused: Number of jobs of which no submission can have taken effect.
@@ -58,14 +62,23 @@
     )
     async with opened as cluster:
         callers = _callers.Callers(cluster)
+        checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
-        async with asyncio.TaskGroup() as task_group:
-            task_group.create_task(callers.run(seconds, per_s=JOBS_PER_S))
-            task_group.create_task(callers.poll_jobs(seconds))
-            task_group.create_task(_inject(cluster, seconds, injected))
-            if cuts:
-                task_group.create_task(_inject_cuts(cluster, seconds, injected))
-        await callers.wait_until_settled(limit_s=SETTLE_TIMEOUT_S)
+        async with asyncio.TaskGroup() as watching:
+            watch = watching.create_task(
+                _watch.watch(cluster, callers, checker, injected)
+            )
+            async with asyncio.TaskGroup() as task_group:
+                task_group.create_task(callers.run(seconds, per_s=JOBS_PER_S))
+                task_group.create_task(callers.poll_jobs(seconds))
+                task_group.create_task(_inject(cluster, seconds, injected))
+                if cuts:
+                    task_group.create_task(_inject_cuts(cluster, seconds, injected))
+            await asyncio.gather(
+                callers.wait_until_settled(limit_s=SETTLE_TIMEOUT_S),
+                asyncio.sleep(CALM_END_S),
+            )
+            watch.cancel()
         _check_final_states(cluster, callers)
         await asyncio.gather(
             *[cluster.stop(instance) for instance in cluster.instance_by_name.values()]
@@ -78,7 +91,7 @@
             sum(job.accepted for job in jobs),
             sum(not job.accepted and not job.outcome_unknown for job in jobs),
             cluster.breaches.starts,
-            cluster.breaches.found + cluster.findings,
+            cluster.breaches.found + checker.found + cluster.findings,
         )
 
 
@@ -141,7 +154,8 @@
     for _ in range(choices.randint(1, MAX_FAULTS_IN_SERIES)):
         elapsed_s = asyncio.get_running_loop().time() - started_at
         injected.append(f"{fault.__name__} at {elapsed_s:.1f} s")
-        await fault(cluster)
+        with cluster.disturbances.active():
+            await fault(cluster)
         await asyncio.sleep(choices.uniform(0.0, 2.0))
 
 
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -44,7 +44,8 @@
     ``found`` holds the texts of the violations, ``executors_by_task`` the
     executors that run each task, and ``acknowledged_done`` the tasks whose
     successful end an owner has acknowledged. ``started_at_by_task`` holds the
-    loop time of the last start of each task. ``advance_by_executor`` holds the
+    loop time of the last start of each task, ``ended_at_by_task`` that of the
+    last end that was recorded. ``advance_by_executor`` holds the
     functions that simulate each executor up to now, ``starts`` the number of
     started runs, and ``started_jobs`` the jobs they belong to. A test sets
     ``cancelled_at``, the loop time of an acknowledged cancellation by job.
@@ -58,6 +59,7 @@
         self.executors_by_task: dict[str, set[str]] = {}
         self.acknowledged_done: set[str] = set()
         self.started_at_by_task: dict[str, float] = {}
+        self.ended_at_by_task: dict[str, float] = {}
         self.advance_by_executor: dict[str, Callable[[], None]] = {}
         self.starts = 0
         self.started_jobs: set[str] = set()
@@ -100,6 +102,7 @@
 
     def record_end(self, task: str, executor_id: str) -> None:
         """Record that a run has ended."""
+        self.ended_at_by_task[task] = self._loop.time()
         self.executors_by_task.get(task, set()).discard(executor_id)
 
 
