Let many executors leave or restart at once in the soak

Cause: users saw lasting tasks that never ran again; the soak had no executors that leave for good, and so did not show why: once more than half of the recorded executors are gone, the next owner never settles the runs of earlier owners. Change: 0.5 to 0.8 of the executors leave, with or without a notice, and others join under new ids; in other kinds the owner is killed, frozen or cut off from the store within 2 s as well; and executors crash behind a cut and start again.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
     seeds: int = 1,
     seconds: float = 30.0,
     cuts: bool = True,
+    leaves: bool = True,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
@@ -27,11 +28,12 @@
         seeds: Number of seeds.
         seconds: How long each run submits jobs and injects faults.
         cuts: Whether connections are also cut in one direction.
+        leaves: Whether many executors also leave or restart at once.
     """
     loguru.logger.remove()
     failed_runs = 0
     for seed in range(first, first + seeds):
-        outcome = asyncio.run(_run.run(seed, seconds=seconds, cuts=cuts))
+        outcome = asyncio.run(_run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves))
         failed_runs += bool(outcome.findings)
         print(msgspec.json.encode(dataclasses.asdict(outcome)).decode(), flush=True)
     sys.exit(1 if failed_runs else 0)
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -76,6 +76,8 @@
         self.fault_choices = random.Random(seed)
         self.caller_choices = random.Random(seed)
         self.cut_choices = random.Random(seed)
+        self.leave_choices = random.Random(f"leaves {seed}")
+        self.replacement_choices = random.Random(f"replacements {seed}")
         self.network = _cuts.Network()
         self.store = keyed_store.Store(seed=seed)
         self.owners = _owners.Owners(self.store)
@@ -93,6 +95,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._number = next(_cluster_numbers)
         self._starts: set[asyncio.Task[None]] = set()
+        self._replacement_numbers = itertools.count(1)
 
     async def build(self, *, instance_count: int, executor_count: int) -> None:
         """Start store and executors, then the instances.
@@ -130,6 +133,18 @@
             executor_id, number, self.random
         )
 
+    async def replace_executor(self, slot: str) -> None:
+        """Add an executor in place of one that left, as another one.
+
+        Args:
+            slot: Key of the executor that left; faults choose by these keys.
+        """
+        number = list(self.linked_executor_by_id).index(slot)
+        executor_id = f"{slot}-{next(self._replacement_numbers)}"
+        self.linked_executor_by_id[slot] = await self._open_executor(
+            executor_id, number, self.replacement_choices
+        )
+
     async def _open_executor(
         self, executor_id: str, number: int, choices: random.Random
     ) -> _executors.LinkedExecutor:
--- a/soak/_executors.py
+++ b/soak/_executors.py
@@ -19,13 +19,15 @@
         executor: The executor.
         link: Link to it.
         store: Store that holds the list of executors.
-        is_restarting: Whether it has crashed and is not back yet.
+        is_restarting: Whether it has crashed and is not back yet, or has left.
+        is_leaving: Whether it has left for good, or is about to.
     """
 
     executor: step_executors.Executor
     link: link.Link
     store: keyed_store.Store
     is_restarting: bool = False
+    is_leaving: bool = False
 
     @property
     def executor_id(self) -> str:
@@ -41,6 +43,35 @@
         self.executor.restart()
         self.publish()
 
+    def announce_departure(self, notice_s: float) -> None:
+        """Publish that it is about to leave, in seconds from now."""
+        self.executor.listing = dataclasses.replace(
+            self.executor.listing,
+            state=messages.DRAINING,
+            remaining_ms=int(notice_s * 1000),
+        )
+        self.publish()
+
+    def end(self, *, is_silent: bool) -> None:
+        """End it for good, with its runs; its entry stays.
+
+        Args:
+            is_silent: Whether its connections fall silent, as without power;
+                otherwise they are reset.
+        """
+        self.is_restarting = True
+        if is_silent:
+            self.link.pause()
+        else:
+            self.link.cut()
+        # Requests that were held back for it do not arrive either.
+        self.executor.restart()
+        del self.executor.breaches.advance_by_executor[self.executor_id]
+
+    def unlist(self) -> None:
+        """Delete its entry."""
+        executors.delete_listing(self.store, self.executor_id)
+
     def has_room(self, cpu_millicores: int) -> bool:
         """Return whether it is up and ready and has room for a task."""
         if self.is_restarting or self.executor.listing.state != messages.READY:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 import dataclasses
 import random
 
-from soak import _callers, _cluster, _faults, _lasting, _watch
+from soak import _callers, _cluster, _faults, _lasting, _leaves, _watch
 
 INSTANCES = 5
 EXECUTORS = 6
@@ -17,6 +17,7 @@
 FAULT_FREE_START_S = 2.0
 MEAN_SERIES_INTERVAL_S = 2.5  # Between the starts of two series of faults.
 MEAN_CUT_INTERVAL_S = 12.0  # The same for cuts.
+MEAN_LEAVE_INTERVAL_S = 8.0  # The same for many executors at once.
 MAX_FAULTS_IN_SERIES = 4
 # The longest lease of an executor (6 s) may end a run without disturbance; the
 # rule for lasting tasks holds from 6 s later, for waits of 3 s.
@@ -49,13 +50,16 @@
     findings: list[str]
 
 
-async def run(seed: int, *, seconds: float, cuts: bool = True) -> Outcome:
+async def run(
+    seed: int, *, seconds: float, cuts: bool = True, leaves: bool = True
+) -> Outcome:
     """Run one seed and return its result.
 
     Args:
         seed: Seed of jobs and faults.
         seconds: How long jobs are submitted and faults are injected.
         cuts: Whether connections are also cut in one direction.
+        leaves: Whether many executors also leave or restart at once.
     """
     opened = _cluster.open_cluster(
         seed, instance_count=INSTANCES, executor_count=EXECUTORS
@@ -74,6 +78,8 @@
                 task_group.create_task(_inject(cluster, seconds, injected))
                 if cuts:
                     task_group.create_task(_inject_cuts(cluster, seconds, injected))
+                if leaves:
+                    task_group.create_task(_inject_leaves(cluster, seconds, injected))
             await asyncio.gather(
                 callers.wait_until_settled(limit_s=SETTLE_TIMEOUT_S),
                 asyncio.sleep(CALM_END_S),
@@ -123,6 +129,20 @@
     )
 
 
+async def _inject_leaves(
+    cluster: _cluster.Cluster, seconds: float, injected: list[str]
+) -> None:
+    """Inject series of faults of many executors beside the other faults."""
+    await _inject_series_of(
+        _leaves.ALL,
+        cluster,
+        seconds,
+        injected,
+        choices=cluster.leave_choices,
+        mean_interval_s=MEAN_LEAVE_INTERVAL_S,
+    )
+
+
 async def _inject_series_of(
     faults: tuple[_faults.Fault, ...],
     cluster: _cluster.Cluster,
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,7 +6,7 @@
 import loguru
 import pytest
 
-from soak import _faults, _run
+from soak import _faults, _leaves, _run
 
 SEEDS = (1, 2)
 SECONDS = 10.0
@@ -27,6 +27,12 @@
     (310, 30.0, "an owner without a proof started its successor's work"),
     (312, 30.0, "the same"),
 )
+# Runs that failed with many executors that leave or restart at once.
+FAILED_LEAVE_RUNS = (
+    (2, 10.0, "a new owner never settled runs, as half of the recorded executors left"),
+    (3, 10.0, "the same"),
+    (6, 10.0, "the same"),
+)
 
 
 @pytest.fixture(autouse=True)
@@ -34,13 +40,13 @@
     loguru.logger.remove()
 
 
-def run_seeds(duration_by_seed, *, cuts):
+def run_seeds(duration_by_seed, *, cuts, leaves=False):
     """Run seeds at the same time and return their outcomes."""
 
     async def runs():
         return await asyncio.gather(
             *[
-                _run.run(seed, seconds=seconds, cuts=cuts)
+                _run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves)
                 for seed, seconds in duration_by_seed.items()
             ]
         )
@@ -70,9 +76,16 @@
         assert not outcome.findings, outcome
 
 
+def test_seeds_that_failed_while_many_executors_left_pass():
+    """Guards against lasting tasks that never run again after that."""
+    duration_by_seed = {seed: seconds for seed, seconds, _cause in FAILED_LEAVE_RUNS}
+    for outcome in run_seeds(duration_by_seed, cuts=True, leaves=True):
+        assert not outcome.findings, outcome
+
+
 def test_every_kind_of_fault_is_drawn():
     """Guards against a kind of fault that no seed injects."""
     source = random.Random(0)
-    for faults in (_faults.ALL, _faults.CUTS):
+    for faults in (_faults.ALL, _faults.CUTS, _leaves.ALL):
         drawn = {source.choice(faults) for _ in range(1000)}
         assert drawn == set(faults)
