--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -6,11 +6,13 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import itertools
 import os
 import pathlib
 import random
 from collections.abc import AsyncIterator
+from concurrent import futures
 
 from tornado import httputil
 
@@ -32,6 +34,10 @@
 
 
 _cluster_numbers = itertools.count()
+# A start returns only once the new process executes its program, which takes
+# seconds beside load. Its thread must outlive the processes: the kernel ends
+# them with the thread that has started them.
+_starter = futures.ThreadPoolExecutor(max_workers=1, thread_name_prefix="starter")
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,9 +98,10 @@
         # Callers pass it the absolute URL of an instance as the path.
         self.client = http.Client(base_url="", clock=clock_module.Clock())
         self.group = group
+        self._starting: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
         self._number = next(_cluster_numbers)
-        self._starts: set[asyncio.Task[None]] = set()
+        self._ready_waits: set[asyncio.Task[None]] = set()
         self._replacement_numbers = itertools.count(1)
 
     async def build(self, *, instance_count: int, executor_count: int) -> None:
@@ -110,14 +117,15 @@
             await self._add_instance(number)
         for instance in self.instance_by_name.values():
             self.start(instance)
+        await self.finish_starts()
         async with asyncio.TaskGroup() as task_group:
             for instance in self.instance_by_name.values():
                 task_group.create_task(self.wait_until_ready(instance))
 
     async def close(self) -> None:
         """Stop everything except the processes."""
-        for start in self._starts:
-            start.cancel()
+        for waiting in self._ready_waits:
+            waiting.cancel()
         self.client.close()
         await self._stack.aclose()
 
@@ -185,15 +193,30 @@
         return linked
 
     def start(self, instance: Instance) -> None:
-        """Start the process of an instance."""
-        instance.process = self.group.start_script(
+        """Start the process of an instance, which is set once it runs."""
+        self._starting.add(asyncio.create_task(self._start(instance)))
+
+    async def finish_starts(self) -> None:
+        """Wait until all processes that are being started run.
+
+        Raises:
+            ProcessFailed: One could not be started.
+        """
+        await asyncio.gather(*self._starting)
+
+    async def _start(self, instance: Instance) -> None:
+        start_script = functools.partial(
+            self.group.start_script,
             instance.name,
             deployment.PROGRAM,
             value_by_variable=deployment.environment(str(instance.settings_path)),
         )
-        start = asyncio.create_task(self._disturb_until_ready(instance))
-        self._starts.add(start)
-        start.add_done_callback(self._starts.discard)
+        loop = asyncio.get_running_loop()
+        with self.disturbances.active():
+            instance.process = await loop.run_in_executor(_starter, start_script)
+        waiting = asyncio.create_task(self._disturb_until_ready(instance))
+        self._ready_waits.add(waiting)
+        waiting.add_done_callback(self._ready_waits.discard)
 
     async def _disturb_until_ready(self, instance: Instance) -> None:
         """Count a start as a disturbance until it is ready or ends."""
@@ -214,6 +237,7 @@
 
     async def stop(self, instance: Instance) -> None:
         """Stop an instance; record a finding if it does not exit cleanly."""
+        await self.finish_starts()
         process, instance.process = instance.process, None
         if process is None:
             return
@@ -301,6 +325,7 @@
             )
             yield cluster
         finally:
+            await cluster.finish_starts()
             for instance in cluster.instance_by_name.values():
                 if instance.process is not None:
                     instance.process.kill()
