Drop what executors of the soak had received before they ended

Change: a restart or an end drops requests that have arrived, an executor that has left answers nothing, and a new process takes 0.5 s to be there, however short the cut is.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -175,13 +175,18 @@
         )
         handler = executors.ExecutorHandler(executor)
 
+        async def handle(request: httputil.HTTPServerRequest) -> simple_server.Response:
+            if executor_id not in self.breaches.advance_by_executor:
+                return simple_server.Response(503)  # It has ended for good.
+            return await handler.answer(request)
+
         async def answer(request: httputil.HTTPServerRequest) -> simple_server.Response:
             caller = self.owners.find_caller(request)
             return await self.network.deliver(
                 caller,
                 executor_id,
                 request,
-                handler.answer,
+                handle,
                 life=lambda: executor.born_at,
             )
 
--- a/soak/_leaves.py
+++ b/soak/_leaves.py
@@ -136,7 +136,8 @@
     linked.link.pause()
     await asyncio.sleep(crash_s)
     linked.executor.restart()
-    await asyncio.sleep(cut_s - crash_s)
+    # The new process is not there at once, however short the cut is.
+    await asyncio.sleep(max(cut_s - crash_s, _faults.EXECUTOR_RESTART_S))
     # What was sent to the former process does not arrive.
     linked.link.cut()
     linked.publish()
--- a/standins/step_executor_client.py
+++ b/standins/step_executor_client.py
@@ -142,7 +142,11 @@
         if self._is_cut_off(executor):
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("executor is cut off")
+        born_at = executor.born_at
         await asyncio.sleep(RESPONSE_DELAY_S)
+        if executor.born_at != born_at:
+            # A restart drops the requests that were received.
+            raise errors.PlatformUnavailable("executor was restarted")
         return executor
 
     def _is_cut_off(self, executor: step_executors.Executor) -> bool:
