--- /dev/null
+++ b/soak/_executors.py
@@ -0,0 +1,84 @@
+"""Executors of the soak test, each behind a link of its own."""
+
+import dataclasses
+
+from emulator import executors
+from limpetstream.executors import messages
+from standins import keyed_store, link, step_executors
+
+CAPACITY = messages.Capacity(16_000, 64_000, 0)  # 16 cores, 64,000 MB.
+MAX_TASK_MILLICORES = 4000  # Largest task that callers submit.
+TASK_MEMORY_MB = 50  # Of every task.
+
+
+@dataclasses.dataclass(slots=True)
+class LinkedExecutor:
+    """One executor and the link to it.
+
+    Args:
+        executor: The executor.
+        link: Link to it.
+        store: Store that holds the list of executors.
+        is_restarting: Whether it has crashed and is not back yet, or has left.
+        is_leaving: Whether it has left for good, or is about to.
+    """
+
+    executor: step_executors.Executor
+    link: link.Link
+    store: keyed_store.Store
+    is_restarting: bool = False
+    is_leaving: bool = False
+
+    @property
+    def executor_id(self) -> str:
+        """Id of the executor."""
+        return self.executor.listing.executor_id
+
+    def publish(self) -> None:
+        """Publish its entry in the list of executors."""
+        executors.publish_listing(self.store, self.executor)
+
+    def restart(self) -> None:
+        """Restart it, which loses its runs, and publish its entry."""
+        self.executor.restart()
+        self.publish()
+
+    def announce_departure(self, notice_s: float) -> None:
+        """Publish that it is about to leave, in seconds from now."""
+        self.executor.listing = dataclasses.replace(
+            self.executor.listing,
+            state=messages.DRAINING,
+            remaining_ms=int(notice_s * 1000),
+        )
+        self.publish()
+
+    def end(self, *, is_silent: bool) -> None:
+        """End it for good, with its runs; its entry stays.
+
+        Args:
+            is_silent: Whether its connections fall silent, as without power;
+                otherwise they are reset.
+        """
+        self.is_restarting = True
+        if is_silent:
+            self.link.pause()
+        else:
+            self.link.cut()
+        # Requests that were held back for it do not arrive either.
+        self.executor.restart()
+        del self.executor.breaches.advance_by_executor[self.executor_id]
+
+    def unlist(self) -> None:
+        """Delete its entry."""
+        executors.delete_listing(self.store, self.executor_id)
+
+    def has_room(self, cpu_millicores: int) -> bool:
+        """Return whether it is up and ready and has room for a task."""
+        if self.is_restarting or self.executor.listing.state != messages.READY:
+            return False
+        runs = self.executor.run_by_task.values()
+        used_millicores = sum(run.cpu for run in runs)
+        return (
+            used_millicores + cpu_millicores <= CAPACITY.cpu_millicores
+            and (len(runs) + 1) * TASK_MEMORY_MB <= CAPACITY.memory_mb
+        )
