Send a call to an executor once

Cause: libcurl sends a call again by itself when a reused connection is reset before the answer begins; a poll so acknowledged ends of the restarted executor by the numbers of the former one, and a start was sent again without a look at the proof. Change: the body of such a call cannot be read a second time, so it fails, and the owner decides anew.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -23,6 +23,14 @@
     return int(match[1]) if match else 0
 
 
+def forbid_resend(handle: pycurl.Curl) -> None:
+    """Let a call fail where libcurl would send its body a second time.
+
+    libcurl then has to go back to the start of the body, which this refuses.
+    """
+    handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+
 def close(client: curl_httpclient.CurlAsyncHTTPClient) -> None:
     """Close a client so that none of its timers fires afterwards.
 
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -71,12 +71,12 @@
 
     libcurl resends a call on its own when a reused connection breaks before
     the first byte of the response, so the platform may receive any call
-    twice. Every call must therefore be idempotent, and those of this package
-    are: reads have no effect, readers drop a repeated frame of the log (the
-    records of one append) by its writer sequence numbers, a worker answers a
-    repeated start of an attempt (one run of a task) ``already`` by the attempt
-    id, and renewals of leases, throttles, checkpoints and stops set an
-    absolute state.
+    twice, unless ``may_resend`` is false. Every other call must therefore be
+    idempotent, and those of this package are: reads have no effect, readers
+    drop a repeated frame of the log (the records of one append) by its writer
+    sequence numbers, a worker answers a repeated start of an attempt (one run
+    of a task) ``already`` by the attempt id, and renewals of leases,
+    throttles, checkpoints and stops set an absolute state.
 
     Args:
         base_url: Base URL of the platform, such as
@@ -120,6 +120,7 @@
         *,
         timeout_s: float,
         headers: dict[str, str] | None = None,
+        may_resend: bool = True,
     ) -> Answer:
         """Send one call and return its answer, of any status but 503.
 
@@ -131,6 +132,8 @@
             timeout_s: Time limit of the call, including the connection; a wait
                 for one of ``max_clients`` calls to end is not counted.
             headers: Additional headers.
+            may_resend: Whether libcurl may send the call again, seconds after
+                it was decided. Otherwise a call with a body is sent once.
 
         Raises:
             PlatformUnavailable: The call timed out, the connection failed, the
@@ -145,6 +148,8 @@
         request = self._request(method, path, body, timeout_s)
         if headers:
             request.headers.update(headers)
+        if not may_resend:
+            request.prepare_curl_callback = _curl.forbid_resend
         self.traffic.calls += 1
         self.traffic.sent_bytes += len(path) + len(request.body or b"")
         _curl.ensure_free_handle(self._curl, self._max_clients)
