Try a gang once in a pass

Each member of a gang that does not fit had a turn of its own in the same pass, and each of them looked at all members again.

`python -m pytest limpetstream/shard/tests/test_pass_cost.py -k gang` sees one try of the gang of 2,400 in two passes.

--- a/bench/pass_cost.py
+++ b/bench/pass_cost.py
@@ -24,6 +24,7 @@
 PASS_S = 0.004
 WAITING_COUNTS = (1000, 10_000, 30_000)
 WAITING_PASSES = 6
+MAX_ROUND_PASSES = 1000
 MAX_MEASURED_S = 20.0  # Stops the passes of one size.
 
 
@@ -48,6 +49,7 @@
             sum(took_ms) * len(forgetful_ms) / len(took_ms) / sum(forgetful_ms), 3
         )
         figures[f"visits in {visited_passes} passes {at}"] = visits
+        figures[f"passes of the first round {at}"] = _count_round(size)
     for count in WAITING_COUNTS:
         figures[f"later pass, {count} wait at 176 executors (ms)"] = round(
             _measure_waiting(count), 1
@@ -97,6 +99,17 @@
     return visits.executors + visits.runs, 2
 
 
+def _count_round(size: int) -> int:
+    """Return how many passes it takes until each task had its turn."""
+    loop, shard = _make_full_shard(size)
+    for passes in range(1, MAX_ROUND_PASSES):
+        scheduling.run_pass(shard)
+        _advance(shard, loop)
+        if shard.searches.round_number:
+            return passes
+    return MAX_ROUND_PASSES
+
+
 def _advance(shard: state.Shard, loop: virtual_time.Loop) -> None:
     loop._virtual.now += PASS_S
     shard.ownership_proven_at = loop.time()
--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -145,10 +145,10 @@
 
     def count_of_step(self, task: state.Task) -> int:
         """Return how many tasks of the same step it runs."""
-        return self._count_by_step.get(_step_name(task), 0)
+        return self._count_by_step.get(state.step_name(task), 0)
 
     def _change_reserved(self, task: state.Task, sign: int) -> None:
-        step, step_name = task.step, _step_name(task)
+        step, step_name = task.step, state.step_name(task)
         self.run_changes += 1
         self.long_running_count += sign * step.long_running
         count = self._count_by_step.pop(step_name, 0) + sign
@@ -160,8 +160,3 @@
             self.reserved_millicores += sign * step.cpu_millicores
         self.reserved_memory_mb += sign * step.memory_mb
         self.reserved_accelerators += sign * step.accelerators
-
-
-def _step_name(task: state.Task) -> str:
-    """Return the part of a task's name that the tasks of its step share."""
-    return task.name.rpartition(".")[0]
--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -25,7 +25,7 @@
         step.accelerators,
         step.required_label,
         step.fills,
-        task.name.rpartition(".")[0] if step.max_per_executor else "",
+        workflow_state.step_name(task) if step.max_per_executor else "",
     )
 
 
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -57,8 +57,11 @@
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
             found, with their image and how long they have waited.
+        gangs: Gangs that had their turn, by the common part of their tasks'
+            names.
         is_finished: Whether every due task has had its turn in the round.
-        is_idle: Whether no task was left out that had its turn earlier.
+        has_skipped: Whether tasks that had their turn earlier in the round
+            were left out.
     """
 
     now: float
@@ -67,8 +70,9 @@
     checks: int = 0
     placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
+    gangs: set[str] = dataclasses.field(default_factory=set)
     is_finished: bool = True
-    is_idle: bool = True
+    has_skipped: bool = False
 
 
 async def run(shard: state.Shard) -> None:
@@ -114,14 +118,16 @@
     for task in turn_order.sort(shard, due, now):
         if task.job.outcome or task.done or task.run is not None:
             shard.waiting_tasks.discard(task)
+        elif task.step.gang and workflow_state.step_name(task) in this_pass.gangs:
+            continue
         elif _is_at_bound(this_pass):
             this_pass.is_finished = False
             break
         elif _may_have_turn(shard, task, this_pass):
             _give_turn(shard, task, this_pass)
         else:
-            this_pass.is_idle = False
-    if not this_pass.is_finished or not this_pass.is_idle:
+            this_pass.has_skipped = True
+    if this_pass.has_skipped or not this_pass.is_finished:
         shard.changed.set()  # The next pass continues with them.
     _note_bound(shard, this_pass)
     searches.end_pass(shard.searches, is_finished=this_pass.is_finished)
@@ -191,6 +197,7 @@
     this_pass: _Pass,
 ) -> list[workflow_state.Task]:
     """Place all members of a task's gang; return those that were placed."""
+    this_pass.gangs.add(workflow_state.step_name(task))
     occurrence = task.job.occurrence_by_number[task.occurrence]
     members = [
         member
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -212,8 +212,11 @@
     assert len(chosen_for) == 500
 
 
-def test_a_gang_does_not_use_up_every_pass():
-    """Guards against tasks that have no turn behind a gang that never fits."""
+def test_a_gang_does_not_use_up_every_pass(monkeypatch):
+    """Guards against tasks that have no turn behind a gang that never fits.
+
+    The gang is tried once in a pass, not once for each of its members.
+    """
     loop = virtual_time.Loop()
     shard = builders.make_shard(loop, executors=2300)
     step = builders.copy_step(
@@ -222,10 +225,19 @@
     shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
     task = builders.make_tasks(shard, builders.SHORT)[0]
     shard.waiting_tasks.append(task)
+    tried = []
+    place_gang = placing.place_gang
+
+    def recording(shard, members, context, executors):
+        tried.append(len(members))
+        return place_gang(shard, members, context, executors)
+
+    monkeypatch.setattr(placing, "place_gang", recording)
     for _ in range(2):
         scheduling.run_pass(shard)
         advance(shard, loop, PASS_S)
     assert task.run is not None
+    assert tried == [2400]
 
 
 def test_finishing_a_job_looks_only_at_its_own_runs(monkeypatch):
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -181,6 +181,11 @@
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
 
+def step_name(task: Task) -> str:
+    """Return the part of a task's name that all tasks of its step share."""
+    return task.name.rpartition(".")[0]
+
+
 def get_occurrence(job: Job, number: int) -> Occurrence:
     """Return an occurrence of a job; create it and its tasks on first use."""
     occurrence = job.occurrence_by_number.get(number)
