--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -212,11 +212,8 @@
     assert len(chosen_for) == 500
 
 
-def test_a_gang_does_not_use_up_every_pass(monkeypatch):
-    """Guards against tasks that have no turn behind a gang that never fits.
-
-    The gang is tried once in a pass, not once for each of its members.
-    """
+def test_a_gang_does_not_use_up_every_pass():
+    """Guards against tasks that have no turn behind a gang that never fits."""
     loop = virtual_time.Loop()
     shard = builders.make_shard(loop, executors=2300)
     step = builders.copy_step(
@@ -225,6 +222,19 @@
     shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
     task = builders.make_tasks(shard, builders.SHORT)[0]
     shard.waiting_tasks.append(task)
+    for _ in range(2):
+        scheduling.run_pass(shard)
+        advance(shard, loop, PASS_S)
+    assert task.run is not None
+
+
+def test_a_gang_is_tried_once_in_a_pass(monkeypatch):
+    """Guards against a try for each member, which looks at all members."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    step = builders.copy_step(
+        builders.SHORT, count=30, cpu_millicores=40_000, gang=True
+    )
+    shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
     tried = []
     place_gang = placing.place_gang
 
@@ -233,11 +243,8 @@
         return place_gang(shard, members, context, executors)
 
     monkeypatch.setattr(placing, "place_gang", recording)
-    for _ in range(2):
-        scheduling.run_pass(shard)
-        advance(shard, loop, PASS_S)
-    assert task.run is not None
-    assert tried == [2400]
+    scheduling.run_pass(shard)
+    assert tried == [30]
 
 
 def test_finishing_a_job_looks_only_at_its_own_runs(monkeypatch):
