--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -343,7 +343,7 @@
 PASSES_BOUNDED = events.declare(
     1555,
     "passes-bounded",
-    "WARNING",
+    "INFO",
     "Scheduling passes leave tasks over to the next ones; at most every 10 s.",
     "Compare `at_bound` with `passes`; if most are, the owner lacks processor time.",
 )
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -228,6 +228,25 @@
     assert task.run is not None
 
 
+def test_a_gang_is_tried_once_in_a_pass(monkeypatch):
+    """Guards against a try for each member, which looks at all members."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    step = builders.copy_step(
+        builders.SHORT, count=30, cpu_millicores=40_000, gang=True
+    )
+    shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
+    tried = []
+    place_gang = placing.place_gang
+
+    def recording(shard, members, context, executors):
+        tried.append(len(members))
+        return place_gang(shard, members, context, executors)
+
+    monkeypatch.setattr(placing, "place_gang", recording)
+    scheduling.run_pass(shard)
+    assert tried == [30]
+
+
 def test_finishing_a_job_looks_only_at_its_own_runs(monkeypatch):
     """Guards against work for each end of a job that grows with all runs."""
     shard = builders.make_shard(virtual_time.Loop(), executors=176)
