Tighten the tests of the fair order of passes

Two changes of the code passed the tests: repeating searches within a round, and no limit on tasks that had their turn. The test of the next pass now allows 20 passes for the work of 16 (150 tasks; it was 100 passes for that of 300), at two speeds, and a new one has 4,000 tasks ahead. Each of them fails with one of the two changes; the other five tried, such as uncounted work or no pause, failed before as well.

--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -111,25 +111,42 @@
     assert visits.runs + visits.executors <= 2 * MAX_VISITS_PER_PASS
 
 
-def test_the_next_pass_continues_where_a_pass_ended(monkeypatch):
+@pytest.mark.parametrize("pass_s", [PASS_S, 0.1])
+def test_the_next_pass_continues_where_a_pass_ended(monkeypatch, pass_s):
     """Guards against tasks that are never tried, behind others that fail.
 
     The first tasks in order of priority find no executor at any time; only
-    the last one fits.
+    the last one fits. Two searches of each task, once, are the work of 16
+    passes. With slow passes, the first searches become due again before.
     """
     loop = virtual_time.Loop()
     shard = builders.make_shard(loop, executors=2300)
     fill(shard, builders.SERVING, 4, queue="desk")
-    queue_lasting(shard, 300, waited_s=3.0)
+    queue_lasting(shard, 150, waited_s=3.0)
     last = builders.make_tasks(
         shard, builders.copy_step(builders.SHORT, cpu_millicores=12_000)
     )[0]
     shard.waiting_tasks.append(last)
     visits = builders.count_visits(shard, monkeypatch)
-    for _ in range(100):
+    for _ in range(20):
         before = visits.runs + visits.executors
         scheduling.run_pass(shard)
         assert visits.runs + visits.executors - before <= 2 * MAX_VISITS_PER_PASS
+        advance(shard, loop, pass_s)
+    assert last.run is not None
+
+
+def test_tasks_whose_search_has_failed_do_not_use_up_every_pass():
+    """Guards against tasks without a turn behind thousands that wait."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=4)
+    fill(shard, builders.SERVING, 4, queue="desk")
+    step = builders.copy_step(builders.SERVING, count=4000)
+    shard.waiting_tasks.extend(builders.make_tasks(shard, step, queue="desk"))
+    last = builders.make_tasks(shard, builders.SHORT)[0]
+    shard.waiting_tasks.append(last)
+    for _ in range(5):
+        scheduling.run_pass(shard)
         advance(shard, loop, PASS_S)
     assert last.run is not None
 
