Stop all runs of an executor shortly before it leaves

Other runs were cut off, and their tasks waited 5.2 s for the lease.

An executor announces when it leaves. 1.1 s before that, the runs that are still there are stopped: 0.6 s for the stop and its reply, as the unused LEAVE_MARGIN_S says, and 0.5 s for the age of the entry. The new test fails without the change.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -51,6 +51,8 @@
         listed: Whether the list of executors still contains it.
         draining_since: Monotonic time at which its entry was first seen to
             say that it will leave; None before.
+        leaves_at: Earliest monotonic time at which it leaves, by what its
+            entries said when they were read; None while they say nothing.
         reserved_millicores: CPU reserved by runs that are not best-effort.
         reserved_memory_mb: Reserved memory.
         reserved_accelerators: Reserved accelerators.
@@ -82,6 +84,7 @@
     )
     listed: bool = True
     draining_since: float | None = None
+    leaves_at: float | None = None
     reserved_millicores: int = 0
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -77,9 +77,15 @@
 
 def _note_draining(shard: state.Shard, executor: tracking.Executor) -> None:
     if not is_draining(executor):
-        executor.draining_since = None
-    elif executor.draining_since is None:
-        executor.draining_since = shard.clock.monotonic()
+        executor.draining_since = executor.leaves_at = None
+        return
+    now = shard.clock.monotonic()
+    if executor.draining_since is None:
+        executor.draining_since = now
+    if executor.listing.remaining_ms is not None:
+        # The same entry may be read again later.
+        leaves_at = now + executor.listing.remaining_ms / 1000
+        executor.leaves_at = min(executor.leaves_at or leaves_at, leaves_at)
 
 
 def _mark_unlisted(shard: state.Shard, executor_id: str) -> None:
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -1,8 +1,8 @@
 """Does an owner's periodic work for its shard.
 
-It queues due occurrences, stops long-running runs on draining executors, moves
-paused runs, reports why tasks wait and how the owner is doing, stores learned
-estimates, and drops jobs whose retention time is over.
+It queues due occurrences, stops runs on draining executors, moves paused runs,
+reports why tasks wait and how the owner is doing, stores learned estimates,
+and drops jobs whose retention time is over.
 """
 
 from limpetstream import errors
@@ -28,6 +28,8 @@
 CLEANUP_TIMEOUT_S = 1.0
 RETENTION_MARGIN_S = 60.0  # A repeated submission may arrive late.
 LEAVE_MARGIN_S = 0.6  # Time that a stop and its reply may take.
+# Age of an executor's entry when it is read: the list is read every 0.4 s.
+MAX_ENTRY_AGE_S = 0.5
 
 
 async def run(shard: state.Shard) -> None:
@@ -77,15 +79,25 @@
 
 
 def stop_runs_on_draining_executors(shard: state.Shard) -> None:
-    """Stop long-running runs that a draining executor would cut off."""
+    """Stop the runs that a draining executor would cut off.
+
+    Long-running runs are stopped at once. The others are stopped shortly
+    before the executor leaves, while it can still list their ends: one that is
+    listed as the executor leaves may never be read, and the task would run
+    again after its end.
+    """
+    now = shard.clock.monotonic()
     for executor in shard.executor_by_id.values():
-        listing = executor.listing
-        if listing.state != executor_messages.DRAINING:
+        if executor.listing.state != executor_messages.DRAINING:
             continue
+        leaves_soon = (
+            executor.leaves_at is not None
+            and now > executor.leaves_at - MAX_ENTRY_AGE_S - LEAVE_MARGIN_S
+        )
         for run in list(executor.run_by_task.values()):
             if run.phase != workflow_state.WORKING:
                 continue
-            if run.task.step.long_running:
+            if run.task.step.long_running or leaves_soon:
                 stops.stop_run(shard, executor, run, "the executor is leaving")
 
 
--- a/limpetstream/shard/tests/test_replaced_executors.py
+++ b/limpetstream/shard/tests/test_replaced_executors.py
@@ -25,11 +25,17 @@
     loguru.logger.remove()
 
 
-async def leave(cluster, executor):
-    """Let an executor announce that it leaves, and leave with all its runs."""
+async def leave(cluster, executor, *, remaining_ms=None):
+    """Let an executor announce that it leaves, and leave with all its runs.
+
+    Args:
+        cluster: Cluster of the executor.
+        executor: Executor that leaves ``NOTICE_S`` later.
+        remaining_ms: What its entry says about the time until then.
+    """
     executor_id = executor.listing.executor_id
     executor.listing = dataclasses.replace(
-        executor.listing, state=executor_messages.DRAINING
+        executor.listing, state=executor_messages.DRAINING, remaining_ms=remaining_ms
     )
     cluster.list_executor(executor)
     await asyncio.sleep(NOTICE_S)
@@ -75,6 +81,47 @@
     assert cluster.breaches.starts == 8
 
 
+@pytest.mark.parametrize("left_s", [0.02, 0.3, 3.0])
+def test_no_run_ends_unread_as_its_executor_leaves(left_s):
+    """Guards against a second run of a task whose end is listed too late.
+
+    Seen on bwc-limpet-grown: a run ended as done 9 ms before its executor
+    left, the reply that listed it was lost, and the task was started again.
+
+    Args:
+        left_s: Seconds from the end of the runs until the executors leave; the
+            last value leaves them the time to end.
+    """
+
+    async def scenario(cluster):
+        cluster.start("m0")
+        await asyncio.sleep(2)
+        name = schedules.job_id(1)
+        assert await cluster.submit(
+            name,
+            [BEST_EFFORT],
+            seconds=0.1 + NOTICE_S - left_s,
+            queue=shard_cluster.BATCH,
+        )
+        await asyncio.sleep(0.1)
+        used = [x for x in cluster.executor_by_id.values() if x.run_by_task]
+        leaving = [
+            asyncio.create_task(
+                leave(cluster, executor, remaining_ms=round(NOTICE_S * 1000))
+            )
+            for executor in used
+        ]
+        await asyncio.sleep(NOTICE_S - 0.05)
+        assert not any(executor.run_by_task for executor in used)
+        assert not any(executor.ends for executor in used)
+        await asyncio.gather(*leaving)
+        assert await cluster.wait_until_final(name, limit_s=9) == "completed"
+
+    cluster = schedules.run_scenario(scenario, executors=8)
+    assert not cluster.breaches.found
+    assert cluster.breaches.starts == (4 if left_s == 3.0 else 8)
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_no_task_is_dropped_while_executors_are_replaced(seed):
     """Guards against an owner that loses track of tasks of left executors."""
