Log the stacks of an instance that does not exit

Change: an instance of the soak that is still there 6 s after SIGTERM is made to print the stacks of its threads; state, kernel function and system call of each come before.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -204,7 +204,10 @@
             self.group.start_script,
             instance.name,
             deployment.PROGRAM,
-            value_by_variable=deployment.environment(str(instance.settings_path)),
+            value_by_variable={
+                **deployment.environment(str(instance.settings_path)),
+                "PYTHONFAULTHANDLER": "1",  # Lets dump_stacks print them.
+            },
         )
         loop = asyncio.get_running_loop()
         instance.process = await loop.run_in_executor(_starter, start_script)
@@ -219,7 +222,10 @@
         await instance.process.wait_until_ready(url, timeout_s=READY_TIMEOUT_S)
 
     async def stop(self, instance: Instance) -> None:
-        """Stop an instance; record a finding if it does not exit cleanly."""
+        """Stop an instance; record a finding if it does not exit cleanly.
+
+        If it does not exit at all, its log gets the stacks of its threads.
+        """
         await self.finish_starts()
         process, instance.process = instance.process, None
         if process is None:
@@ -230,6 +236,7 @@
             self.findings.append(
                 f"{instance.name} had exit status {status} after SIGTERM"
             )
+            await process.dump_stacks()
             process.kill()
 
     async def _add_instance(self, number: int) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,6 +24,7 @@
 POLL_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 10.0
 LOG_TAIL_CHARACTERS = 1000
+DUMP_TIMEOUT_S = 2.0  # For a process to print its stacks.
 PR_SET_PDEATHSIG = 1
 FIRST_PORT = 15_000
 END_PORT = 32_000
@@ -112,6 +113,20 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         return self.exit_status
 
+    async def dump_stacks(self) -> None:
+        """End a process that does not exit; its log tells what it does.
+
+        The kernel's view of each thread comes first, then the stacks that a
+        process started with ``PYTHONFAULTHANDLER`` prints before it ends.
+        """
+        if self.exit_status is not None:
+            return
+        lines = [_describe_thread(path) for path in _thread_paths(self.popen.pid)]
+        with self.log_path.open("a") as log:
+            log.write("".join(f"thread {line}\n" for line in lines))
+        self._send(signal.SIGABRT)
+        await self.wait_for_exit(timeout_s=DUMP_TIMEOUT_S)
+
     async def wait_until_ready(
         self, base_url: str, path: str = "/", *, timeout_s: float = 15.0
     ) -> None:
@@ -147,6 +162,21 @@
             self.popen.send_signal(number)
 
 
+def _thread_paths(pid: int) -> list[pathlib.Path]:
+    return list(pathlib.Path(f"/proc/{pid}/task").glob("*"))
+
+
+def _describe_thread(path: pathlib.Path) -> str:
+    """Return state, function of the kernel and system call of a thread."""
+    texts = [path.name]
+    for name in ("stat", "wchan", "syscall"):
+        try:
+            texts.append(f"{name}: {(path / name).read_text().strip()}")
+        except OSError as error:
+            texts.append(f"{name}: {error}")
+    return ", ".join(texts)
+
+
 @dataclasses.dataclass(slots=True)
 class ProcessGroup:
     """Processes that are ended together.
--- a/standins/tests/test_processes.py
+++ b/standins/tests/test_processes.py
@@ -41,6 +41,34 @@
     asyncio.run(main())
 
 
+def test_a_process_that_does_not_exit_tells_what_it_does(tmp_path) -> None:
+    """Guards against an instance that holds on without a trace."""
+    script = tmp_path / "sleeper.py"
+    script.write_text(
+        "import time\ndef hold_on():\n    print('holds', flush=True)\n"
+        "    time.sleep(60)\nhold_on()\n"
+    )
+
+    async def main() -> None:
+        with processes.process_group(LOGS) as group:
+            (group.log_directory / "sleeper.log").unlink(missing_ok=True)
+            variables = {"PYTHONFAULTHANDLER": "1"}
+            process = group.start_script(
+                "sleeper", str(script), value_by_variable=variables
+            )
+            while "holds" not in process.log_path.read_text():
+                await asyncio.sleep(0.05)
+            await process.dump_stacks()
+            assert process.exit_status == -signal.SIGABRT
+            text = process.log_path.read_text()
+            assert "wchan: " in text
+            assert "in hold_on" in text
+            await process.dump_stacks()  # It has ended; nothing happens.
+            assert process.log_path.read_text() == text
+
+    asyncio.run(main())
+
+
 def test_group_ends_its_processes_also_after_an_error() -> None:
     """Guards against processes that outlive a failed test."""
 
