--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -1,8 +1,8 @@
 """Does an owner's periodic work for its shard.
 
 It queues due occurrences, stops runs on draining executors, moves paused runs,
-finds forgotten tasks, reports why tasks wait and how the owner is doing, stores
-learned estimates, and drops jobs whose retention time is over.
+finds forgotten tasks, reports why tasks wait and how the owner is doing,
+stores learned estimates, and drops jobs whose retention time is over.
 """
 
 from limpetstream import errors
