--- a/tests/answer_builders.py
+++ b/tests/answer_builders.py
@@ -1,5 +1,7 @@
 """Builders of the answers of executors, good and odd ones."""
 
+import dataclasses
+
 import msgspec
 
 from limpetstream.executors import messages
@@ -20,6 +22,11 @@
 END = [1, "5c0e7a21d94b36f8.0.0.0", 1, "done", ""]
 
 
+def listing_at(address: str) -> messages.Listing:
+    """Return the entry of an executor with an address."""
+    return dataclasses.replace(LISTING, address=address)
+
+
 def status(**changes: object) -> bytes:
     """Return the answer to a poll with some fields changed."""
     good = {"clock_ms": 5000, "born": 1000, "running": [], "ended": []}
