Show two ways in which one batch task or record holds back others

Cause: planner._place_shape leaves a shape at the first task without a worker, although jobs of one shape may avoid different workers; Outbox.flush_checkpoints puts all checkpoints into one record, which the committer refuses with a ValueError beyond 256 KB, and the scheduler of the data centre ends.

Change: a test of each.

--- /dev/null
+++ b/limpetstream/batch/tests/test_held_back.py
@@ -0,0 +1,72 @@
+"""Tests that no task or record holds back all others for ever."""
+
+import asyncio
+
+import loguru
+import msgspec
+import pytest
+
+from bench import _batch_world
+from limpetstream.batch import messages, outbox, quarantine
+from limpetstream.records import committer
+from standins import virtual_time
+
+RUNNING_TASKS = 5000  # Of one data centre; each has a new checkpoint.
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    loguru.logger.remove()
+
+
+def test_a_job_that_avoids_a_worker_holds_back_no_other_job_of_its_shape():
+    """Guards against a free worker that a job waits for in vain.
+
+    The first job has failed there, and all other workers are full.
+    """
+
+    async def scenario(loop):
+        world = _batch_world.make(11, loop)
+        for number in range(2):
+            world.add_worker(f"w{number}", "a", f"r{number}", cores=6.0)
+        world.add_entry("e0")
+        world.start()
+        await asyncio.sleep(6.0)
+        await world.submit("filler", tasks=2, cores=5.0, run_s=1e6)
+        await asyncio.sleep(3.0)
+        world.add_worker("w9", "a", "r9", cores=6.0)
+        world.worker_by_id["w9"].failing_jobs.add("fails")
+        await asyncio.sleep(8.0)
+        await world.submit("fails", cores=3.0, run_s=1.0)
+        await asyncio.sleep(8.0)
+        entry = world.any_running_instance()
+        assert entry.state.job_by_id["fails"].failed_workers == ["w9"]
+        assert entry.state.task_by_id["fails/0"].state == "pending"
+        await world.submit("works", cores=3.0, run_s=1.0)
+        await asyncio.sleep(30.0)
+        assert entry.state.task_by_id["works/0"].state == "finished"
+
+    loop = virtual_time.Loop()
+    virtual_time.run(scenario(loop), loop=loop)
+
+
+def test_checkpoints_of_many_tasks_fit_into_their_records():
+    """Guards against a scheduler that fails again after each restart.
+
+    The committer raises an error for a record that is larger than a frame.
+    """
+    sizes = []
+
+    async def append(kind, body):
+        sizes.append(len(msgspec.json.encode(body)) + committer.ENVELOPE_BYTES)
+        return True
+
+    class Context:
+        clock = virtual_time.make_clock(virtual_time.Loop())
+
+    box = outbox.Outbox(Context, quarantine.Quarantine(), append)
+    for number in range(RUNNING_TASKS):
+        name = f"plan-2026-12-05/{number}"
+        box.checkpoint_by_task[name] = messages.Checkpoint(name, 1, f"{number:032x}")
+    asyncio.run(box.flush_checkpoints())
+    assert max(sizes) <= committer.MAX_FRAME_BYTES
