--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -29,6 +29,9 @@
         first_answered_at: Monotonic time of the first answer of the present
             incarnation to a poll of this owner; minus infinity if there was
             none yet.
+        confirmed: Whether an append that began after ``first_answered_at`` is
+            confirmed. Before, the incarnation may have forgotten the token of
+            a later owner.
         polled_at: Monotonic time at which the newest answered poll was sent.
         answered_at: Monotonic time at which its answer was received.
         earlier_leases_expire_at: Monotonic time at which every lease that
@@ -73,6 +76,7 @@
     applied_end: int = 0
     reached: bool = False
     first_answered_at: float = float("-inf")
+    confirmed: bool = True
     polled_at: float = float("-inf")
     answered_at: float = float("-inf")
     earlier_leases_expire_at: float = float("-inf")
@@ -137,6 +141,11 @@
             and self.reserved_accelerators + step.accelerators <= capacity.accelerators
         )
 
+    def has_accelerators(self, step: workflow_messages.Step) -> bool:
+        """Return whether enough accelerators are free for a task of a step."""
+        free = self.listing.capacity.accelerators - self.reserved_accelerators
+        return step.accelerators <= free
+
     def fits_when_idle(self, step: workflow_messages.Step) -> bool:
         """Return whether a task of a step would fit if nothing else ran."""
         capacity = self.listing.capacity
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -70,6 +70,25 @@
         shard.nonvoting_executors.add(executor_id)
 
 
+def note_unreadable(shard: state.Shard, key: str) -> None:
+    """Note an unreadable record of an executor that may run tasks.
+
+    It cannot be polled before the list names it, so until then it counts as a
+    voter that was not reached.
+    """
+    executor_id = key.removeprefix(names.EXECUTOR_KEY_PREFIX)
+    shard.unreadable_executors.add(executor_id)
+    shard.inherited_executors.add(executor_id)
+    shard.inherited_voters.add(executor_id)
+
+
+def drop_unreadable(shard: state.Shard) -> None:
+    """Delete unreadable records once nothing can run on their executors."""
+    for executor_id in shard.unreadable_executors:
+        if executor_id not in shard.record_state_by_id:
+            shard.journal.put(names.EXECUTOR_KEY_PREFIX + executor_id, lambda: None)
+
+
 def write_missing(shard: state.Shard) -> None:
     """Record the executors without a record, and let all others vote."""
     for executor_id, executor in shard.executor_by_id.items():
@@ -173,7 +192,8 @@
 
 def _count_reached_or_gone(shard: state.Shard, executor_ids: set[str]) -> int:
     return sum(
-        executor_id not in shard.executor_by_id
-        or shard.executor_by_id[executor_id].reached
+        shard.executor_by_id[executor_id].reached
+        if executor_id in shard.executor_by_id
+        else executor_id not in shard.unreadable_executors
         for executor_id in executor_ids
     )
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -88,6 +88,7 @@
     for executor in executors:
         if (
             not executor.fits_when_idle(task.step)
+            or not executor.has_accelerators(task.step)
             or not eligibility.accepts_new_tasks(executor, context)
             or eligibility.is_in_doubt(executor, context.now)
             or not eligibility.meets_constraints(executor, task)
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -7,6 +7,7 @@
 
 import math
 
+from limpetstream.executors import tracking
 from limpetstream.shard import events, executor_records, names, state
 from limpetstream.telemetry import logs
 
@@ -94,6 +95,26 @@
     await shard.journal.wait_until_durable()
 
 
+def confirm_incarnation(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Let an executor that has answered first get starts after an append.
+
+    A later owner may have reached its former incarnation and have taken its
+    runs for settled. The present one has forgotten that owner's token.
+    """
+    executor.first_answered_at = shard.clock.monotonic()
+    executor.confirmed = False
+    shard.spawn(_confirm_incarnation(shard, executor, executor.first_answered_at))
+
+
+async def _confirm_incarnation(
+    shard: state.Shard, executor: tracking.Executor, answered_at: float
+) -> None:
+    await confirm(shard)
+    if executor.first_answered_at == answered_at:
+        executor.confirmed = True
+        shard.changed.set()
+
+
 def _queue_empty_append(shard: state.Shard) -> None:
     """Queue an append that changes nothing; its confirmation is a proof."""
     shard.journal.put(names.PROOF_KEY, lambda: None)
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -67,7 +67,10 @@
             RecursionError,
         ) as error:
             unreadable.log(names.PROGRESS_TOPIC, entry, error)
-            shard.unreadable_job_ids.add(entry.key)
+            if entry.key.startswith(names.EXECUTOR_KEY_PREFIX):
+                executor_records.note_unreadable(shard, entry.key)
+            else:
+                shard.unreadable_job_ids.add(entry.key)
     return JournalContent(progress_by_id, executors)
 
 
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -52,6 +52,8 @@
     Args:
         now: Monotonic time in seconds.
         executors: All executors.
+        has_doubt: Whether an executor has lately left a start without an
+            answer.
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
         checks: Work done so far.
@@ -67,6 +69,7 @@
 
     now: float
     executors: list[tracking.Executor]
+    has_doubt: bool
     may_preempt_long_running: bool
     checks: int = 0
     placed: int = 0
@@ -145,7 +148,8 @@
         now,
     )
     may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
-    return _Pass(now, executors, may_preempt_long_running)
+    has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
+    return _Pass(now, executors, has_doubt, may_preempt_long_running)
 
 
 def _is_at_bound(this_pass: _Pass) -> bool:
@@ -247,7 +251,7 @@
     and no runs can be stopped for it elsewhere.
     """
     executors = this_pass.executors
-    accepts_doubt = not task.step.long_running
+    accepts_doubt = not (task.step.long_running and this_pass.has_doubt)
     if placing.place(shard, task, context, executors, accepts_doubt=accepts_doubt):
         return [task]
     if preemption.may_preempt(shard, task, this_pass.now) and (
@@ -256,8 +260,10 @@
         shape = placing.shape(task, context.service)
         if preemption.preempt_for(shard, task, context, executors, shape):
             this_pass.may_preempt_long_running &= task.step.long_running
-        elif victims.has_waited_long(shard, task) and placing.place(
-            shard, task, context, executors
+        elif (
+            not accepts_doubt
+            and victims.has_waited_long(shard, task)
+            and placing.place(shard, task, context, executors)
         ):
             return [task]
     return []
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -142,7 +142,7 @@
     )
     if not executor.reached:
         executor.reached = True
-        executor.first_answered_at = shard.clock.monotonic()
+        proof.confirm_incarnation(shard, executor)
         executor.earlier_leases_expire_at = executor.first_answered_at + _max_lease_s()
     executor.silent_since = None
     if not executor.recorded:
@@ -347,6 +347,7 @@
 
 def _settle_earlier_runs(shard: state.Shard, reached: int) -> None:
     shard.earlier_runs_settled = True
+    executor_records.drop_unreadable(shard)
     shard.changed.set()
     logs.emit(
         events.SHARD_LOCATED,
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -111,11 +111,11 @@
         configuration.
         """
         shard = self.shard_by_number.get(number)
-        if shard is None or shard.view.configuration is None:
+        if shard is None:
             return 0.0
         since = shard.journal.failing_since
         if since is None and not shard.recovered:
-            since = shard.claimed_at
+            since = shard.load_began_at
         return 0.0 if since is None else self._clock.monotonic() - since
 
     def answer_epoch(
@@ -176,6 +176,7 @@
         shard.spawn(shard.journal.run())
         while shard.view.configuration is None:
             await self._clock.sleep(recovery.RETRY_S)
+        shard.load_began_at = self._clock.monotonic()
         executors = self._executors_follower(shard)
         submissions, progress_by_id = _submissions_follower(shard)
         journaled = await recovery.load_journal(shard)
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -93,6 +93,8 @@
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
+    if not executor.confirmed:
+        return "no append since the executor's first answer"
     if not is_sent and run.start_requested_at < executor.doubted_at:
         return "an earlier start there has no answer"
     return ""
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -85,6 +85,7 @@
         inherited_executors: Ids of executors that earlier owners recorded in
             the journal.
         inherited_voters: Ids of those among them that belong to the quorum.
+        unreadable_executors: Ids of executors whose records cannot be read.
         nonvoting_executors: Ids of executors whose records do not belong to
             the quorum.
         waiting_tasks: Tasks that wait for capacity.
@@ -95,6 +96,8 @@
         unproven_since: Time at which the last proof was found to be too old;
             None while there is a recent one.
         claimed_at: Time of the claim.
+        load_began_at: Time from which there was a configuration to load with;
+            None before.
         claim_proven_at: Time until which no other instance had claimed the
             shard after this one.
         recovered: Whether jobs and executors have been loaded.
@@ -142,6 +145,7 @@
     record_state_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
     inherited_executors: set[str] = dataclasses.field(default_factory=set)
     inherited_voters: set[str] = dataclasses.field(default_factory=set)
+    unreadable_executors: set[str] = dataclasses.field(default_factory=set)
     nonvoting_executors: set[str] = dataclasses.field(default_factory=set)
     waiting_tasks: waiting_tasks_module.WaitingTasks = dataclasses.field(
         default_factory=waiting_tasks_module.WaitingTasks
@@ -154,6 +158,7 @@
     unproven_since: float | None = None
     claimed_at: float = 0.0
     claim_proven_at: float = 0.0
+    load_began_at: float | None = None
     recovered: bool = False
     instance_quorum: quorum_module.Quorum = dataclasses.field(
         default_factory=quorum_module.Quorum
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -70,7 +70,7 @@
         executor=executor.listing.executor_id,
         reason="restarted under the same id",
     )
-    executor.first_answered_at = shard.clock.monotonic()
+    proof.confirm_incarnation(shard, executor)
     executor.acked_end = executor.applied_end = 0
     longest_s = shard.timing.max_lease_s
     executor.lease = leases.Lease(executor.lease.duration_s)
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -60,6 +60,7 @@
     listing = executor.listing
     return (
         executor.reached
+        and executor.confirmed
         and executor.recorded
         and executor.listed
         and listing.state == executor_messages.READY
--- a/limpetstream/workflow/tests/test_wait_reasons.py
+++ b/limpetstream/workflow/tests/test_wait_reasons.py
@@ -22,6 +22,7 @@
     [
         ({}, ""),
         ({"reached": False}, "not reached yet"),
+        ({"confirmed": False}, "no append since its first answer"),
         ({"recorded": False}, "not in the journal yet"),
         ({"listed": False}, "not listed any more"),
         ({"silent_since": 0.0}, "silent"),
--- a/limpetstream/workflow/wait_reasons.py
+++ b/limpetstream/workflow/wait_reasons.py
@@ -31,6 +31,7 @@
     listing = executor.listing
     for holds, reason in (
         (executor.reached, "not reached yet"),
+        (executor.confirmed, "no append since its first answer"),
         (executor.recorded, "not in the journal yet"),
         (executor.listed, "not listed any more"),
         (listing.state == executor_messages.READY, "leaving"),
