--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -40,19 +40,27 @@
         failure_score: Decaying number of recent failures on it, of runs of
             several jobs.
         avoid_until: Monotonic time before which no task is placed on it.
+        doubted_at: Monotonic time at which the answers to a start were last
+            given up; minus infinity once a later start has been answered.
         recorded: Whether the journal durably holds a record of it.
-        unknown_runs: Task names and run numbers of runs on it that no open job
-            needs; they are being stopped and still use capacity.
+        unknown_runs: Runs on it that no open job needs; they are being stopped
+            and still use capacity. By task name and run number; the value is
+            the monotonic time at which the stop was confirmed, or None.
         pace_changed_at: Monotonic time of the last change of a run's pace.
         best_effort_seen: Names of the best-effort tasks at the newest poll.
         best_effort_ended_at: Monotonic time at which one of these tasks was
             last found to be gone.
         start_slots: Limits the number of concurrent start requests.
         listed: Whether the list of executors still contains it.
+        draining_since: Monotonic time at which its entry was first seen to
+            say that it will leave; None before.
         reserved_millicores: CPU reserved by runs that are not best-effort.
         reserved_memory_mb: Reserved memory.
         reserved_accelerators: Reserved accelerators.
         best_effort_millicores: CPU that best-effort runs use at full speed.
+        long_running_count: Number of long-running runs.
+        run_changes: Number of runs that were added or removed so far.
+        has_freed: Whether it has freed capacity since this was last cleared.
     """
 
     listing: messages.Listing
@@ -70,8 +78,11 @@
     silent_since: float | None = None
     failure_score: float = 0.0
     avoid_until: float = float("-inf")
+    doubted_at: float = float("-inf")
     recorded: bool = False
-    unknown_runs: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    unknown_runs: dict[tuple[str, int], float | None] = dataclasses.field(
+        default_factory=dict
+    )
     pace_changed_at: float = float("-inf")
     best_effort_seen: frozenset[str] = frozenset()
     best_effort_ended_at: float = float("-inf")
@@ -79,12 +90,17 @@
         default_factory=lambda: asyncio.Semaphore(MAX_STARTS_AT_ONCE)
     )
     listed: bool = True
+    draining_since: float | None = None
     reserved_millicores: int = 0
     reserved_memory_mb: int = 0
     reserved_accelerators: int = 0
     best_effort_millicores: int = 0
+    long_running_count: int = 0
+    run_changes: int = 0
+    has_freed: bool = True
     _serving_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
     _best_effort_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
+    _count_by_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def reserve(self, run: state.Run) -> None:
         """Reserve capacity for a run."""
@@ -94,7 +110,7 @@
             self._serving_by_task[name] = run
         if step.fills:
             self._best_effort_by_task[name] = run
-        self._change_reserved(step, 1)
+        self._change_reserved(run.task, 1)
 
     def release(self, run: state.Run) -> None:
         """Release the capacity of a run; a second call has no effect."""
@@ -102,7 +118,8 @@
             del self.run_by_task[run.task.name]
             self._serving_by_task.pop(run.task.name, None)
             self._best_effort_by_task.pop(run.task.name, None)
-            self._change_reserved(run.task.step, -1)
+            self._change_reserved(run.task, -1)
+            self.has_freed = True
 
     def fits(self, step: workflow_messages.Step) -> bool:
         """Return whether the free capacity suffices for a task of a step.
@@ -135,7 +152,17 @@
         """Return the runs of best-effort tasks."""
         return list(self._best_effort_by_task.values())
 
-    def _change_reserved(self, step: workflow_messages.Step, sign: int) -> None:
+    def count_of_step(self, task: state.Task) -> int:
+        """Return how many tasks of the same step it runs."""
+        return self._count_by_step.get(state.step_name(task), 0)
+
+    def _change_reserved(self, task: state.Task, sign: int) -> None:
+        step, step_name = task.step, state.step_name(task)
+        self.run_changes += 1
+        self.long_running_count += sign * step.long_running
+        count = self._count_by_step.pop(step_name, 0) + sign
+        if count:
+            self._count_by_step[step_name] = count
         if step.fills:
             self.best_effort_millicores += sign * step.cpu_millicores
         else:
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -71,12 +71,12 @@
 
     libcurl resends a call on its own when a reused connection breaks before
     the first byte of the response, so the platform may receive any call
-    twice. Every call must therefore be idempotent, and those of this package
-    are: reads have no effect, readers drop a repeated frame of the log (the
-    records of one append) by its writer sequence numbers, a worker answers a
-    repeated start of an attempt (one run of a task) ``already`` by the attempt
-    id, and renewals of leases, throttles, checkpoints and stops set an
-    absolute state.
+    twice, unless ``may_resend`` is false. Every other call must therefore be
+    idempotent, and those of this package are: reads have no effect, readers
+    drop a repeated frame of the log (the records of one append) by its writer
+    sequence numbers, a worker answers a repeated start of an attempt (one run
+    of a task) ``already`` by the attempt id, and renewals of leases,
+    throttles, checkpoints and stops set an absolute state.
 
     Args:
         base_url: Base URL of the platform, such as
@@ -120,6 +120,7 @@
         *,
         timeout_s: float,
         headers: dict[str, str] | None = None,
+        may_resend: bool = True,
     ) -> Answer:
         """Send one call and return its answer, of any status but 503.
 
@@ -131,19 +132,24 @@
             timeout_s: Time limit of the call, including the connection; a wait
                 for one of ``max_clients`` calls to end is not counted.
             headers: Additional headers.
+            may_resend: Whether libcurl may send the call again, seconds after
+                it was decided. Otherwise a call with a body is sent once.
 
         Raises:
             PlatformUnavailable: The call timed out, the connection failed, the
                 status is 503, or the path or a header cannot be sent.
                 ``not_applied`` is true if nothing was sent or the connection
                 was refused, and after 503, which is taken to mean that the
-                call had no effect.
+                call had no effect. ``answer_began`` is true if a part of the
+                answer's body arrived before the time limit.
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
         request = self._request(method, path, body, timeout_s)
         if headers:
             request.headers.update(headers)
+        if not may_resend:
+            request.prepare_curl_callback = _curl.forbid_resend
         self.traffic.calls += 1
         self.traffic.sent_bytes += len(path) + len(request.body or b"")
         _curl.ensure_free_handle(self._curl, self._max_clients)
@@ -153,7 +159,10 @@
             # Tornado raises time-outs and failed connections here, although
             # raise_error is false, because they have no HTTP response.
             self.traffic.failures += 1
-            raise errors.PlatformUnavailable(f"{method} {path}: {error}") from error
+            raise errors.PlatformUnavailable(
+                f"{method} {path}: {error}",
+                answer_began=_curl.received_bytes(error) > 0,
+            ) from error
         raw = response.body or b""
         self.traffic.received_bytes += len(raw)
         if response.code in (503, NO_ANSWER_STATUS):
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -334,9 +334,44 @@
     "See the reason.",
 )
 EARLIER_PROOFS_ENDED = events.declare(
-    1560,
+    1554,
     "earlier-proofs-ended",
     "INFO",
     "No earlier owner can prove any more that it owns the shard.",
     "If ended_by is time, find out why neither executors nor instances answered.",
 )
+PASSES_BOUNDED = events.declare(
+    1555,
+    "passes-bounded",
+    "INFO",
+    "Scheduling passes leave tasks over to the next ones; at most every 10 s.",
+    "Compare `at_bound` with `passes`; if most are, the owner lacks processor time.",
+)
+OWNER_STATE = events.declare(
+    1556,
+    "owner-state",
+    "INFO",
+    "The state of a shard at its owner, each 5 s.",
+    "See OPERATIONS.md; a `delay_ms` of seconds: the owner is overloaded.",
+)
+TASK_FORGOTTEN = events.declare(
+    1557,
+    "task-forgotten",
+    "ERROR",
+    "An open task had neither a run nor a place among the tasks that wait.",
+    "Report it as a fault of the program, with the lines of this task before it.",
+)
+RUN_UNSETTLED = events.declare(
+    1558,
+    "run-unsettled",
+    "INFO",
+    "A run has been starting, being stopped or out of reach for long.",
+    "See the reason in OPERATIONS.md; its task gets no other run meanwhile.",
+)
+SHARD_STALLED = events.declare(
+    1559,
+    "shard-stalled",
+    "WARNING",
+    "This instance leaves the group for 3 s, as it cannot serve its shard.",
+    "Check the store's partition of the shard; see journal-failing before it.",
+)
--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -190,13 +190,8 @@
 def _finish_task(shard: state.Shard, task: workflow_state.Task) -> None:
     job = task.job
     occurrence = job.occurrence_by_number[task.occurrence]
-    tasks = [task]
-    if task.step.gang:
-        tasks = occurrence.tasks_by_step[task.step_number]
-    for member in tasks:
-        workflow_state.mark_done(member)
-        if member in shard.waiting_tasks:
-            shard.waiting_tasks.remove(member)
+    for member in workflow_state.mark_done_with_gang(task):
+        shard.waiting_tasks.discard(member)
     enqueue_released(shard, occurrence)
     if workflow_state.is_finished(occurrence):
         job.finished_occurrences += 1
@@ -213,12 +208,12 @@
     job.final_ms = shard.clock.wall_ms()
     shard.next_occurrence_by_job.pop(job.submission.job_id, None)
     shard.interference_model.forget_job(job.submission.job_id)
-    shard.waiting_tasks = [task for task in shard.waiting_tasks if task.job is not job]
     save_progress(shard, job)
-    for executor in shard.executor_by_id.values():
-        for run in list(executor.run_by_task.values()):
-            if run.task.job is job:
-                stops.stop_run(shard, executor, run, outcome)
+    for task in workflow_state.tasks_of(job):
+        shard.waiting_tasks.discard(task)
+        executor = shard.executor_by_id.get(task.run.executor_id) if task.run else None
+        if executor is not None and executor.run_by_task.get(task.name) is task.run:
+            stops.stop_run(shard, executor, task.run, outcome)
     shard.spawn(_publish_outcome(shard, job))
 
 
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -46,7 +46,8 @@
     proven = age_s(shard) < VALIDITY_S
     if proven == (shard.unproven_since is not None):
         _log_change(shard, proven)
-    if not shard.journal.is_pending and _append_age_s(shard) > APPEND_INTERVAL_S:
+    needs_append = not proven or _append_age_s(shard) > APPEND_INTERVAL_S
+    if needs_append and not shard.journal.is_pending:
         _queue_empty_append(shard)
     return proven
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -1,8 +1,10 @@
 """Sends the requests that start runs."""
 
+import math
+
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import events, jobs, pacing, proof, state, stops
+from limpetstream.shard import events, jobs, pacing, proof, sessions, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -24,28 +26,42 @@
     have started. That append is fenced, so no earlier owner can start a job
     that a later owner considers not started.
 
+    Nor is anything sent to an executor that may have restarted unnoticed.
+
     A start without an answer is retried. If it stays in doubt, the run is
     stopped before the task can run again.
     """
     await _record_job(shard, run.task.job)
+    async with executor.start_slots:
+        await _try_to_start(shard, executor, run)
+
+
+async def _try_to_start(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Send a start until it is answered, for a bounded number of times."""
     is_sent, obstacle = False, ""
     for _ in range(START_TRIES):
+        if run.phase != workflow_state.STARTING:
+            return  # Stopped, or reported by a poll, while it waited.
+        obstacle = _obstacle(shard, executor, run, is_sent=is_sent)
+        obstacle = obstacle or await _look(shard, executor)
+        if run.phase != workflow_state.STARTING:
+            return
+        obstacle = obstacle or _obstacle(shard, executor, run, is_sent=is_sent)
+        if obstacle:
+            break
+        if not is_sent:
+            _log_start(shard, executor, run)
+        is_first_try, is_sent = not is_sent, True
         try:
-            async with executor.start_slots:
-                if run.phase != workflow_state.STARTING:
-                    return  # Stopped, or reported by a poll, while it waited.
-                obstacle = _obstacle(shard, executor)
-                if obstacle:
-                    break
-                if not is_sent:
-                    _log_start(shard, executor, run)
-                is_first_try, is_sent = not is_sent, True
-                reply = await _send(shard, executor, run)
+            reply = await _send(shard, executor, run)
         except errors.ExecutorReplaced:
             break  # Polls may reach the executor at a newer address.
         except errors.PlatformUnavailable as error:
             _log_unanswered(executor, run, error)
             continue
+        executor.doubted_at = -math.inf
         if not is_first_try and reply.outcome != executor_messages.STARTED:
             break  # The unanswered try may still take effect.
         _apply_reply(shard, executor, run, reply)
@@ -61,18 +77,66 @@
         run=run.number,
         executor=executor.listing.executor_id,
     )
+    executor.doubted_at = shard.clock.monotonic()
     stops.stop_run(shard, executor, run, "start in doubt")
 
 
-def _obstacle(shard: state.Shard, executor: tracking.Executor) -> str:
+def _obstacle(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    *,
+    is_sent: bool,
+) -> str:
     """Return why no start may be sent now; empty if one may."""
     if not proof.is_proven(shard):
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
+    if not is_sent and run.start_requested_at < executor.doubted_at:
+        return "an earlier start there has no answer"
     return ""
 
 
+async def _look(shard: state.Shard, executor: tracking.Executor) -> str:
+    """Make sure that the known clock is that of the present incarnation.
+
+    The deadline of a start is a time on that clock. An executor that has
+    restarted takes it for one far ahead and grants the longest lease, for
+    which no later owner waits. A start is therefore sent only within
+    ``sessions.MIN_RESTART_S`` of a reading of the clock. If there is none, the
+    executor is polled first, without a deadline.
+
+    Returns:
+        Why no start may be sent; empty if one may.
+    """
+    sent_at, known_clock_ms = shard.clock.monotonic(), executor.lease.clock_ms or 0
+    if sent_at - executor.lease.read_after <= sessions.MIN_RESTART_S:
+        return ""
+    try:
+        reply = await shard.executor_client.poll(
+            executor.listing,
+            token=shard.epoch,
+            acknowledged=0,
+            deadline_ms=None,
+            wait_ms=0,
+            timeout_s=START_TIMEOUT_S,
+        )
+    except (errors.ExecutorReplaced, errors.PlatformUnavailable) as error:
+        obstacle = f"the executor does not answer a poll: {error}"
+    else:
+        if reply.born_ms == executor.born_ms and reply.clock_ms >= known_clock_ms:
+            now = shard.clock.monotonic()
+            executor.lease.observe(reply.clock_ms, now, sent_at)
+            return ""
+        obstacle = "the executor has restarted"
+    # Polls find it silent or restarted, and what ran on it lost.
+    executor.avoid_until = max(
+        executor.avoid_until, shard.clock.monotonic() + REFUSED_PAUSE_S
+    )
+    return obstacle
+
+
 async def _record_job(shard: state.Shard, job: workflow_state.Job) -> None:
     """Wait until the journal records that the job may have started."""
     if not job.start_recorded:
@@ -125,6 +189,7 @@
         raise errors.PlatformUnavailable(
             "the executor's clock is unknown, so its lease cannot be extended"
         )
+    run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     task = run.task
     reply = await shard.executor_client.start(
         executor.listing,
@@ -139,7 +204,7 @@
         timeout_s=START_TIMEOUT_S,
     )
     if reply.clock_ms is not None:
-        executor.lease.observe(reply.clock_ms, shard.clock.monotonic())
+        executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
     return reply
 
 
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -2,12 +2,22 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
+import pytest
+
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.shard import journal, names, peer_messages, state
+from limpetstream.shard import (
+    audits,
+    journal,
+    names,
+    peer_messages,
+    scheduling,
+    sessions,
+    state,
+)
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, state as workflow_state
 from standins import keyed_store, shard_cluster, virtual_time
@@ -150,6 +160,21 @@
     return workflow_state.get_occurrence(job, 0).tasks_by_step[0]
 
 
+def forget_waiting_tasks(shard: state.Shard) -> None:
+    """Drop all waiting tasks, as a fault of the program would."""
+    for task in list(shard.waiting_tasks):
+        shard.waiting_tasks.remove(task)
+
+
+def untracked_tasks(shard: state.Shard) -> list[workflow_state.Task]:
+    """Return the open tasks that neither wait nor run."""
+    return [
+        task
+        for task in audits.released_tasks(shard)
+        if audits.find_violation(shard, task)
+    ]
+
+
 def start_run(
     executor: tracking.Executor,
     task: workflow_state.Task,
@@ -172,6 +197,73 @@
     return run
 
 
+@dataclasses.dataclass(slots=True)
+class Visits:
+    """How many executors and runs a pass has looked at."""
+
+    executors: int = 0
+    runs: int = 0
+
+
+class _CountedDict(dict[str, Any]):
+    """Counts each value, item or key that an iteration yields."""
+
+    def __init__(
+        self, items: dict[str, Any], note_visit: Callable[[], None], /
+    ) -> None:
+        super().__init__(items)
+        self._note_visit = note_visit
+
+    def _counted(self, entries: Iterable[Any]) -> Iterator[Any]:
+        for entry in entries:
+            self._note_visit()
+            yield entry
+
+    def __iter__(self) -> Iterator[str]:
+        return self._counted(super().__iter__())
+
+    def values(self) -> Iterator[Any]:
+        return self._counted(super().values())
+
+    def items(self) -> Iterator[Any]:
+        return self._counted(super().items())
+
+
+def count_visits(shard: state.Shard, patch: pytest.MonkeyPatch) -> Visits:
+    """Count from now on which executors are checked and which runs read.
+
+    The counts are taken where the data are used, so they hold for any
+    implementation of a pass.
+    """
+    visits = Visits()
+
+    def note_executor() -> None:
+        visits.executors += 1
+
+    def note_run() -> None:
+        visits.runs += 1
+
+    for executor in shard.executor_by_id.values():
+        executor.run_by_task = _CountedDict(executor.run_by_task, note_run)
+    for name in ("fits", "fits_when_idle"):
+        patch.setattr(
+            tracking.Executor,
+            name,
+            _noting_calls(getattr(tracking.Executor, name), note_executor),
+        )
+    return visits
+
+
+def _noting_calls(
+    method: Callable[..., bool], note_call: Callable[[], None]
+) -> Callable[..., bool]:
+    def noting(executor: tracking.Executor, step: messages.Step) -> bool:
+        note_call()
+        return method(executor, step)
+
+    return noting
+
+
 def copy_step(step: messages.Step, **changes: Any) -> messages.Step:
     """Return a copy of a step with some fields changed."""
     return dataclasses.replace(step, **changes)
@@ -228,3 +320,69 @@
             store_messages.Writer(names.WRITER, self.shard.epoch + 1, 0),
             None,
         )
+
+
+class PolledShard(JournaledShard):
+    """A journaled shard whose executors are polled.
+
+    The client leaves the calls in ``unanswered``, pairs of the call and the
+    executor's id, without an answer and an effect.
+    """
+
+    def __init__(self, *, executors=1):
+        super().__init__(executors=executors)
+        self.client = self.shard.executor_client = SelectiveClient(self.loop)
+        for executor_id, executor in self.shard.executor_by_id.items():
+            executor.listing.address = "10.0.0.1:7000"
+            self.shard.record_state_by_id[executor_id] = state.KEPT
+            self.shard.spawn(sessions.run(self.shard, executor))
+        self.advance(0.1)
+
+    def executor(self, executor_id):
+        """Return an executor by its id."""
+        return self.shard.executor_by_id[executor_id]
+
+    def schedule(self):
+        """Place waiting tasks from now on."""
+        self.shard.spawn(scheduling.run(self.shard))
+
+
+class SelectiveClient(RecordingClient):
+    """Answers the calls to each executor differently.
+
+    ``unanswered`` holds pairs of a call and an executor's id that get no
+    answer, ``rows_by_id`` the runs that the replies of an executor list,
+    ``starts`` and ``stops`` the executor's id of each such call.
+    """
+
+    def __init__(self, loop):
+        super().__init__()
+        self.unanswered = set()
+        self.rows_by_id = {}
+        self.starts = []
+        self.stops = []
+        self._loop = loop
+
+    async def start(self, listing, request, *, timeout_s):
+        self.starts.append(listing.executor_id)
+        await self._answer("start", listing, timeout_s)
+        return executor_messages.StartReply(executor_messages.STARTED)
+
+    async def stop(self, listing, task, run, token, *, timeout_s):
+        self.stops.append(listing.executor_id)
+        await self._answer("stop", listing, timeout_s)
+
+    async def poll(
+        self, listing, *, token, acknowledged, deadline_ms, wait_ms, timeout_s
+    ):
+        await self._answer("poll", listing, timeout_s)
+        await asyncio.sleep(max(wait_ms / 1000, 0.004))
+        rows = self.rows_by_id.get(listing.executor_id, [])
+        return executor_messages.PollReply(
+            int(self._loop.time() * 1000), 1, list(rows), []
+        )
+
+    async def _answer(self, call, listing, timeout_s):
+        if (call, listing.executor_id) in self.unanswered:
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("no answer")
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -72,9 +72,12 @@
         executor for executor in executors if task.name not in executor.run_by_task
     ]
     for executor in eligibility.eligible_executors(others, task, context):
+        context.scored_count += 1
         candidate = _Candidate(executor, task, context)
         if candidate.cpu_share < MIN_CPU_SHARE or candidate.pace < MIN_PACE:
             continue
+        if eligibility.is_in_doubt(executor, context.now):
+            continue
         if not _is_over_target(executor) and _may_probe(executor, task, context):
             return True
     return False
@@ -109,6 +112,8 @@
         if rack and rack in executor.listing.labels:
             self.score += eligibility.DATA_RACK_BONUS_CORES
         self.score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
+        if eligibility.is_in_doubt(executor, context.now):
+            self.score -= eligibility.IN_DOUBT_PENALTY_CORES
 
 
 def _is_over_target(executor: tracking.Executor) -> bool:
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -24,6 +24,8 @@
     executors: Iterable[tracking.Executor],
     task: state.Task,
     context: eligibility.PlacementContext,
+    *,
+    accepts_doubt: bool = True,
 ) -> tracking.Executor | None:
     """Return the best executor for a task; None if no executor suits it now.
 
@@ -31,11 +33,15 @@
         executors: Executors to choose from.
         task: Task to place.
         context: What else the placement depends on.
+        accepts_doubt: Whether to return an executor in doubt if no other one
+            suits the task.
     """
-    executors = list(executors)
+    if not isinstance(executors, list):
+        executors = list(executors)
     rack_labels: frozenset[str] = frozenset()
     if task.step.rack_sensitive:
         rack_labels = _labels_of_step(executors, task)
+        context.checked_count += len(executors)
     batches: Iterable[list[tracking.Executor]] = [executors]
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
@@ -43,6 +49,7 @@
         # Scoring is expensive for best-effort work, and the next pass, 0.2 s
         # later, starts at other executors.
         batches = itertools.islice(batches, 1)
+    in_doubt = None
     for batch in batches:
         allowed = eligibility.eligible_executors(batch, task, context)
         context.scored_count += len(allowed)
@@ -51,12 +58,15 @@
         else:
             chosen = max(
                 allowed,
-                key=lambda executor: _score(executor, task, rack_labels),
+                key=lambda executor: _score(executor, task, rack_labels, context.now),
                 default=None,
             )
-        if chosen is not None:
+        if chosen is None:
+            continue
+        if not eligibility.is_in_doubt(chosen, context.now):
             return chosen
-    return None
+        in_doubt = in_doubt or chosen
+    return in_doubt if accepts_doubt else None
 
 
 def candidate_batches(
@@ -78,9 +88,9 @@
     start = zlib.crc32(f"{name} {int(now / BATCH_ROTATION_S)}".encode()) % len(
         executors
     )
-    rotated = executors[start:] + executors[:start]
-    for first in range(0, len(rotated), BATCH_SIZE):
-        yield rotated[first : first + BATCH_SIZE]
+    for first in range(start, start + len(executors), BATCH_SIZE):
+        stop = min(first + BATCH_SIZE, start + len(executors))
+        yield [executors[index % len(executors)] for index in range(first, stop)]
 
 
 def _has_few_candidates(step: messages.Step) -> bool:
@@ -106,7 +116,10 @@
 
 
 def _score(
-    executor: tracking.Executor, task: state.Task, rack_labels: frozenset[str]
+    executor: tracking.Executor,
+    task: state.Task,
+    rack_labels: frozenset[str],
+    now: float,
 ) -> float:
     """Return how well an executor suits a task, in cores; higher is better."""
     step = task.step
@@ -128,6 +141,8 @@
         # rack share more.
         shared = len(rack_labels.intersection(executor.listing.labels))
         score += SAME_RACK_BONUS_CORES * shared
+    if eligibility.is_in_doubt(executor, now):
+        score -= eligibility.IN_DOUBT_PENALTY_CORES
     return score - eligibility.FAILURE_PENALTY_CORES * executor.failure_score
 
 
@@ -135,11 +150,10 @@
     executors: Iterable[tracking.Executor], task: state.Task
 ) -> frozenset[str]:
     """Return the labels of the executors that run the step's other tasks."""
-    prefix = f"{task.name.rpartition('.')[0]}."
     return frozenset(
         label
         for executor in executors
-        if any(name.startswith(prefix) for name in executor.run_by_task)
+        if executor.count_of_step(task)
         for label in executor.listing.labels
     )
 
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterator
 
 from limpetstream.workflow import messages
 
@@ -12,6 +13,8 @@
 
 # A job of one second whose objective is 1.5 s is late after this wait.
 FIRST_WAIT_REPORT_S = 0.5
+# Longer than all tries of a start, or a stop of 0.9 s and the poll after it.
+FIRST_UNSETTLED_REPORT_S = 2.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -25,9 +28,15 @@
         start_requested_at: Monotonic time of the first start request.
         phase: ``starting``, ``working``, ``stopping`` or ``gone``.
         stop_reason: Why it is being stopped.
+        stop_ordered_at: Monotonic time at which its stop was decided.
         stop_confirmed_at: Monotonic time at which the executor confirmed the
             stop.
         seen_at: Monotonic time of the newest poll that listed it.
+        start_deadline_ms: Latest deadline of a start request that was sent,
+            on the executor's clock; None if none was sent.
+        missing_since: Monotonic time of the first of the consecutive replies
+            to polls that did not list it although it can no longer start;
+            None while it may still start or is listed.
         percent: Progress of the work. For a serving task, how far it has
             started to serve.
         load: Tail latency in ms of a serving task, otherwise millicores in
@@ -38,6 +47,10 @@
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
         progressed_at: Monotonic time at which ``percent`` last changed.
+        relocation_tried_at: Monotonic time at which no better executor was
+            last found for it.
+        report_threshold_s: Seconds that it must have been unsettled for the
+            next log line that says why.
     """
 
     task: "Task"
@@ -46,14 +59,19 @@
     start_requested_at: float
     phase: str = STARTING
     stop_reason: str = ""
+    stop_ordered_at: float | None = None
     stop_confirmed_at: float | None = None
     seen_at: float | None = None
+    start_deadline_ms: int | None = None
+    missing_since: float | None = None
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
     giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
+    relocation_tried_at: float = -math.inf
+    report_threshold_s: float = FIRST_UNSETTLED_REPORT_S
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -79,6 +97,8 @@
             stopped to make capacity for it.
         moved_at: Monotonic time at which it was last stopped to run on another
             executor.
+        tried_in_round: Number of the newest round of scheduling passes in
+            which an executor was looked for.
     """
 
     job: "Job"
@@ -97,6 +117,7 @@
     not_before: float = 0.0
     preempted_others_at: float = -math.inf
     moved_at: float = -math.inf
+    tried_in_round: int = -1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -174,6 +195,11 @@
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
 
+def step_name(task: Task) -> str:
+    """Return the part of a task's name that all tasks of its step share."""
+    return task.name.rpartition(".")[0]
+
+
 def get_occurrence(job: Job, number: int) -> Occurrence:
     """Return an occurrence of a job; create it and its tasks on first use."""
     occurrence = job.occurrence_by_number.get(number)
@@ -214,6 +240,28 @@
     return get_occurrence(job, occurrence).tasks_by_step[step][index]
 
 
+def tasks_of(job: Job) -> Iterator[Task]:
+    """Yield the tasks of a job that have been created."""
+    for occurrence in job.occurrence_by_number.values():
+        for tasks in occurrence.tasks_by_step:
+            yield from tasks
+
+
+def mark_done_with_gang(task: Task) -> list[Task]:
+    """Mark a task as done, and with it all members of its gang.
+
+    Returns:
+        The tasks that are done thereby.
+    """
+    tasks = [task]
+    if task.step.gang:
+        occurrence = task.job.occurrence_by_number[task.occurrence]
+        tasks = occurrence.tasks_by_step[task.step_number]
+    for member in tasks:
+        mark_done(member)
+    return tasks
+
+
 def mark_done(task: Task) -> None:
     """Mark a task as done; a second call has no effect."""
     if not task.done:
