Test that a start is not sent again by the HTTP library

Cause: only polls were tested; a start that libcurl sends again goes out without a look at the proof. Change: the test takes any call, and closes its connections. What it asserts of polls is the same.

--- a/tests/test_executor_resends.py
+++ b/tests/test_executor_resends.py
@@ -7,6 +7,7 @@
 
 from adapter import executors
 from limpetstream import clock, errors
+from limpetstream.executors import messages
 from limpetstream.platform import http
 from tests import answer_builders as builders
 
@@ -22,9 +23,11 @@
     def __init__(self):
         self.is_resetting = False
         self.request_count = 0
+        self.writers = []
 
     async def serve(self, reader, writer):
         """Answer the calls of one connection."""
+        self.writers.append(writer)
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
                 length = head.lower().partition(b"content-length: ")[2].split()[0]
@@ -54,11 +57,8 @@
     )
 
 
-def test_a_poll_is_not_sent_again_when_its_connection_breaks():
-    """Guards against acknowledging ends of a restarted executor.
-
-    Its ends have the numbers that the poll acknowledges for the former one.
-    """
+def count_requests_as_connection_breaks(call):
+    """Return how often a call arrives whose connection is reset."""
 
     async def run():
         executor = Executor()
@@ -71,10 +71,35 @@
             await poll(client, listing, acknowledged=0)
             executor.is_resetting = True
             with pytest.raises(errors.PlatformUnavailable):
-                await poll(client, listing, acknowledged=7)
-            assert executor.request_count == 2
+                await call(client, listing)
+            return executor.request_count - 1
         finally:
             http_client.close()
             server.close()
+            for writer in executor.writers:
+                writer.transport.abort()
+            await asyncio.sleep(0)  # Lets the connections close.
+
+    return asyncio.run(run())
+
+
+def test_a_poll_is_not_sent_again_when_its_connection_breaks():
+    """Guards against acknowledging ends of a restarted executor.
+
+    Its ends have the numbers that the poll acknowledges for the former one.
+    """
+
+    async def call(client, listing):
+        await poll(client, listing, acknowledged=7)
+
+    assert count_requests_as_connection_breaks(call) == 1
+
+
+def test_a_start_is_not_sent_again_when_its_connection_breaks():
+    """Guards against a start that is sent once the proof has expired."""
+
+    async def call(client, listing):
+        request = messages.StartRequest("5c0e7a21d94b36f8.0.0.0", 1, "", 9000, 1)
+        await client.start(listing, request, timeout_s=2.0)
 
-    asyncio.run(run())
+    assert count_requests_as_connection_breaks(call) == 1
