--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -38,6 +38,31 @@
         os.close(writer)
 
 
+def test_a_stop_during_an_import_is_not_lost(tmp_path):
+    """Guards against an instance that serves on after SIGTERM.
+
+    Soak, seeds 304 and 310. Python drops an exception that is raised in a
+    destructor or in a callback of a weak reference, so a handler that raises
+    SystemExit may do nothing.
+    """
+    (tmp_path / "asyncio.py").write_text(
+        "import os, signal, sys\n"
+        "class Dropped:\n"
+        "    def __del__(self):\n"
+        "        os.kill(os.getpid(), signal.SIGTERM)\n"
+        "Dropped()\n"
+        "sys.exit(7)\n"
+    )
+    process = subprocess.run(
+        [sys.executable, "platform/front.py"],
+        cwd=processes.ROOT,
+        env=os.environ | {"PYTHONPATH": str(tmp_path)},
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+    assert process.returncode == 0
+
+
 def _open_when_read(pipe):
     deadline = time.monotonic() + TIMEOUT_S
     while time.monotonic() < deadline:
