--- a/limpetstream/shard/tests/test_vacancies.py
+++ b/limpetstream/shard/tests/test_vacancies.py
@@ -69,7 +69,7 @@
         refuse_announcements(successor, lambda: end[0])
         while cluster.owner_member() == "m0":
             await asyncio.sleep(0.1)
-        # The group gives the shard to the successor also once both are members.
+        # Once both are members, the successor has the shard too.
         cluster.store.group(names.GROUP).generation += (
             cluster.store.group(names.GROUP).generation % 2
         )
