--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -179,6 +179,8 @@
         """Answer a request of another instance or of this one."""
         if request.kind == "store":
             return await self._answer_store(request)
+        if request.kind == "serves":
+            return self._server.answer_serves(request)
         if request.kind == "epoch":
             return self._server.answer_epoch(request)
         shard = self._server.shard_by_number.get(request.shard)
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -22,7 +22,7 @@
 
 from limpetstream import clock as clock_module, errors
 from limpetstream.shard import events, instance_quorum, names, unreadable
-from limpetstream.store import messages
+from limpetstream.store import follower, messages
 from limpetstream.telemetry import logs
 
 JOIN_INTERVAL_S = 0.3  # Three tries within the shortest membership.
@@ -60,6 +60,7 @@
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
+IsServedBy = Callable[[int, str], Awaitable[bool | None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +92,8 @@
         reserve: Whether this member belongs to the reserve.
         membership_ttl_s: Seconds after which the group drops a member that
             does not renew its membership.
+        is_served_by: Returns whether a member serves a shard, or None if it
+            does not answer.
         stalled_s: Returns for how many seconds the store has refused or not
             answered what a shard needs to be served, although this member
             reaches the group.
@@ -106,6 +109,7 @@
         *,
         reserve: bool = False,
         membership_ttl_s: float = MEMBERSHIP_TTL_S,
+        is_served_by: IsServedBy | None = None,
         stalled_s: Callable[[int], float] = lambda shard: 0.0,
     ) -> None:
         self.task_by_shard: dict[int, asyncio.Task[None]] = {}
@@ -123,6 +127,7 @@
         self._membership_ttl_s = membership_ttl_s
         self._generation = 0
         self._unreachable_since: float | None = None
+        self._is_served_by = is_served_by
         self._stalled_s = stalled_s
         self._claiming_since_by_shard: dict[int, float] = {}
         self._rejoin_at = float("-inf")
@@ -287,7 +292,13 @@
         await self._withdraw_announcement(shard)
 
     async def _wait_until_vacant(self, shard: int) -> None:
-        """Wait until the announced owner of the shard has left the group."""
+        """Wait until the announced owner has left, or has stopped serving.
+
+        An announcement may outlive the service, since its owner could not
+        withdraw it. A member is asked twice, as it announces itself before it
+        serves. One that does not answer for ``STALLED_S`` counts as gone.
+        """
+        denials, answered_at = 0, self._clock.monotonic()
         while True:
             try:
                 page = await self._store.newest(
@@ -301,10 +312,22 @@
                 ):
                     return
                 self.owner_by_shard[shard] = owner
+                is_served = await self._ask_whether_served(shard, owner)
+                now = self._clock.monotonic()
+                if is_served is not None:
+                    answered_at = now
+                denials = denials + 1 if is_served is False else 0
+                if denials >= 2 or now - answered_at > STALLED_S:
+                    return
             except errors.PlatformUnavailable as error:
                 logs.emit(events.CLAIM_FAILED, shard=shard, error=str(error))
             await self._clock.sleep(VACANCY_CHECK_INTERVAL_S)
 
+    async def _ask_whether_served(self, shard: int, owner: str) -> bool | None:
+        if self._is_served_by is None:
+            return True
+        return await self._is_served_by(shard, owner)
+
     async def _announce(self, shard: int) -> None:
         """Announce this member as the owner; only the claim proves it.
 
@@ -402,10 +425,11 @@
         The claim that the store holds.
     """
     refused_epoch, step = 0, 1
+    read_timeout_s = CLAIM_TIMEOUT_S
     while True:
         try:
             page = await store.newest(
-                names.PROGRESS_TOPIC, shard, timeout_s=CLAIM_TIMEOUT_S
+                names.PROGRESS_TOPIC, shard, timeout_s=read_timeout_s
             )
             epoch = max(next_epoch(page.entries), refused_epoch + step)
             record = OwnerRecord(epoch, member, _do_instances_vote(page.entries))
@@ -419,7 +443,7 @@
             )
             proven_at = clock.monotonic()
             page = await store.newest(
-                names.PROGRESS_TOPIC, shard, timeout_s=CLAIM_TIMEOUT_S
+                names.PROGRESS_TOPIC, shard, timeout_s=read_timeout_s
             )
             winner = newest_claim(page.entries)
             if winner == record:
@@ -428,6 +452,8 @@
         except (errors.SequenceConflict, errors.WriterFenced) as error:
             refusal = str(error)
         except (errors.PlatformUnavailable, errors.OffsetMoved) as error:
+            if getattr(error, "answer_began", False):
+                read_timeout_s = follower.LONG_ANSWER_S
             logs.emit(events.CLAIM_FAILED, shard=shard, error=str(error))
             await clock.sleep(CLAIM_RETRY_S)
             continue
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -11,7 +11,8 @@
     """Request to another instance.
 
     Args:
-        kind: ``state``, ``cancel``, ``waiting``, ``store`` or ``epoch``.
+        kind: ``state``, ``cancel``, ``waiting``, ``store``, ``epoch`` or
+            ``serves``.
         shard: Number of the shard that it concerns.
         job_id: Job for ``state`` and ``cancel``.
         queue: Queue for ``waiting``.
@@ -32,7 +33,8 @@
     """Answer of another instance.
 
     Args:
-        known: Whether the job is known; for ``store``, whether it is stored.
+        known: Whether the job is known; for ``store``, whether it is stored,
+            and for ``serves``, whether the member serves the shard.
         state: State of the job.
         count: Number of waiting jobs.
         refused: Reason why the request failed; empty if it succeeded.
@@ -41,7 +43,7 @@
             believed to.
         epoch: For ``epoch``, the highest epoch of the shard that the member
             knows, with that of the request.
-        member: For ``epoch``, name of the member that answers.
+        member: For ``epoch`` and ``serves``, name of the member that answers.
     """
 
     known: bool = False
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -317,7 +317,10 @@
         ended_by = "executors"
     elif quorum.is_half_told():
         ended_by = "instances"
-    elif now - shard.claimed_at > proof.MAX_WITHOUT_APPEND_S:
+    elif (
+        quorum.binds_earlier_owners
+        and now - shard.claimed_at > proof.MAX_WITHOUT_APPEND_S
+    ):
         ended_by = "time"
     else:
         return
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -118,6 +118,30 @@
             since = shard.load_began_at
         return 0.0 if since is None else self._clock.monotonic() - since
 
+    async def is_served_by(self, number: int, member: str) -> bool | None:
+        """Ask a member whether it serves a shard; None without an answer."""
+        if self._peers is None:
+            return None
+        request = peer_messages.PeerRequest("serves", number)
+        try:
+            reply = await self._peers.call(
+                member, request, timeout_s=instance_votes.ASK_TIMEOUT_S
+            )
+        except errors.PeerUnreachable:
+            return None
+        if not reply.member:
+            return not reply.refused  # It has a version without this question.
+        # Another process at the address of the member has another name.
+        return reply.known and reply.member == member
+
+    def answer_serves(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply:
+        """Tell whether this instance serves a shard."""
+        return peer_messages.PeerReply(
+            known=request.shard in self.shard_by_number, member=self._member
+        )
+
     def answer_epoch(
         self, request: peer_messages.PeerRequest
     ) -> peer_messages.PeerReply:
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -48,6 +48,7 @@
         obstacle = obstacle or await _look(shard, executor)
         if run.phase != workflow_state.STARTING:
             return
+        decided_at = shard.clock.monotonic()
         obstacle = obstacle or _obstacle(shard, executor, run, is_sent=is_sent)
         if obstacle:
             break
@@ -55,7 +56,7 @@
             _log_start(shard, executor, run)
         is_first_try, is_sent = not is_sent, True
         try:
-            reply = await _send(shard, executor, run)
+            reply = await _send(shard, executor, run, decided_at)
         except errors.ExecutorReplaced:
             break  # Polls may reach the executor at a newer address.
         except errors.PlatformUnavailable as error:
@@ -183,10 +184,14 @@
 
 
 async def _send(
-    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    decided_at: float,
 ) -> executor_messages.StartReply:
+    """Send a start whose deadline counts from before the proof was checked."""
     sent_at = shard.clock.monotonic()
-    deadline_ms = executor.lease.extend(sent_at)
+    deadline_ms = executor.lease.extend(decided_at)
     if deadline_ms is None:
         raise errors.PlatformUnavailable(
             "the executor's clock is unknown, so its lease cannot be extended"
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -279,11 +279,12 @@
     The executor may have forgotten the run because it restarted, after a later
     owner had taken note of its end.
     """
+    seen_at = run.seen_at
     try:
         await proof.confirm(shard)
     finally:
         run.giving_up = False
-    if executor.run_by_task.get(run.task.name) is not run:
+    if executor.run_by_task.get(run.task.name) is not run or run.seen_at != seen_at:
         return
     jobs.mark_run_lost(shard, executor, run, reason)
     task = run.task
--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -37,17 +37,18 @@
 def test_a_start_in_doubt_whose_stop_has_no_answer_ends(open_scene):
     """Guards against a task that waits for ever for the stop of a start.
 
-    Polls are answered, starts and stops are not, and neither has arrived.
+    Polls are answered, starts and stops are not, and neither has arrived. The
+    start may still arrive until its deadline.
     """
     scene = open_scene()
     scene.client.unanswered = {("start", "x0"), ("stop", "x0")}
     task = builders.make_tasks(scene.shard, builders.SHORT)[0]
     placing.start_on(scene.shard, scene.executor("x0"), task, 1)
     run = task.run
-    scene.advance(3.0)
+    scene.advance(leases.LEASE_S + 1.0)
     assert run.phase == workflow_state.STOPPING
     assert task.run is run
-    scene.advance(UNANSWERED_STOP_BOUND_S - 3.0)
+    scene.advance(UNANSWERED_STOP_BOUND_S - leases.LEASE_S - 1.0)
     assert run.phase == workflow_state.GONE
     assert task.run is not run
     assert not scene.errors
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -192,6 +192,7 @@
             server.serve,
             clock,
             reserve=reserve,
+            is_served_by=server.is_served_by,
             stalled_s=server.stalled_s,
         )
         api = job_api.JobApi(
