Name the end of earlier proofs after what it is

Cause: half_reached_at is also set by instances and by time. Change: it is now earlier_proofs_ended_at; two comments say what their constants mean.

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -105,7 +105,7 @@
     vote: the next owner could reach half of all without ending that majority.
     """
     executor_id = executor.listing.executor_id
-    votes = shard.half_reached_at is not None
+    votes = shard.earlier_proofs_ended_at is not None
     begins_to_vote = votes and executor_id in shard.nonvoting_executors
     record_state = shard.record_state_by_id.get(executor_id)
     if record_state is not None and not (record_state == state.KEPT and begins_to_vote):
@@ -126,7 +126,7 @@
         return
     executor.recorded = True
     shard.changed.set()
-    if not votes and shard.half_reached_at is not None:
+    if not votes and shard.earlier_proofs_ended_at is not None:
         await write(shard, executor)  # Half was reached in the meantime.
 
 
--- a/limpetstream/shard/instance_votes.py
+++ b/limpetstream/shard/instance_votes.py
@@ -79,7 +79,7 @@
     is_recorded = False
     while quorum.peers is not None:
         await shard.clock.sleep(RECORD_INTERVAL_S)
-        if shard.half_reached_at is None:
+        if shard.earlier_proofs_ended_at is None:
             continue
         try:
             members = frozenset(
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -34,7 +34,7 @@
 STANDBY_INTERVAL_S = 1.0  # As long as a membership in the main group.
 ACTIVE_INTERVAL_S = 2.0  # Shards are being served, so half as often is enough.
 # An owner that the store refuses for so long has no proof of its ownership any
-# more (``proof.MAX_WITHOUT_APPEND_S``), so leaving its shard loses nothing.
+# more (``proof.MAX_WITHOUT_APPEND_S``): it does no work that could be lost.
 STALLED_S = 20.0
 REJOIN_PAUSE_S = 3.0  # Time for another member to claim what this one has left.
 # Runs are numbered from the epoch times ``jobs.RUN_NUMBERS_PER_EPOCH``, which
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -15,8 +15,9 @@
 # An append is queued once the newest one is this old, so that the proof of an
 # idle owner does not expire while the store answers.
 APPEND_INTERVAL_S = 1.0
-# Majorities prove the ownership only for so long after the newest append. The
-# store keeps its history for as long.
+# Majorities prove the ownership only for so long after the newest append, so
+# that a new owner that can ask nobody does not wait for ever. An outage of the
+# store that is longer ends running work.
 MAX_WITHOUT_APPEND_S = 20.0
 
 
@@ -61,9 +62,9 @@
     """
     if not shard.inherited_executors:
         return True
-    if shard.half_reached_at is None:
+    if shard.earlier_proofs_ended_at is None:
         return False
-    return shard.clock.monotonic() - shard.half_reached_at > VALIDITY_S
+    return shard.clock.monotonic() - shard.earlier_proofs_ended_at > VALIDITY_S
 
 
 def _majorities_at(shard: state.Shard) -> float:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -185,7 +185,7 @@
     """
     if executor.reached:
         return max(executor.lease.expires_at, executor.earlier_leases_expire_at)
-    if shard.half_reached_at is None:
+    if shard.earlier_proofs_ended_at is None:
         return math.inf
     return _earlier_leases_expire_at(shard)
 
@@ -193,15 +193,15 @@
 def _earlier_leases_expire_at(shard: state.Shard) -> float:
     """Return when every lease granted by an earlier owner has expired.
 
-    After ``half_reached_at`` an earlier owner gets no new proof of its
+    After ``earlier_proofs_ended_at`` an earlier owner gets no new proof of its
     ownership. It may extend leases for as long as its last proof is valid. The
     last lease is at most ``leases.LEASE_S`` long on the
     executor's clock, which may run at ``leases.MIN_CLOCK_RATE``.
 
     Returns:
-        Monotonic time, valid once ``half_reached_at`` is set.
+        Monotonic time, valid once ``earlier_proofs_ended_at`` is set.
     """
-    return (shard.half_reached_at or 0.0) + proof.VALIDITY_S + _max_lease_s()
+    return (shard.earlier_proofs_ended_at or 0.0) + proof.VALIDITY_S + _max_lease_s()
 
 
 def _max_lease_s() -> float:
@@ -298,10 +298,10 @@
     inherited = len(shard.inherited_executors)
     reached = executor_records.count_reached_or_gone(shard)
     now = shard.clock.monotonic()
-    if shard.half_reached_at is None:
+    if shard.earlier_proofs_ended_at is None:
         _check_earlier_proofs(shard, now)
-    may_be_leased = shard.half_reached_at is None or now <= _earlier_leases_expire_at(
-        shard
+    may_be_leased = (
+        shard.earlier_proofs_ended_at is None or now <= _earlier_leases_expire_at(shard)
     )
     if reached == inherited:
         _settle_earlier_runs(shard, reached)
@@ -311,7 +311,7 @@
 
 
 def _check_earlier_proofs(shard: state.Shard, now: float) -> None:
-    """Set ``half_reached_at`` once no earlier owner can get a new proof."""
+    """Set ``earlier_proofs_ended_at`` once no earlier owner gets a proof."""
     quorum = shard.instance_quorum
     if executor_records.is_half_reached(shard):
         ended_by = "executors"
@@ -324,7 +324,7 @@
         ended_by = "time"
     else:
         return
-    shard.half_reached_at = now
+    shard.earlier_proofs_ended_at = now
     logs.emit(
         events.EARLIER_PROOFS_ENDED,
         shard=shard.number,
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -103,11 +103,11 @@
         recovered: Whether jobs and executors have been loaded.
         instance_quorum: Instances that vote on an owner that acts without
             appends.
-        half_reached_at: Time at which half of the inherited executors had
-            replied or were removed, half of the instances that vote knew the
-            epoch of this owner, or earlier owners could act no more without
-            an append; None before. From then on no earlier owner gets a new
-            proof of its ownership.
+        earlier_proofs_ended_at: Time at which half of the inherited executors
+            had replied or were removed, half of the instances that vote knew
+            the epoch of this owner, or earlier owners could act no more
+            without an append; None before. From then on no earlier owner gets
+            a new proof of its ownership.
         earlier_job_ids: Ids of jobs that an earlier owner may have started.
         maybe_started_job_ids: Ids of jobs that an earlier owner may have
             started or that this owner has started.
@@ -163,7 +163,7 @@
     instance_quorum: quorum_module.Quorum = dataclasses.field(
         default_factory=quorum_module.Quorum
     )
-    half_reached_at: float | None = None
+    earlier_proofs_ended_at: float | None = None
     earlier_job_ids: set[str] = dataclasses.field(default_factory=set)
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
     unreadable_job_ids: set[str] = dataclasses.field(default_factory=set)
--- a/limpetstream/shard/tests/test_instance_votes.py
+++ b/limpetstream/shard/tests/test_instance_votes.py
@@ -168,7 +168,7 @@
     scene.peers.unreachable = {"m1"}
     scene.shard.spawn(instance_votes.ask(shard))
     settle_for(scene, 1.0)
-    assert shard.half_reached_at is not None
+    assert shard.earlier_proofs_ended_at is not None
     assert not shard.earlier_runs_settled
     settle_for(scene, 8.0)
     assert shard.earlier_runs_settled
@@ -181,7 +181,7 @@
     scene.peers.name_by_member = {"m2": "m2-again", "m3": "m3-again"}
     shard.spawn(instance_votes.ask(shard))
     settle_for(scene, 1.0)
-    assert shard.half_reached_at is not None
+    assert shard.earlier_proofs_ended_at is not None
 
 
 def test_instances_that_do_not_vote_are_not_told(scene):
@@ -194,7 +194,7 @@
     scene.peers.unreachable = {"m3"}
     shard.spawn(instance_votes.ask(shard))
     settle_for(scene, 2.0)
-    assert shard.half_reached_at is None
+    assert shard.earlier_proofs_ended_at is None
 
 
 def test_less_than_half_of_the_instances_end_no_proof(scene):
@@ -204,7 +204,7 @@
     scene.peers.unreachable = {"m1", "m2"}
     shard.spawn(instance_votes.ask(shard))
     settle_for(scene, proof.MAX_WITHOUT_APPEND_S - 1.0)
-    assert shard.half_reached_at is None
+    assert shard.earlier_proofs_ended_at is None
 
 
 def test_time_ends_the_proofs_of_earlier_owners(scene):
@@ -223,7 +223,7 @@
     shard = make_successor(scene)
     shard.spawn(instance_votes.ask(shard))
     settle_for(scene, 3.0)
-    assert shard.half_reached_at is None
+    assert shard.earlier_proofs_ended_at is None
 
 
 def join_group(scene, *members):
@@ -256,11 +256,11 @@
     """
     shard = scene.shard
     shard.store = join_group(scene, "m5", "m6")
-    shard.half_reached_at = None
+    shard.earlier_proofs_ended_at = None
     shard.spawn(instance_votes.record(shard))
     scene.advance(5.0)
     assert shard.instance_quorum.recorded == MEMBERS
-    shard.half_reached_at = scene.loop.time()
+    shard.earlier_proofs_ended_at = scene.loop.time()
     scene.advance(5.0)
     assert shard.instance_quorum.recorded == {"m5", "m6"}
     assert stored_instances(scene).members == ["m5", "m6"]
@@ -270,7 +270,7 @@
     """Guards against an upgrade after which instances never bind an owner."""
     shard = scene.shard
     shard.store = join_group(scene, "m0", "m1")
-    shard.half_reached_at = 0.0
+    shard.earlier_proofs_ended_at = 0.0
     shard.instance_quorum.recorded = frozenset({"m0", "m1"})
     shard.spawn(instance_votes.record(shard))
     scene.advance(5.0)
@@ -281,7 +281,7 @@
     """Guards against a record that takes effect although no answer comes."""
     shard = scene.shard
     shard.store = join_group(scene, "m0", "m5", "m6")
-    shard.half_reached_at = 0.0
+    shard.earlier_proofs_ended_at = 0.0
     scene.store_client.faults.cut = True
     shard.spawn(instance_votes.record(shard))
     scene.peers.unreachable = {"m5", "m6"}
--- a/limpetstream/shard/tests/test_quorum.py
+++ b/limpetstream/shard/tests/test_quorum.py
@@ -119,10 +119,10 @@
         executor_records.note_inherited(shard, record)
     del shard.executor_by_id["x2"]
     sessions.check_earlier_runs(shard)
-    assert shard.half_reached_at is None
+    assert shard.earlier_proofs_ended_at is None
     shard.executor_by_id["x0"].reached = True
     sessions.check_earlier_runs(shard)
-    assert shard.half_reached_at is not None
+    assert shard.earlier_proofs_ended_at is not None
     assert not shard.earlier_runs_settled
 
 
@@ -142,7 +142,7 @@
     shard = scene.shard
     executor = shard.executor_by_id["x0"]
     executor.reached = False
-    shard.half_reached_at = None
+    shard.earlier_proofs_ended_at = None
     scene.advance(60.0)
     assert not sessions._have_leases_expired(shard, executor)
 
@@ -152,7 +152,7 @@
     shard = scene.shard
     executor = shard.executor_by_id["x0"]
     executor.reached = False
-    shard.half_reached_at = scene.loop.time()
+    shard.earlier_proofs_ended_at = scene.loop.time()
     scene.advance(2.0 + 4.0 / 0.98 + 0.1)
     assert not sessions._have_leases_expired(shard, executor)
     scene.advance(0.2)
