Take another port in the soak if one is taken meanwhile

With executors that are replaced a run opens some thirty ports more. Change: up to five ports are tried.

Result: test_a_port_that_another_program_has_taken_is_replaced fails before and passes.

--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import errno
 import functools
 import itertools
 import os
@@ -28,6 +29,7 @@
 STORE = "store"
 DATA_CENTRES = ("a", "b")
 READY_TIMEOUT_S = 20.0
+MAX_PORT_ATTEMPTS = 5  # Another program rarely takes a free port first.
 MAX_CLUSTERS_AT_ONCE = 5  # Clusters of one process at the same time.
 # Time from SIGTERM to SIGKILL, as the platform's documentation states.
 STOP_TIMEOUT_S = 6.0
@@ -294,11 +296,21 @@
         return frozenset(members)
 
     async def _serve_behind_link(self, answer: simple_server.Responder) -> link.Link:
-        """Serve ``answer`` on a free loopback port; return a link to it."""
-        port = processes.free_port()
-        await self._stack.enter_async_context(
-            simple_server.serve(f"127.0.0.1:{port}", answer)
-        )
+        """Serve ``answer`` on a free loopback port; return a link to it.
+
+        Raises:
+            OSError: Other programs took each port between its choice and use.
+        """
+        for attempt in range(1, MAX_PORT_ATTEMPTS + 1):
+            port = processes.free_port()
+            server = simple_server.serve(f"127.0.0.1:{port}", answer)
+            try:
+                await self._stack.enter_async_context(server)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or attempt == MAX_PORT_ATTEMPTS:
+                    raise
+            else:
+                break
         return await self._stack.enter_async_context(link.open_link(port))
 
 
--- a/soak/tests/test_cluster.py
+++ b/soak/tests/test_cluster.py
@@ -62,3 +62,22 @@
         cluster.client.close()
 
     asyncio.run(run())
+
+
+def test_a_port_that_another_program_has_taken_is_replaced(monkeypatch):
+    """Guards against a run that ends as a port is taken meanwhile."""
+
+    async def run():
+        taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        taken_port = taken.sockets[0].getsockname()[1]
+        ports = [taken_port, processes.free_port()]
+        monkeypatch.setattr(processes, "free_port", lambda: ports.pop(0))
+        cluster = _cluster.Cluster(0, SlowGroup())
+        try:
+            await cluster.add_executor("x0")
+            assert not ports
+        finally:
+            await cluster.close()
+            taken.close()
+
+    asyncio.run(run())
