Show that an earlier owner takes a final state back

Cause: the last append took effect without an answer; the next owner reads it and tells the final state, while the earlier one still has a proof and tells what it last told.

--- a/limpetstream/shard/tests/test_takeovers.py
+++ b/limpetstream/shard/tests/test_takeovers.py
@@ -10,7 +10,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import leases
-from limpetstream.shard import housekeeping, names
+from limpetstream.shard import housekeeping, names, peer_messages
 from limpetstream.shard.tests import schedules
 from standins import shard_cluster, step_executors
 
@@ -262,3 +262,53 @@
 
     cluster = schedules.run_scenario(scenario)
     assert not cluster.breaches.found
+
+
+def test_no_owner_tells_of_a_completed_job_that_it_is_open():
+    """Guards against a final state that is taken back.
+
+    Soak, seed 20: the last ends of a job were appended, and the answer to that
+    append was lost. The next owner read them and told that the job was
+    completed, while the last proof of the earlier owner was still valid.
+    """
+
+    async def scenario(cluster):
+        for member in ("m0", "m1", "m2"):
+            cluster.start(member)
+        await asyncio.sleep(4)
+        owner = cluster.owner_member()
+        store = cluster.instance_by_member[owner].store
+        name = schedules.job_id(0)
+        assert await cluster.submit(name, schedules.steps(1), seconds=3.0)
+        await asyncio.sleep(2.4)
+        # The group drops it 1 s later; until the job ends its appends succeed.
+        store.join = store.leave = never_answered
+        while cluster.breaches.executors_by_task[f"{name}.0.0.0"]:
+            await asyncio.sleep(0.001)
+            for advance in cluster.breaches.advance_by_executor.values():
+                advance()
+        store.faults.lost_answer_share = 1.0
+        earlier = cluster.instance_by_member[owner].job_api
+        others = [m for m in cluster.instance_by_member if m != owner]
+        request = peer_messages.PeerRequest("state", 0, job_id=name)
+        told = set()
+        for _ in range(1500):
+            await asyncio.sleep(0.005)
+            for member in others:
+                reply = await cluster.instance_by_member[member].job_api.answer_peer(
+                    request
+                )
+                if reply.state == "completed":
+                    told.add(member)
+            if told:
+                reply = await earlier.answer_peer(request)
+                assert reply.refused or reply.state == "completed"
+        assert told
+
+    schedules.run_scenario(scenario)
+
+
+async def never_answered(*args, timeout_s, **fields):
+    """Stand in for a call of the store that is lost."""
+    await asyncio.sleep(timeout_s)
+    raise errors.PlatformUnavailable("lost")
