Move the search of schedules into a folder of its own

The search of schedules was spread over five modules among the tests of the shard package, although bench and tests both use it.

Its modules now stand in search/, beside soak/. Only names of modules change: search.py is plays.py, search_schedules.py is kept_schedules.py.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -12,7 +12,7 @@
 import loguru
 
 from bench import result
-from limpetstream.shard.tests import search
+from search import plays
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -56,8 +56,8 @@
     gc.disable()
 
 
-def play(seed: int, first: str = "") -> search.Outcome:
+def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
     gc.collect()  # Collecting within a schedule takes a tenth of its time.
-    return search.play(search.draw(seed, first))
+    return plays.play(plays.draw(seed, first))
--- a/bench/search_power.py
+++ b/bench/search_power.py
@@ -9,7 +9,8 @@
 import os
 
 from bench import overlapping_schedules, result
-from limpetstream.shard.tests import removals, search
+from limpetstream.shard.tests import removals
+from search import plays
 
 SCHEDULES = 1000
 PROCESSES = 3
@@ -61,12 +62,12 @@
     return f"clean, {count} played"
 
 
-def play(name: str, seed: int) -> search.Outcome:
+def play(name: str, seed: int) -> plays.Outcome:
     """Play the schedule of a seed with a check removed."""
     with removals.removed(name):
         return _play(seed)
 
 
-def _play(seed: int) -> search.Outcome:
+def _play(seed: int) -> plays.Outcome:
     first = FIRST_FAULTS[seed % len(FIRST_FAULTS)]
     return overlapping_schedules.play(seed, first)
--- /dev/null
+++ b/search/__init__.py
@@ -0,0 +1,1 @@
+"""Search for schedules of overlapping faults that break a guarantee."""
--- a/limpetstream/shard/tests/overlapping_faults.py
+++ b/search/overlapping_faults.py
@@ -7,7 +7,7 @@
 import functools
 import random
 
-from limpetstream.shard.tests import fault_world
+from search import fault_world
 
 World = fault_world.World
 
--- a/limpetstream/shard/tests/search.py
+++ b/search/plays.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from limpetstream import errors
-from limpetstream.shard.tests import fault_world, overlapping_faults
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages
+from search import fault_world, overlapping_faults
 from standins import shard_cluster, step_executors, virtual_time
 
 LIMIT_S = 180.0  # Virtual seconds of a schedule; one that hangs fails.
--- a/limpetstream/shard/tests/test_search.py
+++ b/search/tests/test_search.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from limpetstream.shard.tests import removals, search, search_schedules
+from limpetstream.shard.tests import removals
+from search import kept_schedules, plays
 
 SEEDS_BY_FIRST_FAULT = {
     "": range(0, 36),
@@ -17,7 +18,7 @@
 def test_a_short_search_breaks_nothing(first):
     """Guards against two runs of a task at once while faults overlap."""
     outcome_by_seed = {
-        seed: search.play(search.draw(seed, first))
+        seed: plays.play(plays.draw(seed, first))
         for seed in SEEDS_BY_FIRST_FAULT[first]
     }
     assert all(outcome.starts for outcome in outcome_by_seed.values())
@@ -28,22 +29,22 @@
     }
 
 
-@pytest.mark.parametrize("name", search_schedules.RED_SEED_BY_REMOVAL)
+@pytest.mark.parametrize("name", kept_schedules.RED_SEED_BY_REMOVAL)
 def test_the_search_finds_a_removed_check(name):
     """Guards against a search that is clean whatever the product does."""
-    first, seed = search_schedules.RED_SEED_BY_REMOVAL[name]
+    first, seed = kept_schedules.RED_SEED_BY_REMOVAL[name]
     with removals.removed(name):
-        outcome = search.play(search.draw(seed, first))
+        outcome = plays.play(plays.draw(seed, first))
     assert outcome.breaches
 
 
 def test_a_restarted_executor_settles_nothing_before_an_append():
     """Guards against a start after an end that a later owner acknowledged."""
-    outcome = search.play(search_schedules.restart_after_isolated_successor())
+    outcome = plays.play(kept_schedules.restart_after_isolated_successor())
     assert not outcome.breaches
 
 
 def test_two_kills_of_one_instance_at_once_are_one():
     """Guards against a search that fails by an error of its own."""
-    outcome = search.play(search.draw(2798))
+    outcome = plays.play(plays.draw(2798))
     assert not outcome.breaches
