Let the stand-in executors run every kind of task

The executors of the tests on virtual time knew only the processors of a task. Nothing that needs memory, accelerators, a label, a spread limit, a gang or a pace could be seen to go wrong there.

They now know the steps of a job: what each task needs, members of a gang that wait 3 s for each other, the pace of best-effort runs, and tails of serving runs that best-effort work of some images raises. Starts beyond the capacity, without the label or beyond the spread limit are breaches.

--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -121,6 +121,7 @@
         self.store = keyed_store.Store(seed=seed)
         self.breaches = step_executors.Breaches(loop)
         self.size_by_spec: dict[str, tuple[int, float]] = {}
+        self.steps_by_spec: dict[str, list[messages.Step]] = {}
         self.executor_by_id: dict[str, step_executors.Executor] = {}
         self.instance_by_member: dict[str, Instance] = {}
         self.members_without_peers: set[str] = set()
@@ -151,6 +152,7 @@
             self.random,
             rate=self.random.choice([0.98, 1.0]),
             born_at=self.clock.monotonic(),
+            steps_by_spec=self.steps_by_spec,
         )
         self.executor_by_id[executor_id] = executor
         self.breaches.advance_by_executor[executor_id] = executor.advance
@@ -250,6 +252,7 @@
     ) -> bool:
         """Submit at random instances until one accepts; eight attempts."""
         self.size_by_spec[job_id] = (steps[0].cpu_millicores, seconds)
+        self.steps_by_spec[job_id] = steps
         submission = messages.Submission(
             job_id,
             queue.name,
--- a/standins/step_executor_client.py
+++ b/standins/step_executor_client.py
@@ -119,8 +119,15 @@
         *,
         timeout_s: float,
     ) -> None:
-        """Accept any pace without an effect."""
-        await self._connect(listing, timeout_s)
+        """Set how fast one run may work.
+
+        Raises:
+            PlatformUnavailable: The executor is cut off.
+            TokenOutdated: The executor has seen a higher fencing token.
+        """
+        executor = await self._connect(listing, timeout_s)
+        async with self._answering(listing, timeout_s):
+            executor.pace(task, run, percent, token)
 
     def _start_later(
         self, executor: step_executors.Executor, request: messages.StartRequest
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -12,8 +12,11 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages
+from limpetstream.workflow import messages as workflow_messages
+from standins import step_loads
 
 STOP_DURATION_S = 0.1
+GANG_WAIT_S = 3.0  # A member of a gang waits so long for the others.
 MAX_LEASE_MS = 6000  # A longer lease is shortened to it.
 
 
@@ -28,6 +31,13 @@
         ends_at: Loop time of its end; None if it runs until it is stopped.
         fails: Whether it fails at its end.
         stops_at: Loop time at which a requested stop takes effect.
+        step: Step of its task; None if only its processors are known.
+        pace: Percentage of full speed that it may use.
+        paused_work_s: Seconds of work at full speed that are left; None unless
+            it is paused.
+        whole_since: Loop time since which all members of its gang run; None
+            before, and for other tasks.
+        waits_since: Loop time since which it waits for members of its gang.
     """
 
     number: int
@@ -36,6 +46,26 @@
     ends_at: float | None
     fails: bool = False
     stops_at: float | None = None
+    step: workflow_messages.Step | None = None
+    pace: int = 100
+    paused_work_s: float | None = None
+    whole_since: float | None = None
+    waits_since: float = 0.0
+
+    def is_best_effort(self) -> bool:
+        """Return whether it uses only processors that others leave unused."""
+        return self.step is not None and self.step.fills
+
+    def set_pace(self, percent: int, now: float) -> None:
+        """Change how fast it works from now on, in percent of full speed."""
+        if self.ends_at is not None:
+            self.paused_work_s = max(0.0, self.ends_at - now) * self.pace / 100
+        self.pace = percent
+        if self.paused_work_s is not None and percent:
+            self.ends_at = now + self.paused_work_s * 100 / percent
+            self.paused_work_s = None
+        elif not percent:
+            self.ends_at = None
 
 
 class Breaches:
@@ -136,6 +166,8 @@
         delayed_share: Share of the start requests that take effect seconds
             later, without an answer.
         fail_all: Whether every run fails at once.
+        steps_by_spec: Steps of the job, by its text. Without them only the
+            processors of its tasks are known.
     """
 
     listing: messages.Listing
@@ -155,6 +187,19 @@
     cut: bool = False
     delayed_share: float = 0.0
     fail_all: bool = False
+    steps_by_spec: dict[str, list[workflow_messages.Step]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def used(self) -> messages.Capacity:
+        """Return what its runs use; best-effort ones at full speed."""
+        used = messages.Capacity(0, 0, 0)
+        for run in self.run_by_task.values():
+            used.cpu_millicores += run.cpu
+            if run.step is not None:
+                used.memory_mb += run.step.memory_mb
+                used.accelerators += run.step.accelerators
+        return used
 
     def clock_ms(self) -> int:
         """Return the executor's monotonic clock in milliseconds."""
@@ -172,11 +217,31 @@
         for task, active_run in list(self.run_by_task.items()):
             if active_run.stops_at is not None and now >= active_run.stops_at:
                 self._end_run(task, messages.STOPPED)
+            elif active_run.step is not None and active_run.step.gang:
+                self._advance_gang(task, active_run, now)
             elif active_run.ends_at is not None and now >= active_run.ends_at:
                 self._end_run(
                     task, messages.FAILED if active_run.fails else messages.DONE
                 )
 
+    def _advance_gang(self, task: str, run: Run, now: float) -> None:
+        """Let a member of a gang work, or end, by whether the others run."""
+        prefix = task.rpartition(".")[0]
+        is_whole = all(
+            name in self.breaches.done_tasks
+            or self.breaches.executors_by_task.get(name)
+            for name in (f"{prefix}.{number}" for number in range(run.step.count))
+        )
+        if run.whole_since is None and is_whole:
+            run.whole_since = now
+            run.ends_at = now + self._run_s(run.spec, task)
+        elif run.whole_since is None and now > run.waits_since + GANG_WAIT_S:
+            self._end_run(task, "alone")
+        elif run.whole_since is not None and not is_whole:
+            self._end_run(task, "broken")
+        elif run.ends_at is not None and now >= run.ends_at:
+            self._end_run(task, messages.DONE)
+
     def restart(self) -> None:
         """Restart with empty state under the same id, as after a crash."""
         for task in list(self.run_by_task):
@@ -257,13 +322,39 @@
         if deadline_ms is not None:
             self._extend_lease(deadline_ms)
         running = [
-            messages.RunningRow(task, active_run.number, "", 50, 0)
+            messages.RunningRow(task, active_run.number, "", 50, self._load(active_run))
             for task, active_run in self.run_by_task.items()
         ]
         return messages.PollReply(
             self.clock_ms(), self.listing.born_ms, running, list(self.ends)
         )
 
+    def pace(self, task: str, run: int, percent: int, token: int) -> None:
+        """Set how fast a run may work, in percent of full speed.
+
+        Raises:
+            TokenOutdated: A higher fencing token was seen.
+        """
+        self.advance()
+        self._check_token(token)
+        active_run = self.run_by_task.get(task)
+        if active_run is not None and active_run.number == run:
+            active_run.set_pace(percent, asyncio.get_running_loop().time())
+
+    def _load(self, run: Run) -> float:
+        """Return the tail in ms of a serving run, or millicores in use."""
+        if run.step is None:
+            return 0
+        if not run.step.tail_target_ms:
+            return run.cpu * run.pace / 100
+        best_effort = {
+            other.step.image: other.cpu * other.pace / 100_000
+            for other in self.run_by_task.values()
+            if other.is_best_effort()
+        }
+        now = asyncio.get_running_loop().time()
+        return step_loads.tail_ms(run.step, best_effort, now)
+
     def _extend_lease(self, deadline_ms: int) -> None:
         longest_ms = self.clock_ms() + MAX_LEASE_MS
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
@@ -274,26 +365,69 @@
         self.token = token
 
     def _start_run(self, request: messages.StartRequest) -> None:
-        cpu, seconds = self.size_by_spec[request.spec]
-        if callable(seconds):
-            seconds = seconds(request.task)
+        cpu, _seconds = self.size_by_spec[request.spec]
+        step = self._step(request)
+        if step is not None:
+            cpu = step.cpu_millicores
         now = asyncio.get_running_loop().time()
+        seconds = self._run_s(request.spec, request.task)
         ends_at = now + seconds if seconds else None
         if self.fail_all:
             ends_at = now + 0.01
+        elif step is not None and step.gang:
+            ends_at = None  # It works once all members run.
         self.run_by_task[request.task] = Run(
-            request.run, request.spec, cpu, ends_at, fails=self.fail_all
+            request.run,
+            request.spec,
+            cpu,
+            ends_at,
+            fails=self.fail_all,
+            step=step,
+            waits_since=now,
         )
         self.breaches.record_start(request.task, self.listing.executor_id)
-        used = sum(run.cpu for run in self.run_by_task.values())
-        if used > self.listing.capacity.cpu_millicores:
-            self.breaches.record(
-                f"{self.listing.executor_id} exceeds its capacity: {used} millicores"
-            )
+        self._check_capacity()
+        if step is not None:
+            self._check_constraints(request.task, step)
         cancelled_at = self.breaches.cancelled_at.get(request.task.partition(".")[0])
         if cancelled_at is not None and now > cancelled_at + 3.0:
             self.breaches.record(f"{request.task} started after its job was cancelled")
 
+    def _step(self, request: messages.StartRequest) -> workflow_messages.Step | None:
+        steps = self.steps_by_spec.get(request.spec)
+        return steps[int(request.task.split(".")[2])] if steps else None
+
+    def _run_s(self, spec: str, task: str) -> float:
+        """Return the run time of a task in seconds; 0 if it has no end."""
+        _cpu, seconds = self.size_by_spec[spec]
+        return seconds(task) if callable(seconds) else seconds
+
+    def _check_capacity(self) -> None:
+        """Record a breach if the runs need more than there is."""
+        capacity, used = self.listing.capacity, self.used()
+        reserved = sum(
+            run.cpu for run in self.run_by_task.values() if not run.is_best_effort()
+        )
+        for needed, given, unit in (
+            (reserved, capacity.cpu_millicores, "millicores"),
+            (used.memory_mb, capacity.memory_mb, "MB"),
+            (used.accelerators, capacity.accelerators, "accelerators"),
+        ):
+            if needed > given:
+                self.breaches.record(
+                    f"{self.listing.executor_id} exceeds its capacity: {needed} {unit}"
+                )
+
+    def _check_constraints(self, task: str, step: workflow_messages.Step) -> None:
+        """Record a breach if a task may not run here."""
+        executor_id = self.listing.executor_id
+        if step.required_label and step.required_label not in self.listing.labels:
+            self.breaches.record(f"{task} started on {executor_id} without its label")
+        prefix = task.rpartition(".")[0]
+        count = sum(name.rpartition(".")[0] == prefix for name in self.run_by_task)
+        if 0 < step.max_per_executor < count:
+            self.breaches.record(f"{executor_id} runs {count} tasks of {prefix}")
+
     def _end_run(self, task: str, how: str) -> None:
         active_run = self.run_by_task.pop(task)
         self.highest_run_by_task[task] = max(
