Ask the system for no files on virtual time if there are none

The virtual loop called select at each step, also when only the loop's own wake-up socket was registered. It asks now only if another file is registered. The tests of search and standins pass.

--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -30,7 +30,10 @@
             RuntimeError: Nothing can wake the loop, or the time has not
                 advanced for ``MAX_STEPS_AT_ONE_TIME`` steps.
         """
-        ready = super().select(0)
+        # The loop's own wake-up socket is always registered: the system is
+        # asked only if there is another file, as that call takes a tenth of
+        # the time of a search.
+        ready = super().select(0) if len(self._fd_to_key) > 1 else []
         if not ready and timeout is None:
             raise RuntimeError("virtual time: no timer is set and no file is ready")
         before = self.now
