Let the search draw every kind of task and ask the users' rule

Cause: the search drew chains of equal tasks only, and asked only whether jobs had ended 60 s after the last fault. Change: jobs hold steps of messages.Step. search/kind_draws.py draws serving, best-effort, gang, bound, branched and lasting work on two queues; search/executor_faults.py adds executors that come, drain, leave, move, change their rack, refuse or lose orders, and a closed data centre. Plays of these draws look for standing tasks (StandingTasks) four times a second; each clause of the rule has a test. The earlier draws stay as they were, in search/draws.py, so that the kept seeds stay red: plays of them are not watched, since the look's timers change which of two equal times comes first.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -12,7 +12,7 @@
 import loguru
 
 from bench import result
-from search import plays
+from search import draws, plays
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -60,4 +60,4 @@
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
     gc.collect()  # Collecting within a schedule takes a tenth of its time.
-    return plays.play(plays.draw(seed, first))
+    return plays.play(draws.draw(seed, first))
--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -4,11 +4,14 @@
 import collections
 import contextlib
 import contextvars
+import dataclasses
+import math
 import random
 from collections.abc import Callable, Hashable, Iterator
 from typing import Any
 
 from limpetstream import errors
+from limpetstream.executors import messages
 from limpetstream.shard import events
 from limpetstream.telemetry import logs
 from standins import (
@@ -44,6 +47,10 @@
 END_ACKNOWLEDGED = "END_ACKNOWLEDGED"
 APPEND_CONFIRMED = "APPEND_CONFIRMED"
 
+# Label of the executors that have accelerators.
+LARGE = "large"
+ACCELERATORS = 4
+
 Watcher = Callable[[str, str, str], bool]
 
 
@@ -69,6 +76,10 @@
         self._frozen_since: dict[str, float] = {}
         self._thawed_at: dict[str, float] = {}
         self._replaced_ids: set[str] = set()
+        # Whether another executor answers at an address, by executor and
+        # address that is not the executor's any more.
+        self._is_taken_by_former: dict[tuple[str, str], bool] = {}
+        self.closed_data_centres: set[str] = set()
         self._killed: set[str] = set()
         self._proofs_ended: tuple[int, float] = (0, 0.0)
         self._loop = asyncio.get_running_loop()
@@ -94,13 +105,14 @@
         for key in keys:
             self._held[key] += 1
             self._apply(key)
+        self.note_change()
         self.note(f"hold {keys} for {seconds:.3f} s")
 
         def release() -> None:
             for key in keys:
                 self._held[key] -= 1
                 self._apply(key)
-            self.last_change_at = self.now()
+            self.note_change()
 
         self.later(seconds, release)
 
@@ -108,6 +120,14 @@
         """Return whether no fault is in force."""
         return not any(self._held.values())
 
+    def note_change(self) -> None:
+        """Note that something is disturbed or changes now."""
+        self.last_change_at = self.now()
+
+    def calm_since(self) -> float:
+        """Return since when nothing is disturbed; infinity during a fault."""
+        return self.last_change_at if self.is_quiet() else math.inf
+
     def _apply(self, key: Any) -> None:
         is_held = self._held[key] > 0
         kind, name, *rest = (*key, "")
@@ -156,6 +176,7 @@
         context.run(_member.set, member)
         context.run(self.cluster.start, member, reserve=reserve)
         self._hook(self.cluster.instance_by_member[member])
+        self.note_change()
         return member
 
     def kill(self, member: str) -> None:
@@ -166,6 +187,7 @@
         alive = self.cluster.instance_by_member.keys() - self._killed
         if member in alive and len(alive) > 1:
             self._killed.add(member)
+            self.note_change()
             self.spawn(self.cluster.kill(member))
             self.later(0.5, self.start)
 
@@ -187,31 +209,94 @@
         executor = self.cluster.executor_by_id[executor_id]
         self.hold(down_s, ("executor", executor_id))
         executor.restart()
-        self.later(down_s, lambda: self._list_again(executor))
+        self.later(down_s, lambda: self.list_again(executor))
+
+    def move(self, executor_id: str, *, down_s: float, is_taken: bool) -> None:
+        """Restart an executor at another address.
 
-    def _list_again(self, executor: step_executors.Executor) -> None:
+        Args:
+            executor_id: Id, which stays.
+            down_s: Seconds until it is back.
+            is_taken: Whether another executor answers at its former address.
+        """
+        executor = self.cluster.executor_by_id[executor_id]
+        former = executor.listing.address
+        self._is_taken_by_former[executor_id, former] = is_taken
+        address = f"10.0.2.{len(self._is_taken_by_former)}:7000"
+        self.note(f"move {executor_id} to {address}")
+        self.restart(executor_id, down_s=down_s)
+        executor.listing = dataclasses.replace(executor.listing, address=address)
+
+    def list_again(self, executor: step_executors.Executor) -> None:
+        """Publish the entry of an executor that has not left."""
         executor_id = executor.listing.executor_id
         if self.cluster.executor_by_id.get(executor_id) is executor:
+            self.note_change()
+            self.note(f"list {executor.listing}")
             self.cluster.list_executor(executor)
 
+    def join(self, *, is_large: bool = True) -> None:
+        """Add an executor with an id of its own."""
+        number = len(self.cluster.breaches.advance_by_executor)
+        executor = self.cluster.add_executor(
+            f"x{number}",
+            address=f"10.0.1.{number}:7000",
+            labels=(LARGE if is_large else "kind", f"rack-{number % 2}"),
+            capacity=dataclasses.replace(
+                shard_cluster.CAPACITY, accelerators=ACCELERATORS if is_large else 0
+            ),
+        )
+        self.note_change()
+        self.note(f"join {executor.listing}")
+
     def remove(
-        self, executor_id: str, *, unlisted_after_s: float, is_replaced: bool
+        self,
+        executor_id: str,
+        *,
+        unlisted_after_s: float,
+        is_replaced: bool,
+        is_followed: bool = True,
     ) -> None:
-        """End an executor for good; another one joins."""
+        """End an executor for good.
+
+        Args:
+            executor_id: Its id.
+            unlisted_after_s: Seconds until its entry is gone.
+            is_replaced: Whether another one answers at its address.
+            is_followed: Whether another one joins once the entry is gone.
+        """
         executor = self.cluster.executor_by_id.pop(executor_id)
         executor.cut = True
         executor.restart()  # Its runs have ended, and nothing is known of them.
+        self.note_change()
         self.note(f"remove {executor_id}")
         if is_replaced:
             self._replaced_ids.add(executor_id)
 
         def replace() -> None:
             self.cluster.unlist_executor(executor_id)
-            number = len(self.cluster.breaches.advance_by_executor)
-            self.cluster.add_executor(f"x{number}")
+            self.note_change()
+            if is_followed:
+                self.join()
 
         self.later(unlisted_after_s, replace)
 
+    def close_data_centre(self, data_centre: str) -> None:
+        """Let the operator close a data centre; all others are open then."""
+        self.closed_data_centres.clear()
+        self.closed_data_centres.add(data_centre)
+        self._apply_data_centres()
+
+    def open_data_centres(self) -> None:
+        """Let the operator open all data centres."""
+        self.closed_data_centres.clear()
+        self._apply_data_centres()
+
+    def _apply_data_centres(self) -> None:
+        self.cluster.view.closed_data_centres = frozenset(self.closed_data_centres)
+        self.note_change()
+        self.note(f"closed data centres: {sorted(self.closed_data_centres)}")
+
     def owners(self) -> list[str]:
         """Return the members that serve shard 0, the newest owner last."""
         shard_by_member = {
@@ -287,6 +372,9 @@
             if executor_id in self._replaced_ids and not is_cut:
                 await asyncio.sleep(step_executor_client.RESPONSE_DELAY_S)
                 raise errors.ExecutorReplaced(executor_id)
+            is_taken = self._is_taken_by_former.get((executor_id, listing.address))
+            if is_taken is not None and not is_cut:
+                await self._call_former(executor_id, is_taken, timeout_s)
             executor = await connect(listing, timeout_s)
             if self._was_held_up(member, executor):
                 # What is under way for longer than a restart is not covered
@@ -296,6 +384,16 @@
 
         client._connect = hooked
 
+    async def _call_former(
+        self, executor_id: str, is_taken: bool, timeout_s: float
+    ) -> None:
+        """Fail a call to an address at which the executor is no more."""
+        if is_taken:
+            await asyncio.sleep(step_executor_client.RESPONSE_DELAY_S)
+            raise errors.ExecutorReplaced(executor_id)
+        await asyncio.sleep(timeout_s)
+        raise errors.PlatformUnavailable("nobody answers at this address")
+
     def _hook_orders(
         self, client: step_executor_client.ExecutorClient, member: str
     ) -> None:
@@ -303,6 +401,10 @@
 
         async def hooked_start(listing: Any, request: Any, *, timeout_s: float) -> Any:
             self._check_order("start", member, request.token)
+            await self._lose("lost start", listing, timeout_s)
+            if self._held[("refuses", listing.executor_id)]:
+                executor = await client._connect(listing, timeout_s)
+                return messages.StartReply(messages.UNWILLING, executor.clock_ms())
             reply = await start(listing, request, timeout_s=timeout_s)
             self.tell(START_APPLIED, member, listing.executor_id)
             return reply
@@ -319,6 +421,7 @@
             listing: Any, task: str, run: int, token: int, *, timeout_s: float
         ) -> None:
             self._check_order("stop", member, token)
+            await self._lose("lost stop", listing, timeout_s)
             await stop(listing, task, run, token, timeout_s=timeout_s)
 
         async def hooked_pace(listing: Any, *arguments: Any, **options: Any) -> None:
@@ -328,6 +431,14 @@
         client.start, client.poll = hooked_start, hooked_poll
         client.stop, client.pace = hooked_stop, hooked_pace
 
+    async def _lose(
+        self, kind: str, listing: messages.Listing, timeout_s: float
+    ) -> None:
+        """Raise as for a lost call while such calls get lost."""
+        if self._held[(kind, listing.executor_id)]:
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("the call was lost")
+
     def _hook_store(self, store: keyed_store.Client, member: str) -> None:
         append, join = store.append, store.join
 
--- a/search/kept_schedules.py
+++ b/search/kept_schedules.py
@@ -1,6 +1,6 @@
 """Schedules and seeds of the search that are kept as tests."""
 
-from search import plays
+from search import schedules
 
 # Kind of the first fault, or none, and the seed that is red without the check.
 RED_SEED_BY_REMOVAL = {
@@ -41,36 +41,36 @@
 }
 
 
-def restart_after_isolated_successor() -> plays.Schedule:
+def restart_after_isolated_successor() -> schedules.Schedule:
     """Return the reduced schedule of seed 282.
 
     A second owner does not reach x0, loses the store and keeps both
     majorities. A third one reaches only x0 and acknowledges an end there. x0
     restarts, and answers the second owner first.
     """
-    return plays.Schedule(
+    return schedules.Schedule(
         seed=282,
         executors=6,
         instances=4,
         reserves=0,
         resets=False,
         jobs=[
-            plays.Job(1.2094483552780035, 3, [10.069820453924434], 2000),
-            plays.Job(3.0200982463439985, 1, [1.2, 1.2, 0.6, 0.6, 6.97], 2000),
-            plays.Job(4.235223147966471, 1, [8.11870106063105], 2000),
-            plays.Job(5.304436722068267, 3, [10.641033587404706], 6000),
-            plays.Job(6.2676927812824985, 1, [1.2, 0.6, 0.3, 0.3, 6.89], 2000),
-            plays.Job(7.557363171679203, 1, [0.6, 0.6, 0.6, 0.3, 8.93], 6000),
+            schedules.chain(1.2094483552780035, 3, [10.069820453924434], 2000),
+            schedules.chain(3.0200982463439985, 1, [1.2, 1.2, 0.6, 0.6, 6.97], 2000),
+            schedules.chain(4.235223147966471, 1, [8.11870106063105], 2000),
+            schedules.chain(5.304436722068267, 3, [10.641033587404706], 6000),
+            schedules.chain(6.2676927812824985, 1, [1.2, 0.6, 0.3, 0.3, 6.89], 2000),
+            schedules.chain(7.557363171679203, 1, [0.6, 0.6, 0.6, 0.3, 8.93], 6000),
         ],
         faults=[
-            plays.Fault("replace_owner", 217674493, 6.502532772816389),
-            plays.Fault(
+            schedules.Fault("replace_owner", 217674493, 6.502532772816389),
+            schedules.Fault(
                 "lose_answers",
                 345338153,
                 1.0261134189463252,
                 "RUN_ORDERED",
                 delay_s=0.18023976290362873,
             ),
-            plays.Fault("kill", 447341011, 5.986860596218721, "RUN_ORDERED", 2),
+            schedules.Fault("kill", 447341011, 5.986860596218721, "RUN_ORDERED", 2),
         ],
     )
--- a/search/plays.py
+++ b/search/plays.py
@@ -14,110 +14,21 @@
 from limpetstream import errors
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages
-from search import fault_world, overlapping_faults
+from search import (
+    executor_faults,
+    fault_world,
+    overlapping_faults,
+    schedules,
+    standing_tasks,
+)
 from standins import shard_cluster, step_executors, virtual_time
 
 LIMIT_S = 180.0  # Virtual seconds of a schedule; one that hangs fails.
 SETTLE_S = 60.0  # Time after the last fault in which every job has to end.
 WARM_UP_S = 2.0
 TRIGGER_WAIT_S = 6.0  # A fault whose event does not come is not played.
-MEMORY_MB = 100
-TRIGGERS = (
-    ("SHARD_CLAIMED", 3),
-    ("SHARD_RECOVERED", 2),
-    ("EARLIER_PROOFS_ENDED", 3),
-    ("SHARD_LOCATED", 2),
-    ("RUN_ORDERED", 3),
-    ("RUN_ENDED", 1),
-    ("START_IN_DOUBT", 1),
-    ("EXECUTOR_SILENT", 1),
-    ("EXECUTOR_REACHED", 1),
-    ("EXECUTOR_LAPSED", 2),
-    ("EXECUTOR_REPLACED", 1),
-    ("OWNERSHIP_UNPROVEN", 2),
-    ("JOURNAL_FAILING", 1),
-    ("SHARD_RELEASED", 1),
-    (fault_world.START_APPLIED, 2),
-    (fault_world.END_ACKNOWLEDGED, 2),
-    (fault_world.APPEND_CONFIRMED, 2),
-)
-
-
-# They follow events themselves.
-CHANGES_OF_OWNER = (
-    "replace_owner",
-    "restart_after_claim",
-    "isolated_after_split",
-    "restart_half",
-    "long_split",
-)
-
-
-@dataclasses.dataclass(slots=True)
-class Fault:
-    """One fault of a schedule.
-
-    Args:
-        kind: Name of a function of ``overlapping_faults``.
-        seed: Seed of what the fault draws itself.
-        at: Seconds after the warm-up at which it begins, or begins to wait for
-            its event.
-        trigger: Name of the event that it follows; empty for none.
-        skip: How many events it lets pass.
-        delay_s: Seconds from the event to the fault; 0 for the very moment.
-    """
-
-    kind: str
-    seed: int
-    at: float
-    trigger: str = ""
-    skip: int = 0
-    delay_s: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """One job of a schedule.
-
-    Args:
-        at: Seconds after the warm-up at which it is submitted.
-        count: Number of tasks of each step.
-        seconds_by_step: Run time of the tasks of each step; 0 for tasks that
-            last.
-        cpu: Processors of a task, in millicores.
-        cancelled_at: Seconds after the warm-up at which it is cancelled; None
-            if it is not.
-    """
-
-    at: float
-    count: int
-    seconds_by_step: list[float]
-    cpu: int
-    cancelled_at: float | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Schedule:
-    """Everything that happens in one play.
-
-    Args:
-        seed: Seed from which it was drawn.
-        executors: Number of executors.
-        instances: Number of instances in the main group.
-        reserves: Number of instances in the reserve.
-        resets: Whether connections of an executor that restarts are reset;
-            otherwise calls get no answer until their time-out.
-        jobs: Jobs.
-        faults: Faults.
-    """
-
-    seed: int
-    executors: int
-    instances: int
-    reserves: int
-    resets: bool
-    jobs: list[Job]
-    faults: list[Fault]
+LOOK_S = 0.25  # Between two looks for tasks that stand still.
+FAULTS = overlapping_faults.FAULTS | executor_faults.FAULTS
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,103 +51,24 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self.count_by_job: dict[str, int] = {}
+        self.steps_by_job: dict[str, list[messages.Step]] = {}
 
     def record_start(self, task: str, executor_id: str) -> None:
-        """Record a start; all tasks of the step before must have been done."""
+        """Record a start; all tasks of earlier steps must have been done."""
         super().record_start(task, executor_id)
-        job_id, step, _number = split_task(task)
-        if step == 0:
-            return
+        job_id, number, _task_number = schedules.split_task(task)
+        steps = self.steps_by_job[job_id]
         missing = [
             name
-            for name in task_names(job_id, step - 1, self.count_by_job[job_id])
+            for earlier in steps[number].after
+            for name in schedules.task_names(job_id, earlier, steps[earlier].count)
             if name not in self.done_tasks
         ]
         if missing:
             self.record(f"{task} started on {executor_id} before {missing} were done")
 
 
-def split_task(task: str) -> tuple[str, int, int]:
-    """Return job, step and number of a task by its name."""
-    job_id, _occurrence, step, number = task.split(".")
-    return job_id, int(step), int(number)
-
-
-def task_names(job_id: str, step: int, count: int) -> list[str]:
-    """Return the names of the tasks of a step."""
-    return [f"{job_id}.0.{step}.{number}" for number in range(count)]
-
-
-def draw(seed: int, first: str = "") -> Schedule:
-    """Draw a schedule.
-
-    Args:
-        seed: Seed of all draws.
-        first: Kind of the first fault; empty for a drawn one.
-    """
-    generator = random.Random(seed)
-    executors = generator.randint(6, 9)
-    instances, reserves = generator.choice([(3, 0), (3, 0), (2, 0), (4, 0), (1, 2)])
-    return Schedule(
-        seed,
-        executors,
-        instances,
-        reserves,
-        generator.random() < 0.5,
-        _draw_jobs(generator, executors),
-        _draw_faults(generator, first),
-    )
-
-
-def _draw_jobs(generator: random.Random, executors: int) -> list[Job]:
-    jobs = [Job(0.0, executors + generator.randint(-2, 4), [0.0], 4000)]
-    at = 0.0
-    while at < 10.0:
-        kind = generator.random()
-        if kind < 0.55:
-            chain = [generator.choice([0.3, 0.6, 1.2]) for _ in range(5)]
-            chain[-1] = generator.uniform(5.0, 9.0)
-        elif kind < 0.8:
-            chain = [generator.uniform(5.0, 12.0)]
-        else:
-            chain = [generator.uniform(0.3, 2.5) for _ in range(3)]
-        cancelled_at = at + generator.uniform(0.5, 8.0)
-        jobs.append(
-            Job(
-                at,
-                generator.choice([1, 1, 2, 3]),
-                chain,
-                generator.choice([2000, 4000, 6000]),
-                cancelled_at if generator.random() < 0.12 else None,
-            )
-        )
-        at += generator.uniform(0.2, 1.4)
-    return jobs
-
-
-def _draw_faults(generator: random.Random, first: str) -> list[Fault]:
-    """Draw a change of owner and two to six other faults."""
-    kind = generator.choice(["replace_owner", "replace_owner", "isolated_successor"])
-    functions = overlapping_faults.FAULTS
-    weights = [weight for _function, weight in functions.values()]
-    others = generator.choices(list(functions), weights, k=generator.randint(2, 6))
-    return [_draw_fault(generator, each) for each in (first or kind, *others)]
-
-
-def _draw_fault(generator: random.Random, kind: str) -> Fault:
-    fault = Fault(kind, generator.randrange(2**32), generator.uniform(0.5, 8.0))
-    if generator.random() < 0.6 and kind not in CHANGES_OF_OWNER:
-        names, weights = zip(*TRIGGERS, strict=True)
-        fault.trigger = generator.choices(names, weights)[0]
-        fault.skip = generator.choice([0, 0, 0, 1, 2, 5])
-        fault.delay_s = generator.choice(
-            [0.0, 0.0, generator.uniform(0.0, 0.3), generator.uniform(0.0, 2.5)]
-        )
-    return fault
-
-
-def play(schedule: Schedule, *, traced: bool = False) -> Outcome:
+def play(schedule: schedules.Schedule, *, traced: bool = False) -> Outcome:
     """Play a schedule; it raises nothing that the product does."""
     random.seed(0)  # Back-off with jitter uses it.
     loop = virtual_time.Loop()
@@ -272,28 +104,37 @@
 
 
 def _make_cluster(
-    loop: virtual_time.Loop, schedule: Schedule, checks: Checks
+    loop: virtual_time.Loop, schedule: schedules.Schedule, checks: Checks
 ) -> shard_cluster.ShardCluster:
     cluster = shard_cluster.ShardCluster(loop, seed=schedule.seed, executors=0)
     cluster.breaches = checks
-    for number in range(schedule.executors):
-        cluster.add_executor(f"x{number}")
     return cluster
 
 
-async def _play(world: fault_world.World, schedule: Schedule, checks: Checks) -> None:
+async def _play(
+    world: fault_world.World, schedule: schedules.Schedule, checks: Checks
+) -> None:
     world.resets = schedule.resets
+    for number in range(schedule.executors):
+        world.join(is_large=not number % 2)
     for _ in range(schedule.instances):
         world.start()
     for _ in range(schedule.reserves):
         world.start(reserve=True)
+    standing = standing_tasks.StandingTasks(
+        world.cluster.executor_by_id, checks, world.closed_data_centres
+    )
+    if schedule.is_watched:
+        watching = world.spawn(_watch(world, standing, checks))
     await asyncio.sleep(WARM_UP_S)
     began_at = world.now()
     for fault in schedule.faults:
         world.later(fault.at, functools.partial(_arm, world, fault))
-    accepted: dict[str, Job] = {}
+    accepted: dict[str, schedules.Job] = {}
     submitting = [
-        world.spawn(_submit(world, schedule.seed, number, job, accepted, checks))
+        world.spawn(
+            _submit(world, schedule.seed, number, job, accepted, checks, standing)
+        )
         for number, job in enumerate(schedule.jobs)
     ]
     last_at = max([fault.at for fault in schedule.faults], default=0.0)
@@ -303,11 +144,24 @@
         await asyncio.sleep(0.25)
     world.last_change_at = max(world.last_change_at, began_at + last_at)
     await _check_jobs(world, accepted, checks)
+    if schedule.is_watched:
+        watching.cancel()
 
 
-def _arm(world: fault_world.World, fault: Fault) -> None:
+async def _watch(
+    world: fault_world.World, standing: standing_tasks.StandingTasks, checks: Checks
+) -> None:
+    """Look for tasks that stand still until the play has ended."""
+    while True:
+        await asyncio.sleep(LOOK_S)
+        for advance in list(checks.advance_by_executor.values()):
+            advance()
+        standing.look(world.now(), world.calm_since())
+
+
+def _arm(world: fault_world.World, fault: schedules.Fault) -> None:
     """Play a fault now, or once its event has come."""
-    function, _weight = overlapping_faults.FAULTS[fault.kind]
+    function, _weight = FAULTS[fault.kind]
     generator = random.Random(fault.seed)
     ends_at = world.now() + TRIGGER_WAIT_S
     left = fault.skip
@@ -339,35 +193,28 @@
     world: fault_world.World,
     seed: int,
     number: int,
-    job: Job,
-    accepted: dict[str, Job],
+    job: schedules.Job,
+    accepted: dict[str, schedules.Job],
     checks: Checks,
+    standing: standing_tasks.StandingTasks,
 ) -> None:
     """Submit a job; cancel it if the schedule says so."""
     cluster, job_id = world.cluster, f"{number:016x}"
-    steps = [
-        messages.Step(
-            job.count,
-            cpu_millicores=job.cpu,
-            memory_mb=MEMORY_MB,
-            after=(step - 1,) if step else (),
-            long_running=not seconds,
-        )
-        for step, seconds in enumerate(job.seconds_by_step)
-    ]
-    checks.count_by_job[job_id] = job.count
+    checks.steps_by_job[job_id] = job.steps
 
     def run_time(task: str) -> float:
-        seconds = job.seconds_by_step[split_task(task)[1]]
+        seconds = job.seconds_by_step[schedules.split_task(task)[1]]
         return seconds * random.Random(f"{seed} {task}").uniform(0.6, 1.2)
 
     began_at = world.now()
     await asyncio.sleep(job.at)
-    if not await cluster.submit(job_id, steps, seconds=run_time):
+    if not await cluster.submit(job_id, job.steps, seconds=run_time, queue=job.queue):
         return
+    standing.accept(job_id, job.steps, world.now())
     accepted[job_id] = job
     if job.cancelled_at is not None:
         await asyncio.sleep(max(0.0, began_at + job.cancelled_at - world.now()))
+        standing.forget(job_id)
         if await _cancel(world, job_id):
             checks.cancelled_at[job_id] = world.now()
 
@@ -387,13 +234,13 @@
 
 
 async def _check_jobs(
-    world: fault_world.World, accepted: dict[str, Job], checks: Checks
+    world: fault_world.World, accepted: dict[str, schedules.Job], checks: Checks
 ) -> None:
     """Check that jobs end, and that tasks that last have a run."""
     limit_at = world.last_change_at + SETTLE_S
     for job_id, job in accepted.items():
         left_s = max(1.0, limit_at - world.now())
-        if not job.seconds_by_step[0]:
+        if job.lasts():
             continue
         state = await world.cluster.wait_until_final(job_id, limit_s=left_s)
         is_cancelled = job.cancelled_at is not None and state == "cancelled"
@@ -401,18 +248,18 @@
             checks.record(f"LOST: {job_id} is {state}")
             return
     for job_id, job in accepted.items():
-        if not job.seconds_by_step[0]:
+        if job.lasts():
             await _check_lasting(world, job_id, job, checks, limit_at)
 
 
 async def _check_lasting(
     world: fault_world.World,
     job_id: str,
-    job: Job,
+    job: schedules.Job,
     checks: Checks,
     limit_at: float,
 ) -> None:
-    names = task_names(job_id, 0, job.count)
+    names = schedules.task_names(job_id, 0, job.steps[0].count)
     while True:
         for advance in checks.advance_by_executor.values():
             advance()
@@ -425,11 +272,11 @@
         await asyncio.sleep(0.2)
 
 
-def reduce(schedule: Schedule, is_red: object) -> Schedule:
+def reduce(schedule: schedules.Schedule, is_red: object) -> schedules.Schedule:
     """Drop faults, then jobs, one by one as long as the schedule stays red.
 
     Args:
-        schedule: Schedule that is red.
+        schedule: schedules.Schedule that is red.
         is_red: Returns whether an outcome counts as red.
     """
     for field in ("faults", "jobs"):
--- a/search/tests/test_search.py
+++ b/search/tests/test_search.py
@@ -3,7 +3,7 @@
 import pytest
 
 from limpetstream.shard.tests import removals
-from search import kept_schedules, plays
+from search import draws, kept_schedules, plays
 
 SEEDS_BY_FIRST_FAULT = {
     "": range(0, 36),
@@ -18,7 +18,7 @@
 def test_a_short_search_breaks_nothing(first):
     """Guards against two runs of a task at once while faults overlap."""
     outcome_by_seed = {
-        seed: plays.play(plays.draw(seed, first))
+        seed: plays.play(draws.draw(seed, first))
         for seed in SEEDS_BY_FIRST_FAULT[first]
     }
     assert all(outcome.starts for outcome in outcome_by_seed.values())
@@ -34,7 +34,7 @@
     """Guards against a search that is clean whatever the product does."""
     first, seed = kept_schedules.RED_SEED_BY_REMOVAL[name]
     with removals.removed(name):
-        outcome = plays.play(plays.draw(seed, first))
+        outcome = plays.play(draws.draw(seed, first))
     assert outcome.breaches
 
 
@@ -46,5 +46,5 @@
 
 def test_two_kills_of_one_instance_at_once_are_one():
     """Guards against a search that fails by an error of its own."""
-    outcome = plays.play(plays.draw(2798))
+    outcome = plays.play(draws.draw(2798))
     assert not outcome.breaches
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -133,8 +133,15 @@
         for number in range(executors):
             self.add_executor(f"x{number}")
 
-    def add_executor(self, executor_id: str) -> step_executors.Executor:
-        """Add an executor and publish its entry."""
+    def add_executor(
+        self, executor_id: str, **changes: object
+    ) -> step_executors.Executor:
+        """Add an executor and publish its entry.
+
+        Args:
+            executor_id: Its id.
+            changes: Values of its entry that differ from the usual ones.
+        """
         listing = executor_messages.Listing(
             executor_id,
             f"10.0.0.{len(self.executor_by_id) + 1}:7000",
@@ -145,6 +152,7 @@
             ("kind", f"rack-{len(self.executor_by_id) % 2}"),
             born_ms=1000,
         )
+        listing = dataclasses.replace(listing, **changes)
         executor = step_executors.Executor(
             listing,
             self.breaches,
