Measure over the whole service whether it is idle

Best-effort tasks could wait for 26 s while under half of the service was in use, which the rule LOST forbids from 3 s on. The share in use was taken over those executors of one batch of 40 that had room for the task. Where the idle executors lack memory, only busy ones are left and the service counted as busy.

The use is now that of all executors that the service can use: what is reserved and best-effort work at full speed. It is measured once in a pass for each service, and what the pass places is added.

test_use_is_measured_over_the_whole_service failed before. test_the_use_of_a_service_is_measured_once_in_a_pass had no measurement to count before. The two others passed before and guard the new sum. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end and workflow/tests pass.

--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -60,6 +60,8 @@
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
             found, with their image and how long they have waited.
+        use_by_service: How much of each service is in use, measured for its
+            first best-effort task.
         gangs: Gangs that had their turn, by the common part of their tasks'
             names.
         is_finished: Whether every due task has had its turn in the round.
@@ -74,6 +76,9 @@
     checks: int = 0
     placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
+    use_by_service: dict[str, best_effort.ServiceUse] = dataclasses.field(
+        default_factory=dict
+    )
     gangs: set[str] = dataclasses.field(default_factory=set)
     is_finished: bool = True
     has_skipped: bool = False
@@ -183,6 +188,8 @@
     if not may_start(shard, task):
         return
     context = placement_context(shard, shard.service_of(task.job), this_pass.now)
+    if task.step.fills:
+        context.is_service_idle = _use_of_service(this_pass, context).is_idle
     if task.step.gang:
         placed = _place_gang(shard, task, context, this_pass)
     elif task.step.fills:
@@ -232,6 +239,8 @@
         executor = placement.choose(this_pass.executors, task, context)
         if executor is not None:
             placing.start_on(shard, executor, task, task.last_run + 1)
+            use = _use_of_service(this_pass, context)
+            use.used_millicores += task.step.cpu_millicores
             return [task]
         if not task.step.max_per_executor:
             this_pass.unplaceable.add(key)
@@ -239,6 +248,17 @@
     return []
 
 
+def _use_of_service(
+    this_pass: _Pass, context: eligibility.PlacementContext
+) -> best_effort.ServiceUse:
+    """Return the use of a service, which is measured once in a pass."""
+    use = this_pass.use_by_service.get(context.service)
+    if use is None:
+        use = best_effort.measure_use(this_pass.executors, context)
+        this_pass.use_by_service[context.service] = use
+    return use
+
+
 def _place_or_preempt(
     shard: state.Shard,
     task: workflow_state.Task,
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -9,7 +9,11 @@
 
 from limpetstream.shard import relocation, scheduling
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import interference, state as workflow_state
+from limpetstream.workflow import (
+    best_effort,
+    interference,
+    state as workflow_state,
+)
 from standins import virtual_time
 
 
@@ -310,3 +314,74 @@
     tasks[0].not_before = 0.0
     scheduling.run_pass(shard)
     assert tasks[0].run is not None
+
+
+def fill_memory(shard, executor_id):
+    """Let a run that needs hardly any processors reserve all memory."""
+    step = builders.copy_step(
+        builders.SHORT, cpu_millicores=1_000, memory_mb=builders.CAPACITY.memory_mb
+    )
+    task = builders.make_tasks(shard, step)[0]
+    builders.start_run(shard.executor_by_id[executor_id], task)
+
+
+def test_use_is_measured_over_the_whole_service():
+    """Guards against tasks that wait for pace in a service with little use.
+
+    Only the executors without free memory are idle. The others, of which two
+    thirds of the processors and more are reserved, have room for the task.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=8)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail")
+    for number in range(2, 8):
+        fill_memory(shard, f"x{number}")
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert tasks[0].run is not None
+
+
+def test_use_of_other_services_does_not_count():
+    """Guards against a full service that counts as idle beside an idle one."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=8)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail")
+    for number in range(2, 8):
+        listing = shard.executor_by_id[f"x{number}"].listing
+        listing.service = "another"
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert tasks[0].run is None
+
+
+def test_the_use_of_a_service_is_measured_once_in_a_pass(monkeypatch):
+    """Guards against a pass that costs executors times best-effort tasks."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    for number in range(4):
+        run_serving(shard, f"x{number}", "frail")
+    set_interference(shard, "frail", "press", 0.2)
+    for memory_mb in range(1_000, 1_020):
+        step = builders.copy_step(builders.BEST_EFFORT, memory_mb=memory_mb)
+        queue_tasks(shard, step)
+    measured = []
+    measure_use = best_effort.measure_use
+
+    def recording(executors, context):
+        measured.append(context.service)
+        return measure_use(executors, context)
+
+    monkeypatch.setattr(best_effort, "measure_use", recording)
+    scheduling.run_pass(shard)
+    assert measured == ["service"]
+
+
+def test_what_a_pass_places_counts_as_used():
+    """Guards against a burst that is placed as if the service stayed idle."""
+    shard = builders.make_shard(virtual_time.Loop())
+    run_serving(shard, "x0", "frail", count=2)
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, 12, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert sum(task.run is not None for task in tasks) <= 3
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -5,9 +5,10 @@
 therefore compared by how much of its speed a task can expect to keep.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
-from limpetstream.executors import tracking
+from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.workflow import eligibility, state
 
 # Below these values a task waits. Minimum paces of 0.7, 0.9 and 0.98 were
@@ -21,12 +22,59 @@
 # Each further second lowers the relaxed pace by this, so that every task runs
 # in the end.
 MIN_PACE_DECREASE_PER_S = 0.04
-# A service that uses a smaller share of its CPU counts as idle. Work then
-# waits only this long for a better executor.
+# A service that uses a smaller share of its CPU counts as idle. By the rule
+# LOST no task waits for 3 s while less than half of its service is in use.
 IDLE_CPU_SHARE = 0.6
+# Work then waits only this long for a better executor.
 IDLE_SERVICE_WAIT_S = 1.5
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceUse:
+    """How much of the CPU of a service is in use.
+
+    Args:
+        used_millicores: CPU that is reserved or that best-effort runs use at
+            full speed.
+        total_millicores: CPU of all executors that take part.
+    """
+
+    used_millicores: int = 0
+    total_millicores: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether work need not wait for a better executor."""
+        return self.used_millicores < IDLE_CPU_SHARE * self.total_millicores
+
+
+def measure_use(
+    executors: Iterable[tracking.Executor], context: eligibility.PlacementContext
+) -> ServiceUse:
+    """Return the use of the service; an executor counts as full at most.
+
+    Args:
+        executors: All executors; those count that the service can use.
+        context: Names the service; the work is counted there.
+    """
+    use = ServiceUse()
+    for executor in executors:
+        context.checked_count += 1
+        listing = executor.listing
+        if (
+            listing.service == context.service
+            and listing.state == executor_messages.READY
+            and listing.data_centre not in context.closed_data_centres
+            and executor.reached
+            and executor.silent_since is None
+        ):
+            capacity = listing.capacity.cpu_millicores
+            used = executor.reserved_millicores + executor.best_effort_millicores
+            use.used_millicores += min(used, capacity)
+            use.total_millicores += capacity
+    return use
+
+
 def choose(
     allowed: list[tracking.Executor],
     task: state.Task,
@@ -48,7 +96,7 @@
         key=lambda candidate: candidate.score,
         reverse=True,
     )
-    if waited_s >= IDLE_SERVICE_WAIT_S and _used_cpu_share(allowed) < IDLE_CPU_SHARE:
+    if context.is_service_idle and waited_s >= IDLE_SERVICE_WAIT_S:
         return ranked[0].executor
     min_cpu_share, min_pace = MIN_CPU_SHARE, MIN_PACE
     if waited_s >= FULL_PACE_WAIT_S:
@@ -125,19 +173,6 @@
     return any(run.over_target_since is not None for run in executor.serving_runs())
 
 
-def _used_cpu_share(executors: list[tracking.Executor]) -> float:
-    """Return the share of the CPU that is reserved or best-effort."""
-    used = sum(
-        min(
-            executor.reserved_millicores + executor.best_effort_millicores,
-            executor.listing.capacity.cpu_millicores,
-        )
-        for executor in executors
-    )
-    total = sum(executor.listing.capacity.cpu_millicores for executor in executors)
-    return used / max(1, total)
-
-
 def _may_probe(
     executor: tracking.Executor,
     task: state.Task,
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -29,6 +29,8 @@
             that was sent at this time or later.
         interference_model: How images slow each other down on one executor.
         forecasts: Forecasts of what best-effort work can expect.
+        is_service_idle: Whether so little of the service is in use that
+            best-effort work soon takes any executor; set where it is placed.
         scored_count: Number of executors that have been scored so far.
         checked_count: Number of executors and runs that have been checked.
     """
@@ -39,6 +41,7 @@
     min_polled_at: float
     interference_model: interference.InterferenceModel
     forecasts: capacity_forecast.ForecastCache
+    is_service_idle: bool = False
     scored_count: int = 0
     checked_count: int = 0
 
