Try tasks that accept any pace apart from new ones

A best-effort task that had waited for 1.5 s in an idle service, and so takes any pace, was not looked at if a task of the same size and image that had just come failed before it in the pass. While such tasks keep coming, it waits on.

Within a pass, a failure speaks for all tasks with the same size, image and wait of 0 to 4 s, 4 to 8 s and so on. Now the wait of 1.5 s is a stage of its own.

test_a_new_task_does_not_use_up_the_turn_of_one_that_has_waited failed before. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end and workflow/tests pass.

--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -59,7 +59,7 @@
         checks: Work done so far.
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
-            found, with their image and how long they have waited.
+            found, with their image and the stage of their wait.
         use_by_service: How much of each service is in use, measured for its
             first best-effort task.
         gangs: Gangs that had their turn, by the common part of their tasks'
@@ -229,11 +229,10 @@
     this_pass: _Pass,
 ) -> list[workflow_state.Task]:
     """Place a best-effort task; return it if it was placed."""
-    waited_s = this_pass.now - task.ready_at
     key = (
         placing.shape(task, context.service),
         task.step.image,
-        int(waited_s / best_effort.FULL_PACE_WAIT_S),
+        best_effort.stage_of_wait(this_pass.now - task.ready_at),
     )
     if key not in this_pass.unplaceable:
         executor = placement.choose(this_pass.executors, task, context)
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -385,3 +385,19 @@
     tasks = queue_tasks(shard, builders.BEST_EFFORT, 12, waited_s=2.0)
     scheduling.run_pass(shard)
     assert sum(task.run is not None for task in tasks) <= 3
+
+
+def test_a_new_task_does_not_use_up_the_turn_of_one_that_has_waited():
+    """Guards against a task that no longer waits for pace and is not placed.
+
+    A task of the same size that has just come goes before it and fails.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail", count=1)
+    set_interference(shard, "frail", "press", 0.2)
+    new = queue_tasks(shard, builders.BEST_EFFORT)
+    old = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert new[0].run is None
+    assert old[0].run is not None
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -110,6 +110,19 @@
     return None
 
 
+def stage_of_wait(waited_s: float) -> int:
+    """Return a number that rises with each further thing a task accepts.
+
+    The pace is accepted in steps of ``FULL_PACE_WAIT_S``: tasks that have
+    waited for about as long count as equal.
+
+    >>> [stage_of_wait(waited_s) for waited_s in (0.2, 1.5, 3.9, 4.0, 8.0)]
+    [0, 1, 1, 2, 3]
+    """
+    steps = int(waited_s / FULL_PACE_WAIT_S)
+    return steps + (waited_s >= IDLE_SERVICE_WAIT_S)
+
+
 def has_better_executor(
     executors: Iterable[tracking.Executor],
     task: state.Task,
