Look for room for best-effort work on all executors

A best-effort task of which few executors had the memory waited for a time that grew with the size of the service. Each turn, every 0.2 s, looked at 40 executors from a random one on, and one turn stood for all tasks of its size. With one suitable executor among 2,300 that is one turn in 57.

A turn now goes on until it has scored 40 executors with room, as the cost of a turn is that of scoring. A search that finds no room at all is remembered by size until an executor frees capacity, or for 1 s, as for other tasks; one that finds too low a speed is not, since speeds change by themselves.

test_the_only_executor_with_room_is_found_in_one_pass failed before, at the first of ten positions. test_best_effort_tasks_without_room_are_not_looked_for_ all_the_time passed before, and fails with the new search and without its memory. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end and workflow/tests pass.

--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -65,6 +65,38 @@
     return True
 
 
+def place_best_effort(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    context: eligibility.PlacementContext,
+    executors: list[tracking.Executor],
+) -> bool:
+    """Start a best-effort task; return whether an executor suits it.
+
+    Only a search that finds no room is remembered: expected speeds change
+    without a change of capacity.
+
+    Args:
+        shard: Shard of the task.
+        task: Best-effort task that waits and is not of a gang.
+        context: What the placement depends on; the work is counted there.
+        executors: All executors.
+    """
+    key = shape(task, context.service)
+    searched = searches.candidates(
+        shard.searches, key, executors, SEARCH_RETRY_S, context.now
+    )
+    executor = placement.choose(searched, task, context)
+    if executor is None:
+        if not context.eligible_count:
+            searches.note_failure(
+                shard.searches, key, searched_all=searched is executors, now=context.now
+            )
+        return False
+    start_on(shard, executor, task, task.last_run + 1)
+    return True
+
+
 def place_gang(
     shard: state.Shard,
     members: list[workflow_state.Task],
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -22,7 +22,6 @@
 from limpetstream.workflow import (
     best_effort,
     eligibility,
-    placement,
     state as workflow_state,
 )
 
@@ -235,9 +234,7 @@
         best_effort.stage_of_wait(this_pass.now - task.ready_at),
     )
     if key not in this_pass.unplaceable:
-        executor = placement.choose(this_pass.executors, task, context)
-        if executor is not None:
-            placing.start_on(shard, executor, task, task.last_run + 1)
+        if placing.place_best_effort(shard, task, context, this_pass.executors):
             use = _use_of_service(this_pass, context)
             use.used_millicores += task.step.cpu_millicores
             return [task]
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -413,3 +413,25 @@
     longest = simulate(shard, loop, visits, MAX_LASTING_WAIT_S)
     assert longest <= 2 * MAX_VISITS_PER_PASS
     assert [task.name for task in lasting if task.run is None] == []
+
+
+def test_best_effort_tasks_without_room_are_not_looked_for_all_the_time(monkeypatch):
+    """Guards against a search through all executors each 0.2 s for each size.
+
+    No executor has the memory; the one that frees some is found at once.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=400)
+    fill(shard, builders.copy_step(builders.SHORT, memory_mb=250_000), 1)
+    for number in range(20):
+        step = builders.copy_step(builders.BEST_EFFORT, memory_mb=13_000 + number)
+        shard.waiting_tasks.extend(builders.make_tasks(shard, step))
+    visits = builders.count_visits(shard, monkeypatch)
+    for _ in range(4):
+        scheduling.run_pass(shard)
+        advance(shard, loop, scheduling.BEST_EFFORT_RETRY_S + PASS_S)
+    assert visits.executors <= 2 * 20 * 400
+    executor = shard.executor_by_id["x250"]
+    executor.release(next(iter(executor.run_by_task.values())))
+    scheduling.run_pass(shard)
+    assert any(run.task.step.fills for run in executor.run_by_task.values())
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -401,3 +401,18 @@
     scheduling.run_pass(shard)
     assert new[0].run is None
     assert old[0].run is not None
+
+
+def test_the_only_executor_with_room_is_found_in_one_pass():
+    """Guards against a wait that grows with the number of executors.
+
+    A turn, each 0.2 s, looked at 40 executors from a random one on.
+    """
+    for index in range(0, 400, 40):
+        shard = builders.make_shard(virtual_time.Loop(), executors=400)
+        for executor_id in shard.executor_by_id:
+            if executor_id != f"x{index}":
+                fill_memory(shard, executor_id)
+        tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+        scheduling.run_pass(shard)
+        assert tasks[0].run is not None, index
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -90,6 +90,7 @@
     within_target = [executor for executor in allowed if not _is_over_target(executor)]
     if not within_target:
         return None
+    context.scored_count += len(within_target)
     waited_s = context.now - task.ready_at
     ranked = sorted(
         (_Candidate(executor, task, context) for executor in within_target),
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -31,6 +31,7 @@
         forecasts: Forecasts of what best-effort work can expect.
         is_service_idle: Whether so little of the service is in use that
             best-effort work soon takes any executor; set where it is placed.
+        eligible_count: Number of executors that were found to have room.
         scored_count: Number of executors that have been scored so far.
         checked_count: Number of executors and runs that have been checked.
     """
@@ -42,6 +43,7 @@
     interference_model: interference.InterferenceModel
     forecasts: capacity_forecast.ForecastCache
     is_service_idle: bool = False
+    eligible_count: int = 0
     scored_count: int = 0
     checked_count: int = 0
 
@@ -106,10 +108,12 @@
 ) -> list[tracking.Executor]:
     """Return the executors that may run a task and have capacity for it."""
     context.checked_count += len(executors)
-    return [
+    eligible = [
         executor
         for executor in executors
         if executor.fits(task.step)
         and accepts_new_tasks(executor, context)
         and meets_constraints(executor, task)
     ]
+    context.eligible_count += len(eligible)
+    return eligible
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -1,6 +1,5 @@
 """Selects the executor for a task, and orders the tasks that wait for one."""
 
-import itertools
 import zlib
 from collections.abc import Iterable, Iterator
 
@@ -45,17 +44,18 @@
     batches: Iterable[list[tracking.Executor]] = [executors]
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
-    if task.step.fills:
-        # Scoring is expensive for best-effort work, and the next pass, 0.2 s
-        # later, starts at other executors.
-        batches = itertools.islice(batches, 1)
     in_doubt = None
+    scored_before = context.scored_count
     for batch in batches:
+        if task.step.fills and context.scored_count - scored_before >= BATCH_SIZE:
+            # Scoring is expensive for best-effort work, and the next pass,
+            # 0.2 s later, starts at other executors.
+            break
         allowed = eligibility.eligible_executors(batch, task, context)
-        context.scored_count += len(allowed)
         if task.step.fills:
             chosen = best_effort.choose(allowed, task, context)
         else:
+            context.scored_count += len(allowed)
             chosen = max(
                 allowed,
                 key=lambda executor: _score(executor, task, rack_labels, context.now),
