Start best-effort work paused where a target is exceeded

In a service with much room, a best-effort task whose possible executors all had a serving task over its target got no run for as long as that lasted.

Once a task accepts any executor (1.5 s in an idle service), executors within their targets come first, on all batches, and then the others. A run that was placed after a serving run there had gone over its target is paused as soon as its start is answered or a poll lists it, and stays so until the tail is within the target. Before, such a run would have kept its full speed for up to 2 s if the model saw no interference.

That is also the end for a reported tail that does not change any more: it can hold back a start for 1.5 s only.

Failed before: test_work_in_an_idle_service_runs_beside_work_over_its_target, test_a_run_that_starts_beside_work_over_its_target_is_paused_at_once, test_a_start_without_an_answer_is_paused_once_a_poll_lists_it. The other three new tests passed before. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end and workflow/tests pass.

--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -5,7 +5,8 @@
 interfere most, by the learned model, are slowed by as much as the excess
 requires. If a tail stays over its target although the model predicts no cause,
 all of them are paused. Where there is slack, the runs that interfere least
-regain their speed first.
+regain their speed first. A run that starts beside a serving run over its
+target stays paused until that is within it.
 """
 
 import collections
@@ -129,6 +130,9 @@
         for run in best_effort_runs:
             _set_pace(shard, executor, run, 0)
         return
+    for run in best_effort_runs:
+        if _has_started_over_target(run, expected):
+            _set_pace(shard, executor, run, 0)
     over_limit = [
         (run, utilization)
         for run, utilization in expected
@@ -141,6 +145,20 @@
         _speed_up(shard, executor, expected, best_effort_runs)
 
 
+def _has_started_over_target(
+    run: workflow_state.Run, expected: list[tuple[workflow_state.Run, float]]
+) -> bool:
+    """Return whether a run was placed beside a task that is over its target.
+
+    Such a run may add nothing until that task is within its target.
+    """
+    return any(
+        serving.over_target_since is not None
+        and run.start_requested_at > serving.over_target_since
+        for serving, _ in expected
+    )
+
+
 def _expected_utilization(
     shard: state.Shard,
     run: workflow_state.Run,
--- a/limpetstream/shard/tests/test_pacing.py
+++ b/limpetstream/shard/tests/test_pacing.py
@@ -99,3 +99,64 @@
 def test_speed_comes_back_when_the_tail_has_room():
     """Guards against best-effort work that stays slow after a peak."""
     assert run_polls([25] * 8 + [4] * 16)[-1] == 100
+
+
+def start_beside(load, over_target_since, *, started_at):
+    """Return a shard, and runs of serving and best-effort work that share.
+
+    The best-effort work does not slow the serving work by what is known.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    executor = shard.executor_by_id["x0"]
+    shard.interference_model.load(
+        {"desk": interference.Estimate(weight_by_image={"press": 0.0})}
+    )
+    serving = builders.start_run(
+        executor, builders.make_tasks(shard, builders.SERVING)[0], load=load
+    )
+    serving.over_target_since = over_target_since
+    best_effort = builders.start_run(
+        executor,
+        builders.make_tasks(shard, builders.BEST_EFFORT)[0],
+        start_requested_at=started_at,
+    )
+    return shard, executor, serving, best_effort
+
+
+def test_a_run_that_starts_beside_work_over_its_target_is_paused_at_once():
+    """Guards against new best-effort work at full speed there (HARM check)."""
+    shard, executor, _, run = start_beside(30.0, -0.5, started_at=-0.1)
+    pacing.adjust_for_new_run(shard, executor)
+    assert run.pace == 0
+
+
+def test_a_start_without_an_answer_is_paused_once_a_poll_lists_it():
+    """Guards against the same where no answer tells that the run works."""
+    shard, executor, _, run = start_beside(30.0, -0.5, started_at=-0.1)
+    pacing.adjust(shard, executor)
+    assert run.pace == 0
+
+
+def test_a_run_that_was_there_before_is_not_paused_at_once():
+    """Guards against pausing all best-effort work at each short peak."""
+    shard, executor, _, run = start_beside(30.0, -0.5, started_at=-3.0)
+    pacing.adjust(shard, executor)
+    assert run.pace == 100
+
+
+def test_a_run_that_started_paused_works_once_the_tail_is_within_its_target():
+    """Guards against a run that stays paused in an idle service."""
+    shard, executor, serving, run = start_beside(30.0, -0.5, started_at=-0.1)
+    pacing.adjust_for_new_run(shard, executor)
+    shard.clock = virtual_time.make_clock(shard_time(pacing.PACE_CHANGE_INTERVAL_S))
+    serving.load = 6.0
+    pacing.adjust(shard, executor)
+    assert run.pace == 100
+
+
+def shard_time(now):
+    """Return a loop whose time is ``now``."""
+    loop = virtual_time.Loop()
+    loop._virtual.now = now
+    return loop
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -416,3 +416,48 @@
         tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
         scheduling.run_pass(shard)
         assert tasks[0].run is not None, index
+
+
+def set_over_target(executor, since):
+    """Let a serving run be over its target since a time."""
+    run = executor.serving_runs()[0]
+    run.load = 2.0 * run.task.step.tail_target_ms
+    run.over_target_since = since
+
+
+def test_work_in_an_idle_service_runs_beside_work_over_its_target():
+    """Guards against a wait without an end in a service with much room.
+
+    Each executor has a serving task over its target, which best-effort work
+    that is paused does not harm.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    for number in range(2):
+        executor = run_serving(shard, f"x{number}", "tough", count=1)
+        set_over_target(executor, since=-5.0)
+    set_interference(shard, "tough", "press", 0.0)
+    new, old = (
+        queue_tasks(shard, builders.BEST_EFFORT, waited_s=waited_s)[0]
+        for waited_s in (0.0, 2.0)
+    )
+    scheduling.run_pass(shard)
+    assert new.run is None
+    assert old.run is not None
+
+
+def test_executors_within_their_targets_come_first():
+    """Guards against a paused run while another executor has full speed.
+
+    The executor whose serving work is within its target is looked at last.
+    """
+    for index in range(0, 200, 40):
+        shard = builders.make_shard(virtual_time.Loop(), executors=200)
+        for number in range(200):
+            executor = run_serving(shard, f"x{number}", "tough", count=1)
+            if number != index:
+                set_over_target(executor, since=-5.0)
+        set_interference(shard, "tough", "press", 0.0)
+        task = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)[0]
+        scheduling.run_pass(shard)
+        assert task.run is not None, index
+        assert task.run.executor_id == f"x{index}"
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -90,15 +90,10 @@
     within_target = [executor for executor in allowed if not _is_over_target(executor)]
     if not within_target:
         return None
-    context.scored_count += len(within_target)
-    waited_s = context.now - task.ready_at
-    ranked = sorted(
-        (_Candidate(executor, task, context) for executor in within_target),
-        key=lambda candidate: candidate.score,
-        reverse=True,
-    )
-    if context.is_service_idle and waited_s >= IDLE_SERVICE_WAIT_S:
+    ranked = _ranked(within_target, task, context)
+    if accepts_any_executor(task, context):
         return ranked[0].executor
+    waited_s = context.now - task.ready_at
     min_cpu_share, min_pace = MIN_CPU_SHARE, MIN_PACE
     if waited_s >= FULL_PACE_WAIT_S:
         further_s = waited_s - FULL_PACE_WAIT_S
@@ -111,6 +106,34 @@
     return None
 
 
+def accepts_any_executor(
+    task: state.Task, context: eligibility.PlacementContext
+) -> bool:
+    """Return whether a best-effort task no longer waits for speed."""
+    waited_s = context.now - task.ready_at
+    return context.is_service_idle and waited_s >= IDLE_SERVICE_WAIT_S
+
+
+def choose_over_target(
+    allowed: list[tracking.Executor],
+    task: state.Task,
+    context: eligibility.PlacementContext,
+) -> tracking.Executor | None:
+    """Return the best executor, also beside serving work over its target.
+
+    A run that starts there is paused at once (``shard.pacing``). That is
+    better than none only for a task that accepts any executor.
+
+    Args:
+        allowed: Executors that may run the task and have capacity for it.
+        task: Best-effort task to place.
+        context: What else the placement depends on.
+    """
+    if not allowed or not accepts_any_executor(task, context):
+        return None
+    return _ranked(allowed, task, context)[0].executor
+
+
 def stage_of_wait(waited_s: float) -> int:
     """Return a number that rises with each further thing a task accepts.
 
@@ -178,6 +201,20 @@
             self.score -= eligibility.IN_DOUBT_PENALTY_CORES
 
 
+def _ranked(
+    executors: list[tracking.Executor],
+    task: state.Task,
+    context: eligibility.PlacementContext,
+) -> list[_Candidate]:
+    """Return what a task can expect on executors, the best one first."""
+    context.scored_count += len(executors)
+    return sorted(
+        (_Candidate(executor, task, context) for executor in executors),
+        key=lambda candidate: candidate.score,
+        reverse=True,
+    )
+
+
 def _is_over_target(executor: tracking.Executor) -> bool:
     """Return whether a serving task on the executor exceeds its target now.
 
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -45,6 +45,7 @@
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
     in_doubt = None
+    with_room: list[tracking.Executor] = []
     scored_before = context.scored_count
     for batch in batches:
         if task.step.fills and context.scored_count - scored_before >= BATCH_SIZE:
@@ -53,6 +54,7 @@
             break
         allowed = eligibility.eligible_executors(batch, task, context)
         if task.step.fills:
+            with_room = with_room or allowed
             chosen = best_effort.choose(allowed, task, context)
         else:
             context.scored_count += len(allowed)
@@ -66,6 +68,8 @@
         if not eligibility.is_in_doubt(chosen, context.now):
             return chosen
         in_doubt = in_doubt or chosen
+    if in_doubt is None and task.step.fills:
+        return best_effort.choose_over_target(with_room, task, context)
     return in_doubt if accepts_doubt else None
 
 
