Count a task's wait on after a refused start

A start that an executor refused, or that was withdrawn, began the wait of its task anew. Best-effort work in an idle service waits 1.5 s for a better executor; with one refusal these waits added up to more than the 3 s of the rule LOST. A lasting task that was refused again and again never came to the 2 s after which it goes first and may preempt any short task.

The wait now counts from when the task became ready. After refusals that are about the task (no ticket, invalid) it begins anew as before, since such a task would preempt others in vain.

test_a_refused_start_does_not_begin_the_wait_anew and test_a_refused_lasting_task_has_waited_long (no room, unwilling) failed before. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end, test_ends_of_waits, test_starts, test_wait_reports, test_audits and workflow/tests pass.

--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -48,16 +48,24 @@
         enqueue(shard, task)
 
 
-def enqueue(shard: state.Shard, task: workflow_state.Task, pause_s: float = 0) -> None:
+def enqueue(
+    shard: state.Shard,
+    task: workflow_state.Task,
+    pause_s: float = 0,
+    *,
+    ready_at: float | None = None,
+) -> None:
     """Add a task to the tasks that wait for capacity.
 
     Args:
         shard: Shard that owns the task.
         task: Task to queue.
         pause_s: Seconds for which it is not placed.
+        ready_at: Monotonic time from which its wait counts; now if None.
     """
-    task.ready_at = shard.clock.monotonic()
-    task.not_before = task.ready_at + pause_s
+    now = shard.clock.monotonic()
+    task.ready_at = now if ready_at is None else ready_at
+    task.not_before = now + pause_s
     shard.waiting_tasks.append(task)
     shard.changed.set()
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -12,6 +12,9 @@
 START_TRIES = 3
 REFUSED_PAUSE_S = 0.3  # An executor gets no starts for so long after a refusal.
 UNWILLING_PAUSE_S = 1.0  # An unhealthy executor needs longer.
+# These refusals are about the task. If its wait counted from the first one, it
+# would have the right to preempt others for ever.
+TASK_REFUSALS = frozenset({executor_messages.NO_TICKET, executor_messages.INVALID})
 
 
 async def start_run(
@@ -244,6 +247,7 @@
         reason=reply.outcome,
     )
     pause_s = 0.0
+    ready_at = now if reply.outcome in TASK_REFUSALS else run.task.ready_at
     if reply.outcome == executor_messages.UNWILLING:
         executor.avoid_until = now + UNWILLING_PAUSE_S
     elif reply.outcome == executor_messages.OUTDATED_RUN:
@@ -251,7 +255,7 @@
     else:
         executor.avoid_until = now + REFUSED_PAUSE_S
         pause_s = jobs.RETRY_PAUSE_S
-    _requeue(shard, executor, run, pause_s)
+    _requeue(shard, executor, run, ready_at, pause_s)
 
 
 def _withdraw(
@@ -269,16 +273,20 @@
         reason=reason,
         proven_ms_ago=round(proof.age_s(shard) * 1000),
     )
-    _requeue(shard, executor, run)
+    _requeue(shard, executor, run, run.task.ready_at)
 
 
 def _requeue(
     shard: state.Shard,
     executor: tracking.Executor,
     run: workflow_state.Run,
+    ready_at: float,
     pause_s: float = 0.0,
 ) -> None:
-    """Release a run that cannot have started, and queue its task again."""
+    """Release a run that cannot have started, and queue its task again.
+
+    Its wait counts from ``ready_at``.
+    """
     executor.release(run)
     run.phase = workflow_state.GONE
     task = run.task
@@ -287,4 +295,4 @@
     task.run = None
     task.ended_run = max(task.ended_run, run.number)
     if not task.job.outcome and not task.done:
-        jobs.enqueue(shard, task, pause_s)
+        jobs.enqueue(shard, task, pause_s, ready_at=ready_at)
--- a/limpetstream/shard/tests/test_ends_of_waits.py
+++ b/limpetstream/shard/tests/test_ends_of_waits.py
@@ -7,13 +7,19 @@
 import pytest
 
 from limpetstream.executors import leases, messages as executor_messages
-from limpetstream.shard import jobs, placing, stops
+from limpetstream.shard import jobs, placing, stops, victims
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import checks, records, state as workflow_state
+from limpetstream.workflow import (
+    checks,
+    interference,
+    records,
+    state as workflow_state,
+)
 from standins import keyed_store, virtual_time
 
 # The deadline of the last of three tries, and two polls after it.
 UNANSWERED_STOP_BOUND_S = 1.2 + leases.LEASE_S / leases.MIN_CLOCK_RATE + 4.0
+STANDING_S = 3.0  # Rule LOST: a task that could run waits less than this.
 
 
 @pytest.fixture(autouse=True)
@@ -211,3 +217,62 @@
     scene.schedule()
     scene.advance(12.0)
     assert "x1" in scene.client.stops
+
+
+def test_a_refused_start_does_not_begin_the_wait_anew(open_scene):
+    """Guards against waits that add up until they break the rule LOST.
+
+    Best-effort work waits 1.5 s for a better executor in an idle service. The
+    first start is refused, and the wait for the second one began at 0 again.
+    """
+    scene = open_scene()
+    serving = builders.make_tasks(scene.shard, builders.SERVING)[0]
+    builders.start_run(scene.executor("x0"), serving)
+    row = executor_messages.RunningRow(serving.name, 1, "", 100, 8)
+    scene.client.rows_by_id["x0"] = [row]
+    scene.shard.interference_model.load(
+        {"desk": interference.Estimate(weight_by_image={"press": 0.2})}
+    )
+    started_at = []
+    start = scene.client.start
+
+    async def refuse_first(listing, request, *, timeout_s):
+        started_at.append(scene.loop.time())
+        if len(started_at) == 1:
+            return executor_messages.StartReply(executor_messages.NO_ROOM)
+        return await start(listing, request, timeout_s=timeout_s)
+
+    scene.client.start = refuse_first
+    scene.schedule()
+    jobs.enqueue(scene.shard, builders.make_tasks(scene.shard, builders.BEST_EFFORT)[0])
+    queued_at = scene.loop.time()
+    scene.advance(4.0)
+    assert len(started_at) >= 2
+    assert started_at[1] - queued_at < STANDING_S
+
+
+@pytest.mark.parametrize(
+    ("reason", "counts"),
+    [
+        (executor_messages.NO_ROOM, True),
+        (executor_messages.UNWILLING, True),
+        (executor_messages.NO_TICKET, False),
+        (executor_messages.INVALID, False),
+    ],
+)
+def test_a_refused_lasting_task_has_waited_long(open_scene, reason, counts):
+    """Guards against a lasting task that never goes first after refusals.
+
+    If they are about the task itself, it may not preempt others in vain.
+    """
+    scene = open_scene()
+
+    async def refuse(listing, request, *, timeout_s):
+        return executor_messages.StartReply(reason)
+
+    scene.client.start = refuse
+    scene.schedule()
+    task = builders.make_tasks(scene.shard, builders.SERVING)[0]
+    jobs.enqueue(scene.shard, task)
+    scene.advance(victims.LONG_RUNNING_MAX_WAIT_S + 0.1)
+    assert victims.has_waited_long(scene.shard, task) is counts
