--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -9,7 +9,11 @@
 
 from limpetstream.shard import relocation, scheduling
 from limpetstream.shard.tests import builders
-from limpetstream.workflow import interference, state as workflow_state
+from limpetstream.workflow import (
+    best_effort,
+    interference,
+    state as workflow_state,
+)
 from standins import virtual_time
 
 
@@ -310,3 +314,150 @@
     tasks[0].not_before = 0.0
     scheduling.run_pass(shard)
     assert tasks[0].run is not None
+
+
+def fill_memory(shard, executor_id):
+    """Let a run that needs hardly any processors reserve all memory."""
+    step = builders.copy_step(
+        builders.SHORT, cpu_millicores=1_000, memory_mb=builders.CAPACITY.memory_mb
+    )
+    task = builders.make_tasks(shard, step)[0]
+    builders.start_run(shard.executor_by_id[executor_id], task)
+
+
+def test_use_is_measured_over_the_whole_service():
+    """Guards against tasks that wait for pace in a service with little use.
+
+    Only the executors without free memory are idle. The others, of which two
+    thirds of the processors and more are reserved, have room for the task.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=8)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail")
+    for number in range(2, 8):
+        fill_memory(shard, f"x{number}")
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert tasks[0].run is not None
+
+
+def test_use_of_other_services_does_not_count():
+    """Guards against a full service that counts as idle beside an idle one."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=8)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail")
+    for number in range(2, 8):
+        listing = shard.executor_by_id[f"x{number}"].listing
+        listing.service = "another"
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert tasks[0].run is None
+
+
+def test_the_use_of_a_service_is_measured_once_in_a_pass(monkeypatch):
+    """Guards against a pass that costs executors times best-effort tasks."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    for number in range(4):
+        run_serving(shard, f"x{number}", "frail")
+    set_interference(shard, "frail", "press", 0.2)
+    for memory_mb in range(1_000, 1_020):
+        step = builders.copy_step(builders.BEST_EFFORT, memory_mb=memory_mb)
+        queue_tasks(shard, step)
+    measured = []
+    measure_use = best_effort.measure_use
+
+    def recording(executors, context):
+        measured.append(context.service)
+        return measure_use(executors, context)
+
+    monkeypatch.setattr(best_effort, "measure_use", recording)
+    scheduling.run_pass(shard)
+    assert measured == ["service"]
+
+
+def test_what_a_pass_places_counts_as_used():
+    """Guards against a burst that is placed as if the service stayed idle."""
+    shard = builders.make_shard(virtual_time.Loop())
+    run_serving(shard, "x0", "frail", count=2)
+    set_interference(shard, "frail", "press", 0.2)
+    tasks = queue_tasks(shard, builders.BEST_EFFORT, 12, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert sum(task.run is not None for task in tasks) <= 3
+
+
+def test_a_new_task_does_not_use_up_the_turn_of_one_that_has_waited():
+    """Guards against a task that no longer waits for pace and is not placed.
+
+    A task of the same size that has just come goes before it and fails.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail", count=1)
+    set_interference(shard, "frail", "press", 0.2)
+    new = queue_tasks(shard, builders.BEST_EFFORT)
+    old = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert new[0].run is None
+    assert old[0].run is not None
+
+
+def test_the_only_executor_with_room_is_found_in_one_pass():
+    """Guards against a wait that grows with the number of executors.
+
+    A turn, each 0.2 s, looked at 40 executors from a random one on.
+    """
+    for index in range(0, 400, 40):
+        shard = builders.make_shard(virtual_time.Loop(), executors=400)
+        for executor_id in shard.executor_by_id:
+            if executor_id != f"x{index}":
+                fill_memory(shard, executor_id)
+        tasks = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+        scheduling.run_pass(shard)
+        assert tasks[0].run is not None, index
+
+
+def set_over_target(executor, since):
+    """Let a serving run be over its target since a time."""
+    run = executor.serving_runs()[0]
+    run.load = 2.0 * run.task.step.tail_target_ms
+    run.over_target_since = since
+
+
+def test_work_in_an_idle_service_runs_beside_work_over_its_target():
+    """Guards against a wait without an end in a service with much room.
+
+    Each executor has a serving task over its target, which best-effort work
+    that is paused does not harm.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    for number in range(2):
+        executor = run_serving(shard, f"x{number}", "tough", count=1)
+        set_over_target(executor, since=-5.0)
+    set_interference(shard, "tough", "press", 0.0)
+    new, old = (
+        queue_tasks(shard, builders.BEST_EFFORT, waited_s=waited_s)[0]
+        for waited_s in (0.0, 2.0)
+    )
+    scheduling.run_pass(shard)
+    assert new.run is None
+    assert old.run is not None
+
+
+def test_executors_within_their_targets_come_first():
+    """Guards against a paused run while another executor has full speed.
+
+    The executor whose serving work is within its target is looked at last.
+    """
+    for index in range(0, 200, 40):
+        shard = builders.make_shard(virtual_time.Loop(), executors=200)
+        for number in range(200):
+            executor = run_serving(shard, f"x{number}", "tough", count=1)
+            if number != index:
+                set_over_target(executor, since=-5.0)
+        set_interference(shard, "tough", "press", 0.0)
+        task = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)[0]
+        scheduling.run_pass(shard)
+        assert task.run is not None, index
+        assert task.run.executor_id == f"x{index}"
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -5,9 +5,10 @@
 therefore compared by how much of its speed a task can expect to keep.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
-from limpetstream.executors import tracking
+from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.workflow import eligibility, state
 
 # Below these values a task waits. Minimum paces of 0.7, 0.9 and 0.98 were
@@ -21,12 +22,59 @@
 # Each further second lowers the relaxed pace by this, so that every task runs
 # in the end.
 MIN_PACE_DECREASE_PER_S = 0.04
-# A service that uses a smaller share of its CPU counts as idle. Work then
-# waits only this long for a better executor.
+# A service that uses a smaller share of its CPU counts as idle. By the rule
+# LOST no task waits for 3 s while less than half of its service is in use.
 IDLE_CPU_SHARE = 0.6
+# Work then waits only this long for a better executor.
 IDLE_SERVICE_WAIT_S = 1.5
 
 
+@dataclasses.dataclass(slots=True)
+class ServiceUse:
+    """How much of the CPU of a service is in use.
+
+    Args:
+        used_millicores: CPU that is reserved or that best-effort runs use at
+            full speed.
+        total_millicores: CPU of all executors that take part.
+    """
+
+    used_millicores: int = 0
+    total_millicores: int = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether work need not wait for a better executor."""
+        return self.used_millicores < IDLE_CPU_SHARE * self.total_millicores
+
+
+def measure_use(
+    executors: Iterable[tracking.Executor], context: eligibility.PlacementContext
+) -> ServiceUse:
+    """Return the use of the service; an executor counts as full at most.
+
+    Args:
+        executors: All executors; those count that the service can use.
+        context: Names the service; the work is counted there.
+    """
+    use = ServiceUse()
+    for executor in executors:
+        context.checked_count += 1
+        listing = executor.listing
+        if (
+            listing.service == context.service
+            and listing.state == executor_messages.READY
+            and listing.data_centre not in context.closed_data_centres
+            and executor.reached
+            and executor.silent_since is None
+        ):
+            capacity = listing.capacity.cpu_millicores
+            used = executor.reserved_millicores + executor.best_effort_millicores
+            use.used_millicores += min(used, capacity)
+            use.total_millicores += capacity
+    return use
+
+
 def choose(
     allowed: list[tracking.Executor],
     task: state.Task,
@@ -42,14 +90,10 @@
     within_target = [executor for executor in allowed if not _is_over_target(executor)]
     if not within_target:
         return None
-    waited_s = context.now - task.ready_at
-    ranked = sorted(
-        (_Candidate(executor, task, context) for executor in within_target),
-        key=lambda candidate: candidate.score,
-        reverse=True,
-    )
-    if waited_s >= IDLE_SERVICE_WAIT_S and _used_cpu_share(allowed) < IDLE_CPU_SHARE:
+    ranked = _ranked(within_target, task, context)
+    if accepts_any_executor(task, context):
         return ranked[0].executor
+    waited_s = context.now - task.ready_at
     min_cpu_share, min_pace = MIN_CPU_SHARE, MIN_PACE
     if waited_s >= FULL_PACE_WAIT_S:
         further_s = waited_s - FULL_PACE_WAIT_S
@@ -62,6 +106,47 @@
     return None
 
 
+def accepts_any_executor(
+    task: state.Task, context: eligibility.PlacementContext
+) -> bool:
+    """Return whether a best-effort task no longer waits for speed."""
+    waited_s = context.now - task.ready_at
+    return context.is_service_idle and waited_s >= IDLE_SERVICE_WAIT_S
+
+
+def choose_over_target(
+    allowed: list[tracking.Executor],
+    task: state.Task,
+    context: eligibility.PlacementContext,
+) -> tracking.Executor | None:
+    """Return the best executor, also beside serving work over its target.
+
+    A run that starts there is paused at once (``shard.pacing``). That is
+    better than none only for a task that accepts any executor.
+
+    Args:
+        allowed: Executors that may run the task and have capacity for it.
+        task: Best-effort task to place.
+        context: What else the placement depends on.
+    """
+    if not allowed or not accepts_any_executor(task, context):
+        return None
+    return _ranked(allowed, task, context)[0].executor
+
+
+def stage_of_wait(waited_s: float) -> int:
+    """Return a number that rises with each further thing a task accepts.
+
+    The pace is accepted in steps of ``FULL_PACE_WAIT_S``: tasks that have
+    waited for about as long count as equal.
+
+    >>> [stage_of_wait(waited_s) for waited_s in (0.2, 1.5, 3.9, 4.0, 8.0)]
+    [0, 1, 1, 2, 3]
+    """
+    steps = int(waited_s / FULL_PACE_WAIT_S)
+    return steps + (waited_s >= IDLE_SERVICE_WAIT_S)
+
+
 def has_better_executor(
     executors: Iterable[tracking.Executor],
     task: state.Task,
@@ -116,6 +201,20 @@
             self.score -= eligibility.IN_DOUBT_PENALTY_CORES
 
 
+def _ranked(
+    executors: list[tracking.Executor],
+    task: state.Task,
+    context: eligibility.PlacementContext,
+) -> list[_Candidate]:
+    """Return what a task can expect on executors, the best one first."""
+    context.scored_count += len(executors)
+    return sorted(
+        (_Candidate(executor, task, context) for executor in executors),
+        key=lambda candidate: candidate.score,
+        reverse=True,
+    )
+
+
 def _is_over_target(executor: tracking.Executor) -> bool:
     """Return whether a serving task on the executor exceeds its target now.
 
@@ -125,19 +224,6 @@
     return any(run.over_target_since is not None for run in executor.serving_runs())
 
 
-def _used_cpu_share(executors: list[tracking.Executor]) -> float:
-    """Return the share of the CPU that is reserved or best-effort."""
-    used = sum(
-        min(
-            executor.reserved_millicores + executor.best_effort_millicores,
-            executor.listing.capacity.cpu_millicores,
-        )
-        for executor in executors
-    )
-    total = sum(executor.listing.capacity.cpu_millicores for executor in executors)
-    return used / max(1, total)
-
-
 def _may_probe(
     executor: tracking.Executor,
     task: state.Task,
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -1,6 +1,5 @@
 """Selects the executor for a task, and orders the tasks that wait for one."""
 
-import itertools
 import zlib
 from collections.abc import Iterable, Iterator
 
@@ -45,17 +44,20 @@
     batches: Iterable[list[tracking.Executor]] = [executors]
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
-    if task.step.fills:
-        # Scoring is expensive for best-effort work, and the next pass, 0.2 s
-        # later, starts at other executors.
-        batches = itertools.islice(batches, 1)
     in_doubt = None
+    with_room: list[tracking.Executor] = []
+    scored_before = context.scored_count
     for batch in batches:
+        if task.step.fills and context.scored_count - scored_before >= BATCH_SIZE:
+            # Scoring is expensive for best-effort work, and the next pass,
+            # 0.2 s later, starts at other executors.
+            break
         allowed = eligibility.eligible_executors(batch, task, context)
-        context.scored_count += len(allowed)
         if task.step.fills:
+            with_room = with_room or allowed
             chosen = best_effort.choose(allowed, task, context)
         else:
+            context.scored_count += len(allowed)
             chosen = max(
                 allowed,
                 key=lambda executor: _score(executor, task, rack_labels, context.now),
@@ -66,6 +68,8 @@
         if not eligibility.is_in_doubt(chosen, context.now):
             return chosen
         in_doubt = in_doubt or chosen
+    if in_doubt is None and task.step.fills:
+        return best_effort.choose_over_target(with_room, task, context)
     return in_doubt if accepts_doubt else None
 
 
