Count the time for jobs to settle in the soak without stalls

The bound itself and all other checks stay. A run ends after 120 s of wall time in any case; then stalls count.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,13 +8,15 @@
 from emulator import deployment
 from limpetstream import errors
 from limpetstream.workflow import messages
-from soak import _cluster, _executors, _sizes
+from soak import _cluster, _executors, _sizes, _stalls
 
 DEADLINE_MS = 3000  # Most requests of real users have this deadline, here all.
 TIMEOUT_S = 4.0  # One second more than the deadline, for late answers.
 # The pauses between attempts add up to about 6 s; most faults last no longer.
 MAX_ATTEMPTS = 8
 SETTLE_POLL_INTERVAL_S = 0.5
+# Bounds a run whose own process hardly runs; four times ``SETTLE_TIMEOUT_S``.
+MAX_SETTLE_WAIT_S = 120.0
 POLL_INTERVAL_S = 0.2
 CANCEL_SHARE = 0.1  # Share of the accepted jobs that are cancelled.
 NOT_RUN_STATUSES = frozenset({429, 503})
@@ -91,12 +93,23 @@
                 await self._poll_job(self._random.choice(accepted))
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def wait_until_settled(self, *, limit_s: float) -> None:
-        """Poll until every job has settled or ``limit_s`` has passed."""
+    async def wait_until_settled(self, watch: _stalls.Watch, *, limit_s: float) -> None:
+        """Poll until every job has settled or a time has passed.
+
+        Args:
+            watch: Measures the time without stalls of this process.
+            limit_s: Longest time without stalls. After ``MAX_SETTLE_WAIT_S``
+                the stalls no longer matter.
+        """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + limit_s
-        while loop.time() < deadline and any(
-            map(self.is_unsettled, self.job_by_id.values())
+        ends_at, end_s = (
+            loop.time() + MAX_SETTLE_WAIT_S,
+            watch.undisturbed_s() + limit_s,
+        )
+        while (
+            watch.undisturbed_s() < end_s
+            and loop.time() < ends_at
+            and any(map(self.is_unsettled, self.job_by_id.values()))
         ):
             for job in list(filter(self.is_unsettled, self.job_by_id.values())):
                 await self._poll_job(job)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -17,6 +17,7 @@
     _leaves,
     _room,
     _sizes,
+    _stalls,
     _watch,
 )
 
@@ -32,7 +33,8 @@
 # The longest lease of an executor (6 s) may end a run without disturbance; the
 # rule for lasting tasks holds from 6 s later, for waits of 3 s.
 CALM_END_S = 15.0
-# Recovery takes up to 12 s; the silence of an executor adds 6 s.
+# Recovery takes up to 12 s; the silence of an executor adds 6 s. Times for
+# which the process of the soak stands still do not count.
 SETTLE_TIMEOUT_S = 30.0
 
 
@@ -77,7 +79,7 @@
     opened = _cluster.open_cluster(
         seed, instance_count=INSTANCES, executor_count=EXECUTORS
     )
-    async with opened as cluster:
+    async with opened as cluster, _stalls.watch() as stall_watch:
         callers = _callers.Callers(cluster)
         checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
@@ -105,7 +107,7 @@
                 if leaves:
                     task_group.create_task(_inject_leaves(cluster, seconds, injected))
             await asyncio.gather(
-                callers.wait_until_settled(limit_s=SETTLE_TIMEOUT_S),
+                callers.wait_until_settled(stall_watch, limit_s=SETTLE_TIMEOUT_S),
                 asyncio.sleep(CALM_END_S),
             )
             watch.cancel()
--- a/soak/_stalls.py
+++ b/soak/_stalls.py
@@ -1,7 +1,7 @@
 """Notes when the process that serves the platform of a run stands still.
 
 Store and executors answer nobody then, which the instances take for faults
-that no seed has drawn.
+that no seed has drawn. The time for jobs to settle does not count it.
 """
 
 import asyncio
@@ -31,13 +31,50 @@
     cpu_s: float
 
 
+class Watch:
+    """Notes the stalls of the running loop and measures the time without them.
+
+    ``stalls`` holds those that have ended.
+    """
+
+    def __init__(self) -> None:
+        self.stalls: list[Stall] = []
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._beat_at = self._loop.time()
+        self._undisturbed_s = 0.0  # Until ``_beat_at``.
+
+    def undisturbed_s(self) -> float:
+        """Return the seconds since the start without the stalls.
+
+        What passed since the last beat may turn out to be a stall, so no more
+        of it counts than the time from one beat to the next.
+        """
+        passed_s = self._loop.time() - self._beat_at
+        return self._undisturbed_s + min(passed_s, BEAT_INTERVAL_S)
+
+    async def beat(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            cpu_s = time.process_time()
+            await asyncio.sleep(BEAT_INTERVAL_S)
+            passed_s = self._loop.time() - self._beat_at
+            late_s = passed_s - BEAT_INTERVAL_S
+            if late_s >= MIN_STALL_S:
+                used_s = time.process_time() - cpu_s
+                at_s = self._beat_at - self._started_at
+                self.stalls.append(Stall(at_s, late_s, used_s))
+                passed_s = BEAT_INTERVAL_S
+            self._undisturbed_s += passed_s
+            self._beat_at = self._loop.time()
+
+
 @contextlib.asynccontextmanager
-async def watch() -> AsyncIterator[list[Stall]]:
-    """Yield a list to which the stalls of the running loop are added."""
-    found: list[Stall] = []
-    beating = asyncio.create_task(_beat(found))
+async def watch() -> AsyncIterator[Watch]:
+    """Yield a watch that measures while the context is open."""
+    opened = Watch()
+    beating = asyncio.create_task(opened.beat())
     try:
-        yield found
+        yield opened
     finally:
         beating.cancel()
         await asyncio.gather(beating, return_exceptions=True)
@@ -54,15 +91,3 @@
         f"({sum(stall.cpu_s for stall in stalls):.1f} s of processor time), "
         f"longest {longest.lasted_s:.1f} s at {longest.at_s:.1f} s"
     )
-
-
-async def _beat(found: list[Stall]) -> None:
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
-    while True:
-        slept_at, cpu_s = loop.time(), time.process_time()
-        await asyncio.sleep(BEAT_INTERVAL_S)
-        late_s = loop.time() - slept_at - BEAT_INTERVAL_S
-        if late_s >= MIN_STALL_S:
-            used_s = time.process_time() - cpu_s
-            found.append(Stall(slept_at - started_at, late_s, used_s))
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -47,14 +47,14 @@
     """
 
     async def runs():
-        async with _stalls.watch() as stalls:
+        async with _stalls.watch() as watch:
             outcomes = await asyncio.gather(
                 *[
                     _run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves)
                     for seed, seconds in duration_by_seed.items()
                 ]
             )
-        return outcomes, stalls
+        return outcomes, watch.stalls
 
     outcomes, stalls = asyncio.run(runs())
     found = [
--- a/soak/tests/test_stalls.py
+++ b/soak/tests/test_stalls.py
@@ -10,11 +10,11 @@
     """Guards against red runs that hide that the platform stood still."""
 
     async def run():
-        async with _stalls.watch() as stalls:
+        async with _stalls.watch() as watch:
             await asyncio.sleep(0.01)
             time.sleep(0.5)
             await asyncio.sleep(0.2)
-        return stalls
+        return watch.stalls
 
     stalls = asyncio.run(run())
     assert stalls
