Add removals of the ends of design 11.8

Cause: the table of 11.8 names what ends each wait, but nothing tells whether the search of schedules notices when such an end is missing or too late.

A changed constant is a second kind of change. The rows without an end, or without a bound that can be changed alone, are listed with the reason.

--- a/limpetstream/shard/tests/removals.py
+++ b/limpetstream/shard/tests/removals.py
@@ -1,7 +1,9 @@
-"""Catalogue of the checks of design.md 11.3, each of which can be removed.
+"""Catalogue of what design.md 11.3 and 11.8 rest on, which can be removed.
 
-A removal replaces a text in the source of one function while a context is
-open. The test that guards the check fails then.
+Those are the checks of 11.3, and the ends of the waits of 11.8 with the bounds
+of these. A removal replaces a text in the source of one function while a
+context is open; a changed constant gets another value. The test that guards
+the check or the end fails then.
 """
 
 import contextlib
@@ -12,11 +14,16 @@
 from types import FunctionType, ModuleType
 
 from limpetstream.shard.tests import (
+    late_constants,
+    late_ends,
+    removals_of_places,
     removals_of_quorum,
     removals_of_rounds,
     removals_of_runs,
+    removals_of_searches,
     removals_of_store,
     removals_of_times,
+    removals_of_waits,
     removed_checks,
 )
 
@@ -26,8 +33,24 @@
     *removals_of_quorum.REMOVALS,
     *removals_of_times.REMOVALS,
     *removals_of_rounds.REMOVALS,
+    *removals_of_waits.REMOVALS,
+    *removals_of_places.REMOVALS,
+    *removals_of_searches.REMOVALS,
+    *late_ends.REMOVALS,
 ]
 REMOVAL_BY_NAME = {removal.name: removal for removal in REMOVALS}
+CHANGES: list[removed_checks.Change] = [*REMOVALS, *late_constants.CONSTANTS]
+CHANGE_BY_NAME = {change.name: change for change in CHANGES}
+NAMES_OF_WAITS = [
+    change.name
+    for change in (
+        *removals_of_waits.REMOVALS,
+        *removals_of_places.REMOVALS,
+        *removals_of_searches.REMOVALS,
+        *late_ends.REMOVALS,
+        *late_constants.CONSTANTS,
+    )
+]
 
 
 def main_removals() -> list[removed_checks.Removal]:
@@ -40,19 +63,34 @@
 
 @contextlib.contextmanager
 def removed(name: str) -> Iterator[None]:
-    """Remove a check, and those that are removed with it, for a while.
+    """Make a change, and those that are made with it, for a while.
 
     Raises:
-        KeyError: There is no such removal.
+        KeyError: There is no such change.
         ValueError: The old text does not occur exactly once.
     """
-    removal = REMOVAL_BY_NAME[name]
+    change = CHANGE_BY_NAME[name]
     with contextlib.ExitStack() as stack:
-        for each in (removal, *(REMOVAL_BY_NAME[other] for other in removal.also)):
-            stack.enter_context(_replaced(each))
+        for each in (change, *(CHANGE_BY_NAME[other] for other in change.also)):
+            if isinstance(each, removed_checks.ChangedConstant):
+                stack.enter_context(_changed(each))
+            else:
+                stack.enter_context(_replaced(each))
         yield
 
 
+@contextlib.contextmanager
+def _changed(change: removed_checks.ChangedConstant) -> Iterator[None]:
+    """Give a constant another value; restore it."""
+    module = importlib.import_module(change.module)
+    original = getattr(module, change.constant)
+    setattr(module, change.constant, change.value)
+    try:
+        yield
+    finally:
+        setattr(module, change.constant, original)
+
+
 @contextlib.contextmanager
 def _replaced(removal: removed_checks.Removal) -> Iterator[None]:
     """Execute one function again with its text replaced; restore it."""
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -19,7 +19,7 @@
         "check_earlier_runs",
         "if executor_records.are_answers_confirmed(shard):",
         "if True:",
-        "shard/tests/test_search.py::"
+        "../search/tests/test_search.py::"
         "test_a_restarted_executor_settles_nothing_before_an_append",
     ),
     removed_checks.Removal(
--- a/limpetstream/shard/tests/removed_checks.py
+++ b/limpetstream/shard/tests/removed_checks.py
@@ -1,4 +1,4 @@
-"""Defines what the catalogue of removals says of one check."""
+"""Defines what the catalogue of removals says of one check or constant."""
 
 import dataclasses
 
@@ -27,3 +27,32 @@
     new: str
     test: str
     also: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChangedConstant:
+    """One constant of a module that can get another value.
+
+    Args:
+        name: Name of the change.
+        row: Row of the table of design.md that the constant bounds.
+        module: Full name of the module. Its constant has to be read when it is
+            used: as an attribute of the module, and as no default of an
+            argument or field.
+        constant: Name of the constant.
+        value: Changed value.
+        test: Test that fails with the changed value, relative to the package;
+            empty if none does.
+        also: Names of other changes that are made at the same time.
+    """
+
+    name: str
+    row: str
+    module: str
+    constant: str
+    value: float
+    test: str = ""
+    also: tuple[str, ...] = ()
+
+
+Change = Removal | ChangedConstant
--- a/limpetstream/shard/tests/test_removals.py
+++ b/limpetstream/shard/tests/test_removals.py
@@ -1,11 +1,12 @@
-"""Tests that each check of design.md 11.3 has a test that fails without it."""
+"""Tests that checks and ends of design.md have tests that notice removals."""
 
+import importlib
 import pathlib
 
 import pytest
 
 import limpetstream
-from limpetstream.shard.tests import removals
+from limpetstream.shard.tests import late_constants, removals, removals_of_waits
 
 PACKAGE = pathlib.Path(limpetstream.__file__).parent
 # A changed function that does not fit its module proves nothing.
@@ -47,7 +48,7 @@
 
 def named_tests():
     """Return the tests of the catalogue."""
-    return sorted({each.test for each in removals.REMOVALS if each.test})
+    return sorted({each.test for each in removals.CHANGES if each.test})
 
 
 @pytest.mark.parametrize("name", removals.REMOVAL_BY_NAME)
@@ -63,9 +64,28 @@
     assert getattr(owner, function) is before
 
 
+@pytest.mark.parametrize(
+    "change", late_constants.CONSTANTS, ids=lambda change: change.name
+)
+def test_a_changed_constant_gets_its_value_back(change):
+    """Guards against a change that changes nothing, or stays."""
+    module = importlib.import_module(change.module)
+    before = getattr(module, change.constant)
+    assert before != change.value
+    with removals.removed(change.name):
+        assert getattr(module, change.constant) == change.value
+    assert getattr(module, change.constant) == before
+
+
 def test_names_of_removals_are_unique():
     """Guards against an entry that hides another one."""
-    assert len(removals.REMOVAL_BY_NAME) == len(removals.REMOVALS)
+    assert len(removals.CHANGE_BY_NAME) == len(removals.CHANGES)
+
+
+def test_a_row_without_an_end_has_no_change():
+    """Guards against a search for what nobody promises."""
+    outside = removals_of_waits.ROWS_WITHOUT_END
+    assert not outside.keys() & {change.row for change in removals.CHANGES}
 
 
 def test_each_row_has_one_main_removal():
@@ -82,10 +102,10 @@
     assert len(outcomes.passed) == len(tests)
 
 
-@pytest.mark.parametrize("name", [each.name for each in removals.REMOVALS if each.test])
+@pytest.mark.parametrize("name", [each.name for each in removals.CHANGES if each.test])
 def test_a_named_test_fails_without_its_check(name):
     """Guards against a check that no test notices when it is removed."""
     with removals.removed(name):
-        outcomes = run_tests([removals.REMOVAL_BY_NAME[name].test])
+        outcomes = run_tests([removals.CHANGE_BY_NAME[name].test])
     assert outcomes.failed
     assert not outcomes.is_program_error()
