Bound the wait of best-effort tasks that last

A best-effort task that lasts waited for speed for up to 26 s, and for ever where half of the processors were in use. For tasks that last, the rule LOST allows 6 s from their last run while there is room, however full the service is.

Such a task now takes any executor with room after 1.5 s, as others do in an idle service. Pacing keeps the serving work there within its target.

test_best_effort_work_that_lasts_runs_in_a_busy_service failed before. test_an_unknown_pair_of_images_delays_no_work_in_an_idle_service is new and passed before: the turn of an unknown pair is a wait within the 1.5 s. test_pass_cost, test_fair_rounds, test_sharing, test_pacing, test_waits_end and workflow/tests pass.

--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -58,7 +58,8 @@
         checks: Work done so far.
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
-            found, with their image and the stage of their wait.
+            found, with their image, whether they last, and the stage of their
+            wait.
         use_by_service: How much of each service is in use, measured for its
             first best-effort task.
         gangs: Gangs that had their turn, by the common part of their tasks'
@@ -231,6 +232,7 @@
     key = (
         placing.shape(task, context.service),
         task.step.image,
+        task.step.long_running,
         best_effort.stage_of_wait(this_pass.now - task.ready_at),
     )
     if key not in this_pass.unplaceable:
--- a/limpetstream/shard/tests/test_sharing.py
+++ b/limpetstream/shard/tests/test_sharing.py
@@ -461,3 +461,32 @@
         scheduling.run_pass(shard)
         assert task.run is not None, index
         assert task.run.executor_id == f"x{index}"
+
+
+def test_best_effort_work_that_lasts_runs_in_a_busy_service():
+    """Guards against a lasting task without a run for 6 s (LOST check).
+
+    For tasks that last, the rule holds however full the service is.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=2)
+    for number in range(2):
+        run_serving(shard, f"x{number}", "frail")
+    set_interference(shard, "frail", "press", 0.2)
+    step = builders.copy_step(builders.BEST_EFFORT, long_running=True)
+    lasting = queue_tasks(shard, step, waited_s=2.0)
+    ending = queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)
+    scheduling.run_pass(shard)
+    assert lasting[0].run is not None
+    assert ending[0].run is None
+
+
+def test_an_unknown_pair_of_images_delays_no_work_in_an_idle_service():
+    """Guards against tasks that wait for one another's trial, 1.5 s each."""
+    shard = builders.make_shard(virtual_time.Loop(), executors=4)
+    for number in range(4):
+        run_serving(shard, f"x{number}", "desk", count=1)
+    tasks = [
+        queue_tasks(shard, builders.BEST_EFFORT, waited_s=2.0)[0] for _ in range(8)
+    ]
+    scheduling.run_pass(shard)
+    assert [task.run for task in tasks if task.run is None] == []
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -109,9 +109,13 @@
 def accepts_any_executor(
     task: state.Task, context: eligibility.PlacementContext
 ) -> bool:
-    """Return whether a best-effort task no longer waits for speed."""
+    """Return whether a best-effort task no longer waits for speed.
+
+    The rule LOST holds for tasks that last however full the service is.
+    """
     waited_s = context.now - task.ready_at
-    return context.is_service_idle and waited_s >= IDLE_SERVICE_WAIT_S
+    must_run = context.is_service_idle or task.step.long_running
+    return must_run and waited_s >= IDLE_SERVICE_WAIT_S
 
 
 def choose_over_target(
