--- a/limpetstream/shard/tests/test_waits_end.py
+++ b/limpetstream/shard/tests/test_waits_end.py
@@ -165,6 +165,28 @@
     assert all(task.run is not None for task in [first, *others])
 
 
+@pytest.mark.parametrize("step", [builders.SHORT, builders.BEST_EFFORT])
+def test_a_gang_is_placed_if_there_is_just_room_for_it(step):
+    """Guards against a gang that waits because its first members sit badly.
+
+    Each executor has room for one or two members.
+    """
+    shard = builders.make_shard(virtual_time.Loop(), executors=60)
+    for number, executor in enumerate(shard.executor_by_id.values()):
+        free_mb = (1 + number % 2) * step.memory_mb
+        other = builders.copy_step(
+            builders.SHORT, memory_mb=builders.CAPACITY.memory_mb - free_mb
+        )
+        builders.start_run(executor, builders.make_tasks(shard, other)[0])
+    members = builders.make_tasks(
+        shard, builders.copy_step(step, count=90, gang=True, max_per_executor=2)
+    )
+    for task in members:
+        jobs.enqueue(shard, task)
+    scheduling.run_pass(shard)
+    assert all(task.run is not None for task in members)
+
+
 def test_a_spread_limit_ends_with_the_run_that_reached_it():
     """Guards against a step that an ended run keeps from an executor."""
     shard = builders.make_shard(virtual_time.Loop())
