Set the pace of runs that a new owner finds

What callers saw: a best-effort job that ran and never ended. Its run had been paused by an earlier owner; the successor took it for one at full speed and so never told the executor otherwise. Nothing else ends such a pause: the run is listed, no task waits, and nothing is logged.

The pace of a run that an owner adopts is unknown to it. It now counts as unknown (UNKNOWN_PACE), like one whose change was not answered, and is set with the next poll. When it is slowed, it is taken for one at full speed.

--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -272,7 +272,7 @@
         if added_utilization <= 0:
             continue
         kept_share = max(0.0, 1 - excess / added_utilization)
-        pace = int(run.pace * kept_share)
+        pace = int(_highest_pace(run) * kept_share)
         _set_pace(shard, executor, run, pace if pace >= MIN_PACE else 0)
         excess -= added_utilization * (1 - kept_share)
 
@@ -307,7 +307,8 @@
     for run in sorted(best_effort_runs, key=cost_per_core):
         if run.pace >= 100 or remaining_budget <= 0:
             continue
-        points = 100 - run.pace
+        lowest_pace = max(0, run.pace)
+        points = 100 - lowest_pace
         needed_budget = (
             cost_per_core(run) * run.task.step.cpu_millicores / 1000 * points / 100
         )
@@ -321,7 +322,7 @@
             needed_budget = remaining_budget
         remaining_budget -= needed_budget
         if points >= MIN_PACE:
-            _set_pace(shard, executor, run, run.pace + points)
+            _set_pace(shard, executor, run, lowest_pace + points)
 
 
 def _cores_at(run: workflow_state.Run, pace: int) -> float:
@@ -330,6 +331,11 @@
     return run.task.step.cpu_millicores / 1000 * share
 
 
+def _highest_pace(run: workflow_state.Run) -> int:
+    """Return the pace of a run; full speed if it is unknown."""
+    return 100 if run.pace == UNKNOWN_PACE else run.pace
+
+
 def _set_pace(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run, pace: int
 ) -> None:
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -1,7 +1,7 @@
 """Applies the status that an executor reports in its reply to a poll."""
 
 from limpetstream.executors import leases, messages, tracking
-from limpetstream.shard import events, jobs, proof, state, stops
+from limpetstream.shard import events, jobs, pacing, proof, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
     messages as workflow_messages,
@@ -179,6 +179,8 @@
         phase=workflow_state.WORKING,
         progressed_at=now,
         percent=row.percent,
+        # The executor holds whatever pace an earlier owner has set.
+        pace=pacing.UNKNOWN_PACE,
     )
     task.run = run
     task.last_run = max(task.last_run, row.run)
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -42,7 +42,8 @@
         load: Tail latency in ms of a serving task, otherwise millicores in
             use.
         pace: Percentage of its full speed that the run may use, 0 to 100; -1
-            when the last change was not confirmed.
+            when the last change was not confirmed, or an earlier owner may
+            have made one.
         giving_up: Whether it counts as lost once an append is confirmed.
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
