Tell an idle best-effort run its pace again

An order to an executor that got no answer may take effect up to 12 s later, after newer ones. A pause that arrives late in this way stayed for ever: the owner believed in the pace that it had set since, and the job never ended.

A run that has used no processor for 3 s although it is not paused now counts as one whose pace is unknown, and is told its pace again. Runs that work cost no call.

Found by reading, next to the pauses of earlier owners. Without the check test_an_idle_run_is_told_its_pace_again fails (no call to the executor); test_pacing, test_sharing, test_ends and workflow/tests pass.

--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -29,6 +29,10 @@
 REPORT_WINDOW_S = 0.6  # A report covers half a second and arrives with a poll.
 WARM_UP_S = 1.0  # Earlier, a run reports the tail of too short a period.
 PACE_TIMEOUT_S = 0.5  # Seventy times the round trip between data centres.
+# An order without an answer may take effect seconds later, after newer ones. A
+# run that uses no processor for this long is told its pace again; it is as
+# long as work may stand still that has room.
+MAX_IDLE_S = 3.0
 PACE_TRIES = 4  # Two seconds in all, half of what the HARM check allows.
 UNKNOWN_PACE = -1
 
@@ -58,6 +62,7 @@
             run.over_target_since = None
         elif run.over_target_since is None:
             run.over_target_since = now
+    _doubt_paces_of_idle_runs(best_effort_runs, now)
     serving = [run for run in executor.serving_runs() if run.load > 0]
     if not serving:
         for run in best_effort_runs:
@@ -68,6 +73,20 @@
         _update_paces(shard, executor, serving, best_effort_runs)
 
 
+def _doubt_paces_of_idle_runs(
+    best_effort_runs: list[workflow_state.Run], now: float
+) -> None:
+    """Let paces count as unknown whose runs have long used no processor."""
+    for run in best_effort_runs:
+        if run.load > 0 or run.pace <= 0:
+            run.idle_since = None
+        elif run.idle_since is None:
+            run.idle_since = now
+        elif now - run.idle_since > MAX_IDLE_S:
+            run.idle_since = None
+            run.pace = UNKNOWN_PACE
+
+
 def adjust_for_new_run(shard: state.Shard, executor: tracking.Executor) -> None:
     """Set paces again after a best-effort run has started at full speed."""
     serving = [run for run in executor.serving_runs() if run.load > 0]
