Extend leases right after a claim

Cause: an owner extended no lease before a record under its epoch was durable, and no executor counted in its majority before an append after the claim.

Change: the claim is written without leases_recorded_from, and again with it once all executors that have replied are recorded (shard/lease_records). In between, leases on inherited executors are extended without a record. An executor that has not restarted since before the claim votes before an append.

Why it is safe: to the next owner of any version, a claim without that field is one of an owner that records no lease, so the wait counts from its proofs for every executor. Whether all leases are recorded is decided as the second claim is encoded; from then on no unrecorded lease is extended, so both claims hold while the append has no answer. An executor that is older than the claim has forgotten no token; the record that shows it, and the voters, have to be those of the read on which the claim was conditional. Starts still need an append.

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -73,6 +73,7 @@
     shard.record_state_by_id[executor_id] = state.KEPT
     shard.inherited_executors.add(executor_id)
     shard.lessor_by_executor[executor_id] = record.epoch
+    shard.recorded_born_ms_by_executor[executor_id] = record.listing.born_ms
     if record.votes:
         shard.inherited_voters.add(executor_id)
     else:
@@ -254,8 +255,9 @@
     written or deleted count as members of the quorum that did not reply,
     because the journal may or may not hold the record. So do executors whose
     present incarnation answered first after the newest confirmed append: after
-    a restart an executor has forgotten the token of a later owner. So do those
-    whose records cannot be read: the next owner takes them for voters.
+    a restart an executor has forgotten the token of a later owner. One that is
+    older than the claim has forgotten none. Those whose records cannot be read
+    did not reply either: the next owner takes them for voters.
 
     Returns:
         The time in seconds; minus infinity without such a majority.
@@ -269,7 +271,7 @@
         votes = (
             record_state == state.KEPT
             and executor is not None
-            and executor.first_answered_at <= shard.journal.confirmed_at
+            and _remembers_tokens(shard, executor)
         )
         polled_at.append(executor.polled_at if votes else float("-inf"))
     if not polled_at:
@@ -277,6 +279,26 @@
     return sorted(polled_at, reverse=True)[len(polled_at) // 2]
 
 
+def _remembers_tokens(shard: state.Shard, executor: tracking.Executor) -> bool:
+    """Return whether an executor knows the token of each owner it has met.
+
+    Nobody had claimed the shard when its incarnation replied first, or it has
+    lived since before this owner's claim.
+    """
+    is_confirmed = executor.first_answered_at <= shard.journal.confirmed_at
+    return is_confirmed or _is_older_than_claim(shard, executor)
+
+
+def _is_older_than_claim(shard: state.Shard, executor: tracking.Executor) -> bool:
+    """Return whether an executor has not restarted since before the claim.
+
+    Its record was written before, and names the same start.
+    """
+    recorded_ms = shard.recorded_born_ms_by_executor.get(executor.listing.executor_id)
+    is_same = bool(recorded_ms) and executor.born_ms == recorded_ms
+    return is_same and shard.read_as_claimed
+
+
 def count_reached_or_gone(shard: state.Shard) -> int:
     """Return how many inherited executors have replied or were removed."""
     return _count_reached_or_gone(shard, shard.inherited_executors)
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -52,15 +52,18 @@
             until then no other instance had claimed the shard.
         instances_vote: Whether every earlier owner that may still act needs
             the votes of the instances in the journal.
-        leases_recorded_from: Lowest epoch from which on every owner up to
-            this one records an executor under its epoch before it extends a
-            lease there.
+        leases_recorded_from: Lowest epoch from which on every owner before
+            this one has recorded each executor under its epoch on which it has
+            extended a lease.
+        offset_by_voter: Offsets of the records of executors and instances
+            that the journal held at the claim, by key.
     """
 
     epoch: int
     proven_at: float
     instances_vote: bool = False
     leases_recorded_from: int | None = None
+    offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
@@ -78,8 +81,9 @@
         instances_vote: Whether this owner and every earlier one that may
             still act need the votes of the instances in the journal.
         leases_recorded_from: Lowest epoch from which on every owner up to
-            this one records an executor under its epoch before it extends a
-            lease there; None if this one does not.
+            this one has recorded each executor under its epoch on which it has
+            extended a lease, and records others before it extends one; None if
+            this one does not, as at first (``shard/lease_records``).
     """
 
     epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_EPOCH)]
@@ -440,12 +444,8 @@
                 names.PROGRESS_TOPIC, shard, timeout_s=read_timeout_s
             )
             epoch = max(next_epoch(page.entries), refused_epoch + step)
-            record = OwnerRecord(
-                epoch,
-                member,
-                _do_instances_vote(page.entries),
-                _leases_recorded_from(page.entries, epoch),
-            )
+            record = OwnerRecord(epoch, member, _do_instances_vote(page.entries))
+            before = page.entries
             await store.append(
                 names.PROGRESS_TOPIC,
                 shard,
@@ -464,7 +464,8 @@
                     epoch,
                     proven_at,
                     record.instances_vote,
-                    record.leases_recorded_from,
+                    _leases_recorded_from(before, epoch),
+                    offset_by_voter(before),
                 )
             refusal = f"another claim won: {winner}"
         except (errors.SequenceConflict, errors.WriterFenced) as error:
@@ -512,6 +513,16 @@
     return min(newest.leases_recorded_from, epoch)
 
 
+def offset_by_voter(entries: list[messages.Entry]) -> dict[str, int]:
+    """Return the offsets of the records that name voters, by key."""
+    return {
+        entry.key: entry.offset
+        for entry in entries
+        if entry.key == names.INSTANCES_KEY
+        or entry.key.startswith(names.EXECUTOR_KEY_PREFIX)
+    }
+
+
 def next_epoch(entries: list[messages.Entry]) -> int:
     """Return the epoch that follows the newest claim among the entries."""
     newest = newest_claim(entries)
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -12,6 +12,7 @@
     instance_votes,
     jobs,
     names,
+    ownership,
     state,
     stored_estimates,
     unreadable,
@@ -44,6 +45,9 @@
     in ``unreadable_job_ids``.
     """
     page = await _read_newest(shard, names.PROGRESS_TOPIC)
+    shard.read_as_claimed = (
+        ownership.offset_by_voter(page.entries) == shard.offset_by_voter
+    )
     progress_by_id: dict[str, records.Progress] = {}
     executors: list[executor_records.ExecutorRecord] = []
     for entry in page.entries:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -14,6 +14,7 @@
 from limpetstream.shard import (
     events,
     executor_records,
+    lease_records,
     pacing,
     proof,
     state,
@@ -96,7 +97,8 @@
     elif shard.journal.failing_since is not None:
         wait_s = min(wait_s, OUTAGE_POLL_WAIT_S)
     deadline_ms = None
-    may_extend = executor.recorded and not _is_silent_long(executor, sent_at)
+    may_extend = lease_records.may_extend(shard, executor)
+    may_extend = may_extend and not _is_silent_long(executor, sent_at)
     if may_extend and proof.is_proven(shard):
         deadline_ms = executor.lease.extend(sent_at)
     reply = await shard.executor_client.poll(
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -17,6 +17,7 @@
     instance_quorum,
     instance_votes,
     journal,
+    lease_records,
     names,
     ownership,
     peer_messages,
@@ -202,6 +203,8 @@
             ),
             proof_ends=self._proof_ends_of(number),
             leases_recorded_from=claim.leases_recorded_from,
+            offset_by_voter=claim.offset_by_voter,
+            lease_records_complete=False,
         )
         shard.executor_client = fences.CheckingClient(
             self._executor_client, functools.partial(proof.confirm, shard)
@@ -241,6 +244,7 @@
         shard.spawn(executors.run())
         shard.spawn(housekeeping.run(shard))
         shard.spawn(instance_votes.record(shard))
+        shard.spawn(lease_records.complete(shard))
         await scheduling.run(shard)
 
     def _executors_follower(self, shard: state.Shard) -> follower.Follower:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -114,6 +114,14 @@
         leases_recorded_from: Lowest epoch from which on every owner before
             this one recorded an executor under its epoch before it extended a
             lease there; None if that is not known of any.
+        offset_by_voter: Offsets of the records of executors and instances
+            that the journal held at the claim, by key.
+        read_as_claimed: Whether these records were loaded as they were at the
+            claim, so that no later owner has changed them.
+        recorded_born_ms_by_executor: Start of each inherited executor by its
+            record, in Unix milliseconds.
+        lease_records_complete: Whether this owner records each executor before
+            it extends a lease there.
         lessor_by_executor: Epoch in the record of each inherited executor,
             by executor id; 0 if an owner of an earlier version wrote it.
         earlier_job_ids: Ids of jobs that an earlier owner may have started.
@@ -180,6 +188,12 @@
         default_factory=proof_ends_module.ProofEnds
     )
     leases_recorded_from: int | None = None
+    offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
+    read_as_claimed: bool = False
+    recorded_born_ms_by_executor: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    lease_records_complete: bool = True
     lessor_by_executor: dict[str, int] = dataclasses.field(default_factory=dict)
     earlier_job_ids: set[str] = dataclasses.field(default_factory=set)
     maybe_started_job_ids: set[str] = dataclasses.field(default_factory=set)
--- a/search/kept_schedules.py
+++ b/search/kept_schedules.py
@@ -11,7 +11,7 @@
     "executors-and-start-incarnation": ("restart_after_claim", 60),
     "executors-incarnation": ("restart_half", 3),
     "expired-append": ("", 0),
-    "idle-reached": ("restart_half", 37),
+    "idle-reached": ("restart_half", 44),
     "instances-half": ("", 14),
     "instances-later-epoch": ("", 6),
     "instances-majority": ("", 4),
