--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -12,7 +12,7 @@
 import loguru
 
 from bench import result
-from search import draws, plays
+from search import draws, kind_draws, plays
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -61,3 +61,10 @@
     _prepare_process()
     gc.collect()  # Collecting within a schedule takes a tenth of its time.
     return plays.play(draws.draw(seed, first))
+
+
+def play_kinds(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed that draws every kind of task."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(kind_draws.draw(seed))
