Draw rare faults and wide jobs for single ends of waits

Cause: the draws of every kind of task have no fault for some rows of 11.8: an owner whose appends stay refused, a configuration that is read late, stops without effect, refusals for want of room, a pass at its bound.

Change: search/rare_faults.py and search/rare_draws.py add them to the draws of every kind of task; bench search_power plays them with DRAWS=rare.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -12,7 +12,7 @@
 import loguru
 
 from bench import result
-from search import draws, kind_draws, plays
+from search import draws, kind_draws, plays, rare_draws
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -63,8 +63,14 @@
     return plays.play(draws.draw(seed, first))
 
 
-def play_kinds(seed: int) -> plays.Outcome:
-    """Play the schedule of a seed that draws every kind of task."""
+def play_kinds(seed: int, *, with_rare: bool = False) -> plays.Outcome:
+    """Play the schedule of a seed that draws every kind of task.
+
+    Args:
+        seed: Seed of the schedule.
+        with_rare: Whether rare faults and wide jobs are drawn in addition.
+    """
     _prepare_process()
     gc.collect()
-    return plays.play(kind_draws.draw(seed))
+    drawn = rare_draws if with_rare else kind_draws
+    return plays.play(drawn.draw(seed))
--- a/bench/search_power.py
+++ b/bench/search_power.py
@@ -4,8 +4,9 @@
 without the change. All changes are played with a few schedules before those
 that are not found are played with more. The environment variables limit the
 run: ``SCHEDULES``, ``PROCESSES``, ``REMOVALS`` (names, separated by commas, or
-``all``; by default the ends of design.md 11.8) and ``DRAWS`` (``kinds`` for
-every kind of task, ``faults`` for plain jobs with changes of owner).
+``all``; by default the ends of design.md 11.8) and ``DRAWS``: ``kinds`` for
+every kind of task, ``rare`` for these with rare faults and wide jobs,
+``faults`` for plain jobs with changes of owner.
 """
 
 import concurrent.futures
@@ -70,10 +71,7 @@
             searches = [
                 each for each in search_by_name.values() if each.red_seed is None
             ]
-            tasks = [
-                pool.submit(find, each, seed, stage, draws == "kinds")
-                for each in searches
-            ]
+            tasks = [pool.submit(find, each, seed, stage, draws) for each in searches]
             for task in concurrent.futures.as_completed(tasks):
                 search = task.result()
                 search_by_name[search.name] = search
@@ -96,32 +94,32 @@
     return list(removals.CHANGE_BY_NAME) if chosen == "all" else chosen.split(",")
 
 
-def find(search: Search, first_seed: int, count: int, with_kinds: bool) -> Search:
+def find(search: Search, first_seed: int, count: int, draws: str) -> Search:
     """Play with a change until a seed is red by it, or all have been played.
 
     Args:
         search: How far the search has come.
         first_seed: Seed of the first schedule.
         count: Number of schedules in all.
-        with_kinds: Whether every kind of task is drawn.
+        draws: Which draws are played: ``kinds``, ``rare`` or ``faults``.
     """
     for played in range(search.played, count):
         seed = first_seed + played
         with removals.removed(search.name):
-            outcome = _play(seed, with_kinds)
-        if outcome.breaches and not _is_red_without(seed, with_kinds):
+            outcome = _play(seed, draws)
+        if outcome.breaches and not _is_red_without(seed, draws):
             return Search(search.name, played + 1, seed, outcome.breaches[0])
     return Search(search.name, count)
 
 
 @functools.cache
-def _is_red_without(seed: int, with_kinds: bool) -> bool:
+def _is_red_without(seed: int, draws: str) -> bool:
     """Return whether a seed is red with everything in place."""
-    return bool(_play(seed, with_kinds).breaches)
+    return bool(_play(seed, draws).breaches)
 
 
-def _play(seed: int, with_kinds: bool) -> plays.Outcome:
-    if with_kinds:
-        return overlapping_schedules.play_kinds(seed)
+def _play(seed: int, draws: str) -> plays.Outcome:
+    if draws != "faults":
+        return overlapping_schedules.play_kinds(seed, with_rare=draws == "rare")
     first = FIRST_FAULTS[seed % len(FIRST_FAULTS)]
     return overlapping_schedules.play(seed, first)
--- a/search/plays.py
+++ b/search/plays.py
@@ -18,6 +18,7 @@
     executor_faults,
     fault_world,
     overlapping_faults,
+    rare_faults,
     schedules,
     standing_tasks,
 )
@@ -28,7 +29,7 @@
 WARM_UP_S = 2.0
 TRIGGER_WAIT_S = 6.0  # A fault whose event does not come is not played.
 LOOK_S = 0.25  # Between two looks for tasks that stand still.
-FAULTS = overlapping_faults.FAULTS | executor_faults.FAULTS
+FAULTS = overlapping_faults.FAULTS | executor_faults.FAULTS | rare_faults.FAULTS
 
 
 @dataclasses.dataclass(slots=True)
