--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -56,13 +56,6 @@
     gc.disable()
 
 
-def play_kinds(seed: int) -> plays.Outcome:
-    """Play the schedule of a seed with every kind of task."""
-    _prepare_process()
-    gc.collect()
-    return plays.play(kind_draws.draw(seed))
-
-
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
