Wake waiting polls by changes in plays that are watched

Cause: polls of the stand-in looked for ends each 0.1 s, the largest part of a play of the new draws. Change: a poll with a step of 0 waits for the next known end, or until its executor is woken by a start, stop, end, restart or fault.

--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -69,6 +69,8 @@
         self.failures: list[BaseException] = []
         self.trace: list[str] | None = None
         self.resets = True
+        # Between two looks of a waiting poll; 0 if changes wake it.
+        self.poll_step_s = 0.1
         self.started = 0
         self._held: collections.Counter[Hashable] = collections.Counter()
         self._watchers: list[Watcher] = []
@@ -123,6 +125,8 @@
     def note_change(self) -> None:
         """Note that something is disturbed or changes now."""
         self.last_change_at = self.now()
+        for executor in self.cluster.executor_by_id.values():
+            executor.wake()
 
     def calm_since(self) -> float:
         """Return since when nothing is disturbed; infinity during a fault."""
@@ -358,7 +362,7 @@
 
     def _hook(self, instance: shard_cluster.Instance) -> None:
         """Tell watchers of what the clients of an instance see."""
-        instance.executor_client.poll_step_s = 0.1
+        instance.executor_client.poll_step_s = self.poll_step_s
         instance.executor_client.resets = self.resets
         self._hook_connections(instance.executor_client, instance.member)
         self._hook_orders(instance.executor_client, instance.member)
--- a/search/plays.py
+++ b/search/plays.py
@@ -115,6 +115,8 @@
     world: fault_world.World, schedule: schedules.Schedule, checks: Checks
 ) -> None:
     world.resets = schedule.resets
+    if schedule.is_watched:
+        world.poll_step_s = 0.0
     for number in range(schedule.executors):
         world.join(is_large=not number % 2)
     for _ in range(schedule.instances):
--- a/standins/step_executor_client.py
+++ b/standins/step_executor_client.py
@@ -19,9 +19,10 @@
     ``cut`` loses all calls of the instance, ``unreachable_ids`` those to some
     executors. Calls to the executors in ``unanswered_ids`` take effect, but
     their answers are lost. A waiting poll looks for ends each ``poll_step_s``
-    seconds. If ``resets`` is false, a poll that waits while its executor is
-    cut off or restarts gets no answer until its time-out, as when a machine
-    fails.
+    seconds; if that is 0, it is woken by each change of the executor, and by
+    ``Executor.wake`` once a fault begins or ends. If ``resets`` is false, a
+    poll that waits while its executor is cut off or restarts gets no answer
+    until its time-out, as when a machine fails.
 
     Args:
         executor_by_id: All executors.
@@ -100,7 +101,10 @@
             status = executor.poll(token, acknowledged, deadline_ms)
         deadline = loop.time() + wait_ms / 1000
         while not status.ended and loop.time() < deadline:
-            await asyncio.sleep(self.poll_step_s)
+            if self.poll_step_s:
+                await asyncio.sleep(self.poll_step_s)
+            else:
+                await executor.wait_for_change(deadline)
             if self._is_cut_off(executor) or executor.born_at != born_at:
                 if not self.resets:
                     await asyncio.sleep(max(0.0, limit_at - loop.time()))
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 
 STOP_DURATION_S = 0.1
 GANG_WAIT_S = 3.0  # A member of a gang waits so long for the others.
+GANG_LOOK_S = 0.1
 MAX_LEASE_MS = 6000  # A longer lease is shortened to it.
 
 
@@ -56,6 +58,13 @@
         """Return whether it uses only processors that others leave unused."""
         return self.step is not None and self.step.fills
 
+    def next_change_at(self, now: float) -> float:
+        """Return the loop time at which it ends if nothing else happens."""
+        if self.step is not None and self.step.gang:
+            return now + GANG_LOOK_S  # Its end depends on the other members.
+        times = [self.ends_at, self.stops_at]
+        return min((at for at in times if at is not None), default=math.inf)
+
     def set_pace(self, percent: int, now: float) -> None:
         """Change how fast it works from now on, in percent of full speed."""
         if self.ends_at is not None:
@@ -190,6 +199,27 @@
     steps_by_spec: dict[str, list[workflow_messages.Step]] = dataclasses.field(
         default_factory=dict
     )
+    _waiters: set[asyncio.Future[None]] = dataclasses.field(default_factory=set)
+
+    async def wait_for_change(self, until: float) -> None:
+        """Wait until its runs may have changed, but not beyond a loop time."""
+        loop = asyncio.get_running_loop()
+        ends = [run.next_change_at(loop.time()) for run in self.run_by_task.values()]
+        waiter = loop.create_future()
+        self._waiters.add(waiter)
+        # Not at once, should a run not end at its time.
+        at = max(loop.time() + 0.001, min([until, *ends]))
+        timer = loop.call_at(at, _wake, waiter)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            self._waiters.discard(waiter)
+
+    def wake(self) -> None:
+        """Let those look again that wait for a change."""
+        for waiter in self._waiters:
+            _wake(waiter)
 
     def used(self) -> messages.Capacity:
         """Return what its runs use; best-effort ones at full speed."""
@@ -248,6 +278,7 @@
         for run in self.run_by_task.values():
             if run.step is None or not run.step.gang:
                 run.fails, run.ends_at = True, asyncio.get_running_loop().time()
+        self.wake()
 
     def restart(self) -> None:
         """Restart with empty state under the same id, as after a crash."""
@@ -258,6 +289,7 @@
         self.highest_run_by_task.clear()
         self.last_end = self.last_expired_end = self.token = self.deadline_ms = 0
         self.born_at = asyncio.get_running_loop().time()
+        self.wake()
         self.listing = dataclasses.replace(
             self.listing, born_ms=self.listing.born_ms + 1
         )
@@ -300,6 +332,7 @@
             and active_run.stops_at is None
         ):
             active_run.stops_at = asyncio.get_running_loop().time() + STOP_DURATION_S
+            self.wake()
 
     def poll(
         self, token: int, acknowledged: int, deadline_ms: int | None
@@ -347,6 +380,7 @@
         active_run = self.run_by_task.get(task)
         if active_run is not None and active_run.number == run:
             active_run.set_pace(percent, asyncio.get_running_loop().time())
+            self.wake()
 
     def _load(self, run: Run) -> float:
         """Return the tail in ms of a serving run, or millicores in use."""
@@ -392,6 +426,7 @@
             step=step,
             waits_since=now,
         )
+        self.wake()
         self.breaches.record_start(request.task, self.listing.executor_id)
         self._check_capacity()
         if step is not None:
@@ -445,6 +480,12 @@
         self.ends.append(
             messages.EndRow(self.last_end, task, active_run.number, how, "")
         )
+        self.wake()
         self.breaches.record_end(task, self.listing.executor_id)
         if how == messages.DONE:
             self.breaches.done_tasks.add(task)
+
+
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
