Wait less for leases of an owner that has ended

Cause: a new owner waits 2 s for the last proof of the owner before it, and 4.2 s for the leases that it has extended, from its own claim on.

Change: once another process answers at the address of the owner before, the 2 s are not needed: a process that has ended sends nothing, and what it has sent carries a deadline. The new owner asks it with the question of the votes, until it has an answer or the 2 s are over, at most 8 times.

Why it is safe: two processes cannot listen at one address, and one that stops in order ends its ownership before it closes the address. The name is that of the newest claim that was read before the new one, so no owner came between. Owners before that one count by the end of their proofs, as before.

What stays: an owner that does not start again at its address.

Tests: the catalogue names the moved texts of claim-proof-time, expired-not-ended and wait-validity, and the moved test of settled-confirmed, which had not been found since. The set-up of test_owners_in_a_row is shared with the new test; its checks are the same.

--- a/limpetstream/shard/instance_votes.py
+++ b/limpetstream/shard/instance_votes.py
@@ -1,6 +1,7 @@
 """Asks the instances that vote, and records which ones do."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -11,6 +12,7 @@
     names,
     ownership,
     peer_messages,
+    proof,
     sessions,
     state,
 )
@@ -42,7 +44,7 @@
         members = quorum.inherited - quorum.told if not quorum.is_half_told() else set()
         if now - shard.journal.confirmed_at > ASK_APPEND_AGE_S:
             members = members | quorum.recorded | (quorum.writing or frozenset())
-        members = members | _uninformed(shard, now)
+        members = members | _uninformed(shard, now) | _maybe_ended(shard)
         had_ended = shard.earlier_proofs_ended_at is not None
         if members:
             await asyncio.gather(*[_ask_member(shard, member) for member in members])
@@ -59,6 +61,18 @@
     return (quorum.inherited | quorum.recorded) - quorum.informed
 
 
+def _maybe_ended(shard: state.Shard) -> set[str]:
+    """Return the owner before if it helps to know that it has ended."""
+    is_known = not shard.previous_member or math.isfinite(shard.previous_ended_at)
+    if (
+        is_known
+        or shard.earlier_runs_settled
+        or proof.have_earlier_owners_stopped(shard)
+    ):
+        return set()
+    return {shard.previous_member}
+
+
 async def _ask_member(shard: state.Shard, member: str) -> None:
     quorum = shard.instance_quorum
     sent_at = shard.clock.monotonic()
@@ -84,6 +98,10 @@
     if not reply.member:
         return  # An instance of a version that does not vote.
     has_ended = reply.member != member
+    if has_ended and member == shard.previous_member:
+        # Calls that it has sent carry deadlines, however late they arrive.
+        ended_at = min(shard.previous_ended_at, shard.clock.monotonic())
+        shard.previous_ended_at = ended_at
     if member in quorum.inherited and (has_ended or reply.epoch >= shard.epoch):
         quorum.told.add(member)
         if quorum.is_half_told():
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -57,6 +57,8 @@
             extended a lease.
         offset_by_voter: Offsets of the records of executors and instances
             that the journal held at the claim, by key.
+        previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
+        previous_member: Name of that owner; empty if it is unknown.
     """
 
     epoch: int
@@ -64,6 +66,8 @@
     instances_vote: bool = False
     leases_recorded_from: int | None = None
     offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
+    previous_epoch: int = 0
+    previous_member: str = ""
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
@@ -460,13 +464,7 @@
             )
             winner = newest_claim(page.entries)
             if winner == record:
-                return Claim(
-                    epoch,
-                    proven_at,
-                    record.instances_vote,
-                    _leases_recorded_from(before, epoch),
-                    offset_by_voter(before),
-                )
+                return _make_claim(record, before, proven_at)
             refusal = f"another claim won: {winner}"
         except (errors.SequenceConflict, errors.WriterFenced) as error:
             refusal = str(error)
@@ -482,6 +480,22 @@
         await clock.sleep(CLAIM_RETRY_S)
 
 
+def _make_claim(
+    record: OwnerRecord, before: list[messages.Entry], proven_at: float
+) -> Claim:
+    """Return a claim that the store holds, by what was read before it."""
+    previous = newest_claim(before)
+    return Claim(
+        record.epoch,
+        proven_at,
+        record.instances_vote,
+        _leases_recorded_from(before, record.epoch),
+        offset_by_voter(before),
+        previous.epoch if previous else 0,
+        previous.member if previous else "",
+    )
+
+
 def _do_instances_vote(entries: list[messages.Entry]) -> bool:
     """Return whether the instances in the journal bind all earlier owners.
 
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -230,17 +230,28 @@
     After ``earlier_proofs_ended_at`` an earlier owner gets no new proof of its
     ownership; those that have extended a lease on this executor may have got
     none for longer. One may extend leases for as long as its last proof is
-    valid. The last lease is at most ``leases.LEASE_S`` long on the executor's
-    clock, which may run at ``leases.MIN_CLOCK_RATE``.
+    valid, and not after its process has ended. The last lease is at most
+    ``leases.LEASE_S`` long on the executor's clock, which may run at
+    ``leases.MIN_CLOCK_RATE``.
 
     Returns:
         Monotonic time; infinity before ``earlier_proofs_ended_at`` is set.
     """
+    lessor = executor_records.newest_lessor(shard, executor_id)
+    by_proof = _last_order_at(shard, lessor)
+    # No owner has claimed the shard between the one before and this one.
+    by_end = max(
+        shard.previous_ended_at, _last_order_at(shard, shard.previous_epoch - 1)
+    )
+    return min(by_proof, by_end) + _max_lease_s()
+
+
+def _last_order_at(shard: state.Shard, epoch: int) -> float:
+    """Return by when owners up to an epoch have sent their last order."""
     if shard.earlier_proofs_ended_at is None:
         return math.inf
-    lessor = executor_records.newest_lessor(shard, executor_id)
-    ended_at = min(shard.earlier_proofs_ended_at, shard.proof_ends.ended_at(lessor))
-    return ended_at + proof.VALIDITY_S + _max_lease_s()
+    ended_at = min(shard.earlier_proofs_ended_at, shard.proof_ends.ended_at(epoch))
+    return ended_at + proof.VALIDITY_S
 
 
 def _max_lease_s() -> float:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -116,6 +116,10 @@
             lease there; None if that is not known of any.
         offset_by_voter: Offsets of the records of executors and instances
             that the journal held at the claim, by key.
+        previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
+        previous_member: Name of that owner; empty if it is unknown.
+        previous_ended_at: Time by which its process had ended; infinity if
+            that is not known.
         read_as_claimed: Whether these records were loaded as they were at the
             claim, so that no later owner has changed them.
         recorded_born_ms_by_executor: Start of each inherited executor by its
@@ -189,6 +193,9 @@
     )
     leases_recorded_from: int | None = None
     offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
+    previous_epoch: int = 0
+    previous_member: str = ""
+    previous_ended_at: float = float("inf")
     read_as_claimed: bool = False
     recorded_born_ms_by_executor: dict[str, int] = dataclasses.field(
         default_factory=dict
--- a/limpetstream/shard/tests/removals_of_quorum.py
+++ b/limpetstream/shard/tests/removals_of_quorum.py
@@ -255,7 +255,7 @@
         "expired-not-ended",
         ENDED,
         f"{SHARD}.sessions",
-        "_earlier_leases_expire_at",
+        "_last_order_at",
         "        return math.inf\n",
         "        return -math.inf\n",
         "shard/tests/test_quorum.py::"
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -9,6 +9,7 @@
 IN_A_ROW = "owners that follow one another"
 AFTER_CLAIM = "a lease that no record names yet"
 OLDER = "executors that are older than the claim"
+ENDED = "an owner whose process has ended"
 
 SETTLED = "a first answer settles earlier runs after an append"
 MOVED = "an executor that has started again at another address"
@@ -21,7 +22,7 @@
         "check_earlier_runs",
         "if executor_records.are_answers_confirmed(shard):",
         "if True:",
-        "shard/tests/test_search.py::"
+        "../search/tests/test_search.py::"
         "test_a_restarted_executor_settles_nothing_before_an_append",
     ),
     removed_checks.Removal(
@@ -173,6 +174,36 @@
         "shard/tests/test_leases_after_claims.py::"
         "test_records_that_have_changed_since_the_claim_are_noticed[instances]",
     ),
+    removed_checks.Removal(
+        "previous-ended",
+        ENDED,
+        f"{SHARD}.instance_votes",
+        "_ask_member",
+        "if has_ended and member == shard.previous_member:",
+        "if member == shard.previous_member:",
+        "shard/tests/test_ended_owners.py::"
+        "test_an_owner_that_answers_has_not_ended[m6]",
+    ),
+    removed_checks.Removal(
+        "previous-ended-member",
+        ENDED,
+        f"{SHARD}.instance_votes",
+        "_ask_member",
+        "if has_ended and member == shard.previous_member:",
+        "if has_ended:",
+        "shard/tests/test_ended_owners.py::"
+        "test_the_end_of_another_process_is_not_that_of_the_owner",
+    ),
+    removed_checks.Removal(
+        "previous-ended-earlier",
+        ENDED,
+        f"{SHARD}.sessions",
+        "_earlier_leases_expire_at",
+        "shard.previous_ended_at, _last_order_at(shard, shard.previous_epoch - 1)",
+        "shard.previous_ended_at, float('-inf')",
+        "shard/tests/test_ended_owners.py::"
+        "test_leases_of_the_owners_before_are_waited_for[18.0-20.0]",
+    ),
     removed_checks.Removal(
         "start-and-place-incarnation",
         INCARNATION,
@@ -287,9 +318,9 @@
         "wait-validity",
         WAIT,
         f"{SHARD}.sessions",
-        "_earlier_leases_expire_at",
-        "+ proof.VALIDITY_S +",
-        "+ proof.VALIDITY_S / 2 +",
+        "_last_order_at",
+        "+ proof.VALIDITY_S",
+        "+ proof.VALIDITY_S / 2",
         "shard/tests/test_quorum.py::"
         "test_a_successor_waits_for_a_lease_on_the_slowest_clock",
     ),
--- /dev/null
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -0,0 +1,144 @@
+"""Tests of what a new owner knows of the end of the process before it."""
+
+import math
+
+import loguru
+import msgspec
+import pytest
+
+from limpetstream.shard import (
+    executor_records,
+    instance_quorum,
+    instance_votes,
+    names,
+    ownership,
+    sessions,
+)
+from limpetstream.shard.tests import builders
+from limpetstream.store import messages as store_messages
+
+LEASE_S = 4.0 / 0.98 + 0.15
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    loguru.logger.remove()
+
+
+@pytest.fixture
+def scene():
+    """Return the scene of an owner of epoch 7 after one of epoch 6 on m6."""
+    opened = builders.JournaledShard(executors=2)
+    shard = opened.shard
+    shard.epoch = shard.journal._epoch = 7
+    shard.leases_recorded_from = 1
+    shard.previous_epoch, shard.previous_member = 6, "m6"
+    shard.earlier_runs_settled = False
+    for executor in shard.executor_by_id.values():
+        executor.reached = False
+        record = executor_records.ExecutorRecord(executor.listing, True, 6)
+        executor_records.note_inherited(shard, record)
+    opened.peers = builders.RecordingPeers()
+    members = frozenset({"m0", "m1", "m2"})
+    shard.instance_quorum = instance_quorum.Quorum(
+        "m0", opened.peers, binds_earlier_owners=True, inherited=members
+    )
+    opened.advance(20.0)
+    yield opened
+    opened.close()
+
+
+def expire_at(scene):
+    """Return when all leases on an executor have expired."""
+    return sessions._earlier_leases_expire_at(scene.shard, "x0")
+
+
+def test_leases_of_a_process_that_has_ended_expire_sooner(scene):
+    """Guards against a wait for orders of an owner that has ended."""
+    shard = scene.shard
+    shard.earlier_proofs_ended_at = 19.0
+    shard.proof_ends.note(6, 10.0)
+    assert expire_at(scene) == pytest.approx(21.0 + LEASE_S)
+    shard.previous_ended_at = 18.5
+    assert expire_at(scene) == pytest.approx(18.5 + LEASE_S)
+
+
+@pytest.mark.parametrize(("ended_at", "last_order_at"), [(18.0, 20.0), (None, 21.0)])
+def test_leases_of_the_owners_before_are_waited_for(scene, ended_at, last_order_at):
+    """Guards against leases of an owner that acts although the next ended."""
+    shard = scene.shard
+    shard.earlier_proofs_ended_at = 19.0
+    shard.previous_ended_at = 18.5
+    if ended_at is not None:
+        shard.proof_ends.note(6, ended_at)
+    assert expire_at(scene) == pytest.approx(last_order_at + LEASE_S)
+
+
+def test_no_lease_expires_before_earlier_proofs_have_ended(scene):
+    """Guards against leases of owners whose proofs have not ended."""
+    scene.shard.previous_ended_at = 18.5
+    scene.shard.proof_ends.note(6, 10.0)
+    assert expire_at(scene) == math.inf
+
+
+def ask(scene, seconds=1.0):
+    """Ask the instances for some time."""
+    scene.shard.spawn(instance_votes.ask(scene.shard))
+    scene.advance(seconds)
+
+
+def test_another_process_at_its_address_shows_that_the_owner_has_ended(scene):
+    """Guards against a wait for orders of an owner that has ended."""
+    scene.peers.name_by_member = {"m6": "m6-again"}
+    ask(scene)
+    assert scene.shard.previous_ended_at == pytest.approx(20.0, abs=0.1)
+    assert scene.peers.asked.count("m6") == 1
+
+
+@pytest.mark.parametrize("name", ["m6", ""])
+def test_an_owner_that_answers_has_not_ended(scene, name):
+    """Guards against leases that the owner before may still extend."""
+    scene.peers.name_by_member = {"m6": name}
+    ask(scene)
+    assert scene.shard.previous_ended_at == math.inf
+
+
+def test_an_owner_that_does_not_answer_may_still_act(scene):
+    """Guards against leases of an owner that is cut off from its peers."""
+    scene.peers.unreachable = {"m6"}
+    ask(scene)
+    assert "m6" in scene.peers.asked
+    assert scene.shard.previous_ended_at == math.inf
+
+
+def test_the_end_of_another_process_is_not_that_of_the_owner(scene):
+    """Guards against an owner that acts while an instance starts again."""
+    scene.peers.name_by_member = {"m1": "m1-again"}
+    ask(scene)
+    assert scene.shard.previous_ended_at == math.inf
+
+
+def test_the_owner_before_is_asked_only_while_it_may_act(scene):
+    """Guards against questions for as long as an executor is missing."""
+    scene.peers.unreachable = {"m6"}
+    ask(scene, 6.0)
+    asked = scene.peers.asked.count("m6")
+    scene.advance(6.0)
+    assert asked <= 8
+    assert scene.peers.asked.count("m6") == asked
+
+
+@pytest.mark.parametrize(
+    ("value", "epoch", "member"),
+    [
+        (msgspec.json.encode({"epoch": 4, "member": "m4"}), 4, "m4"),
+        (b"\xff", 0, ""),
+        (None, 0, ""),
+    ],
+)
+def test_a_claim_tells_of_the_owner_before(value, epoch, member):
+    """Guards against an end of an owner that was not the one before."""
+    record = ownership.OwnerRecord(5, "m5", True)
+    entries = [store_messages.Entry(names.OWNER_KEY, value)]
+    claim = ownership._make_claim(record, entries, 1.0)
+    assert (claim.previous_epoch, claim.previous_member) == (epoch, member)
--- a/limpetstream/shard/tests/test_owners_in_a_row.py
+++ b/limpetstream/shard/tests/test_owners_in_a_row.py
@@ -50,28 +50,51 @@
     cluster.next_by_member[owner] = name
 
 
+async def run_until_most_executors_leave(cluster):
+    """Start eight tasks that last; then most executors leave for good."""
+    for number in range(5):
+        cluster.start(f"m{number}")
+    await asyncio.sleep(4)
+    step = messages.Step(8, cpu_millicores=4000, memory_mb=100, long_running=True)
+    assert await cluster.submit(schedules.job_id(0), [step], seconds=0.0)
+    await asyncio.sleep(6)
+    assert count_running(cluster) == 8
+    for number in range(LEAVING):
+        leave_for_good(cluster, f"x{number}")
+    assert count_running(cluster) < 8
+
+
+async def wait_until_all_run(cluster):
+    """Wait until all tasks run again; fail if that takes too long."""
+    loop = asyncio.get_running_loop()
+    faults_ended_at = loop.time()
+    while count_running(cluster) < 8:
+        await asyncio.sleep(0.05)
+        assert loop.time() < faults_ended_at + RUNNING_AGAIN_S - MARGIN_S
+
+
 @pytest.mark.parametrize("kills", [1, 2, 3, 4, 6])
 def test_tasks_run_again_soon_after_owners_that_ended_in_a_row(kills):
     """Guards against a wait for leases that begins anew with each owner."""
 
     async def scenario(cluster):
-        loop = asyncio.get_running_loop()
-        for number in range(5):
-            cluster.start(f"m{number}")
-        await asyncio.sleep(4)
-        step = messages.Step(8, cpu_millicores=4000, memory_mb=100, long_running=True)
-        assert await cluster.submit(schedules.job_id(0), [step], seconds=0.0)
-        await asyncio.sleep(6)
-        assert count_running(cluster) == 8
-        for number in range(LEAVING):
-            leave_for_good(cluster, f"x{number}")
-        assert count_running(cluster) < 8
+        await run_until_most_executors_leave(cluster)
         for number in range(kills):
             await replace_owner(cluster, f"r{number}")
-        faults_ended_at = loop.time()
-        while count_running(cluster) < 8:
-            await asyncio.sleep(0.05)
-            assert loop.time() < faults_ended_at + RUNNING_AGAIN_S - MARGIN_S
+        await wait_until_all_run(cluster)
+
+    cluster = schedules.run_scenario(scenario, executors=EXECUTORS)
+    assert not cluster.breaches.found
+
+
+def test_tasks_run_again_soon_after_an_owner_that_stays_away():
+    """Guards against a wait for leases that counts from the next claim."""
+
+    async def scenario(cluster):
+        await run_until_most_executors_leave(cluster)
+        await asyncio.sleep(0.4)
+        await cluster.kill(cluster.owner_member())
+        await wait_until_all_run(cluster)
 
     cluster = schedules.run_scenario(scenario, executors=EXECUTORS)
     assert not cluster.breaches.found
