Judge no step by an end that was lost with its executor

A task ended on an executor that left 0.2 s later, before an owner had read the end; the rule took the next step's turn as come while the task ran again. Change: the stand-ins keep which ends were lost. Such a task does not close its step until one that follows was started, and is not judged itself: nothing that is seen shows whether an owner knew the end. The configuration of watched plays has the queues of the schedule. The tests of search and standins pass.

--- a/search/plays.py
+++ b/search/plays.py
@@ -108,6 +108,9 @@
 ) -> shard_cluster.ShardCluster:
     cluster = shard_cluster.ShardCluster(loop, seed=schedule.seed, executors=0)
     cluster.breaches = checks
+    queues = {job.queue.name: job.queue for job in schedule.jobs}
+    if schedule.is_watched:
+        cluster.view.configuration = messages.Configuration(1, list(queues.values()))
     return cluster
 
 
--- a/search/tests/test_standing_tasks.py
+++ b/search/tests/test_standing_tasks.py
@@ -239,6 +239,34 @@
     assert scene.red_at(80, since=40) == 43.25
 
 
+def test_an_end_that_was_lost_with_its_executor_decides_nothing():
+    """Guards against a verdict on a step whose turn may not have come.
+
+    The task may have to run again. Once a task that follows was started, the
+    end was known.
+    """
+    scene = Scene(STEP, dataclasses.replace(STEP, after=(0,)))
+    scene.run(f"{JOB}.0.0.0")
+    scene.end(f"{JOB}.0.0.0", 20.0)
+    scene.breaches.lost_ends.add(f"{JOB}.0.0.0")
+    assert scene.red_at(40, since=20) is None
+    scene.breaches.started_at_by_task[f"{JOB}.0.1.0"] = 40.0
+    assert scene.red_at(80, since=40) == 43.25
+
+
+def test_a_task_that_is_at_work_again_holds_back_the_next_step():
+    """Guards against a verdict on a step before a task that runs again."""
+    scene = Scene(STEP, dataclasses.replace(STEP, after=(0,)))
+    scene.end(f"{JOB}.0.0.0", 20.0)
+    scene.standing.look(20.0, 0.0)
+    scene.breaches.lost_ends.add(f"{JOB}.0.0.0")
+    scene.run(f"{JOB}.0.0.0")
+    assert scene.red_at(40, since=20) is None
+    scene.end(f"{JOB}.0.0.0", 40.0)
+    scene.breaches.lost_ends.clear()
+    assert scene.red_at(80, since=40) == 43.25
+
+
 def test_a_job_that_is_done_or_forgotten_does_not_stand():
     """Guards against a verdict on a job that is over."""
     scene = Scene(STEP)
