Send one pace of a run at a time, and repeat it after a lost answer

Two faults that a reader found, both with work that stays paused for ever, or best-effort work that goes on beside a serving task over its target:

- Paces of one run were sent side by side.
A speed-up that took 0.42 s took effect after the pause that followed it after 0.35 s; both were answered.

Now a run has one pace under way, and a newer one follows it. For 12 s after a pace without an answer the newest one is sent again each 3 s, and once more after that.

--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -29,10 +29,11 @@
 REPORT_WINDOW_S = 0.6  # A report covers half a second and arrives with a poll.
 WARM_UP_S = 1.0  # Earlier, a run reports the tail of too short a period.
 PACE_TIMEOUT_S = 0.5  # Seventy times the round trip between data centres.
-# An order without an answer may take effect seconds later, after newer ones. A
-# run that uses no processor for this long is told its pace again; it is as
-# long as work may stand still that has room.
-MAX_IDLE_S = 3.0
+# A pace without an answer may take effect that long after it was sent, and so
+# after newer ones (the platform's page on calls that are carried out late).
+LATE_PACE_S = 12.0
+# Between repeats of the newest pace until then; work may stand still so long.
+REPEAT_PACE_S = 3.0
 PACE_TRIES = 4  # Two seconds in all, half of what the HARM check allows.
 UNKNOWN_PACE = -1
 
@@ -62,7 +63,7 @@
             run.over_target_since = None
         elif run.over_target_since is None:
             run.over_target_since = now
-    _doubt_paces_of_idle_runs(best_effort_runs, now)
+    _repeat_paces(shard, executor, best_effort_runs)
     serving = [run for run in executor.serving_runs() if run.load > 0]
     if not serving:
         for run in best_effort_runs:
@@ -73,18 +74,23 @@
         _update_paces(shard, executor, serving, best_effort_runs)
 
 
-def _doubt_paces_of_idle_runs(
-    best_effort_runs: list[workflow_state.Run], now: float
+def _repeat_paces(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    best_effort_runs: list[workflow_state.Run],
 ) -> None:
-    """Let paces count as unknown whose runs have long used no processor."""
+    """Send paces again as long as an earlier one may still take effect."""
+    now = shard.clock.monotonic()
     for run in best_effort_runs:
-        if run.load > 0 or run.pace <= 0:
-            run.idle_since = None
-        elif run.idle_since is None:
-            run.idle_since = now
-        elif now - run.idle_since > MAX_IDLE_S:
-            run.idle_since = None
-            run.pace = UNKNOWN_PACE
+        unanswered_at = run.pace_unanswered_at
+        if unanswered_at is None or run.is_pace_under_way:
+            continue
+        if now - max(unanswered_at, run.pace_answered_at) < REPEAT_PACE_S:
+            continue
+        if now - unanswered_at > LATE_PACE_S:
+            run.pace_unanswered_at = None
+        if run.pace != UNKNOWN_PACE:
+            _start_sending_pace(shard, executor, run)
 
 
 def adjust_for_new_run(shard: state.Shard, executor: tracking.Executor) -> None:
@@ -361,36 +367,72 @@
     if run.pace == pace:
         return
     run.pace = pace
-    shard.spawn(_send_pace(shard, executor, run, pace))
+    if not run.is_pace_under_way:
+        _start_sending_pace(shard, executor, run)
 
 
-async def _send_pace(
-    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run, pace: int
+def _start_sending_pace(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
-    reason = ""
-    for _ in range(PACE_TRIES):
-        if executor.run_by_task.get(run.task.name) is not run or run.pace != pace:
-            return
+    run.is_pace_under_way = True
+    shard.spawn(_send_paces(shard, executor, run))
+
+
+async def _send_paces(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Send the pace of a run, and newer ones that are set meanwhile.
+
+    One call of a run is under way at a time: two of them could take effect in
+    the wrong order.
+    """
+    try:
+        reason = await _send_newest_pace(shard, executor, run)
+    finally:
+        run.is_pace_under_way = False
+    if reason:
+        pace, run.pace = run.pace, UNKNOWN_PACE  # The next change sends it again.
+        logs.emit(
+            events.PACE_FAILED,
+            task=run.task.name,
+            executor=executor.listing.executor_id,
+            pace=pace,
+            error=reason,
+        )
+
+
+async def _send_newest_pace(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> str:
+    """Send the pace of a run until the newest one is answered.
+
+    Returns:
+        Why it was given up; empty if it was not.
+    """
+    sent, tries, reason = UNKNOWN_PACE, 0, ""
+    while sent != run.pace or tries:
+        if executor.run_by_task.get(run.task.name) is not run:
+            return ""
+        if sent != run.pace:
+            sent, tries = run.pace, 0
         if not proof.is_proven(shard):
-            reason = "ownership not proven"
-            break
+            return "ownership not proven"
+        if tries == PACE_TRIES:
+            return reason
+        tries += 1
+        sent_at = shard.clock.monotonic()
         try:
             await shard.executor_client.pace(
                 executor.listing,
                 run.task.name,
                 run.number,
-                pace,
+                sent,
                 shard.epoch,
                 timeout_s=PACE_TIMEOUT_S,
             )
-            return
+            run.pace_answered_at = shard.clock.monotonic()
+            tries = 0
         except (errors.ExecutorReplaced, errors.PlatformUnavailable) as error:
+            run.pace_unanswered_at = sent_at
             reason = str(error)
-    run.pace = UNKNOWN_PACE  # The next change sends it again.
-    logs.emit(
-        events.PACE_FAILED,
-        task=run.task.name,
-        executor=executor.listing.executor_id,
-        pace=pace,
-        error=reason,
-    )
+    return ""
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -44,9 +44,10 @@
         pace: Percentage of its full speed that the run may use, 0 to 100; -1
             when the last change was not confirmed, or an earlier owner may
             have made one.
-        idle_since: Monotonic time since which polls have listed it without
-            any use of processors although it is not paused; None while it is
-            paused or uses some.
+        is_pace_under_way: Whether its pace is being sent.
+        pace_answered_at: Monotonic time of the last answer to a pace.
+        pace_unanswered_at: Monotonic time at which the last pace was sent that
+            had no answer; None if none can take effect any more.
         giving_up: Whether it counts as lost once an append is confirmed.
         over_target_since: Monotonic time since which a serving run's tail
             latency has been over its target; None while it is not.
@@ -71,7 +72,9 @@
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
-    idle_since: float | None = None
+    is_pace_under_way: bool = False
+    pace_answered_at: float = -math.inf
+    pace_unanswered_at: float | None = None
     giving_up: bool = False
     over_target_since: float | None = None
     progressed_at: float = 0.0
