--- a/limpetstream/shard/tests/removals_of_runs.py
+++ b/limpetstream/shard/tests/removals_of_runs.py
@@ -269,7 +269,7 @@
         "pace-proof",
         PACE,
         f"{SHARD}.pacing",
-        "_send_pace",
+        "_send_newest_pace",
         "if not proof.is_proven(shard):",
         "if False:",
         "shard/tests/test_proof.py::test_no_pace_is_sent_without_a_proof",
--- a/limpetstream/shard/tests/test_proof.py
+++ b/limpetstream/shard/tests/test_proof.py
@@ -176,12 +176,12 @@
     task = builders.make_tasks(shard, builders.BEST_EFFORT)[0]
     run = builders.start_run(executor, task)
     run.pace = 0
-    run_for(loop, 1.0, pacing._send_pace(shard, executor, run, 0))
+    run_for(loop, 1.0, pacing._send_paces(shard, executor, run))
     assert not client.calls
     assert run.pace == pacing.UNKNOWN_PACE
     prove(shard)
     run.pace = 0
-    run_for(loop, 1.0, pacing._send_pace(shard, executor, run, 0))
+    run_for(loop, 1.0, pacing._send_paces(shard, executor, run))
     assert client.calls == ["pace"]
 
 
