Let all executors refuse or lose orders at once in the rare draws

Cause: most ends that concern one executor were not found, since the others have room and take the work.

Change: rare_faults has faults that hit all executors at once: they refuse all starts, lose orders, or their entries are missing.

--- a/search/rare_faults.py
+++ b/search/rare_faults.py
@@ -112,6 +112,29 @@
     return refusing
 
 
+def everywhere(
+    world: World, generator: random.Random, member: str, executor: str
+) -> None:
+    """Let all executors refuse or lose orders, so that none takes the work."""
+    kinds = generator.choice(
+        [["refuses"], ["lost start"], ["lost stop"], ["lost start", "lost stop"]]
+    )
+    ids = list(world.cluster.executor_by_id)
+    keys = [(kind, each) for kind in kinds for each in ids]
+    world.hold(generator.uniform(0.3, 5.0), *keys)
+
+
+def unlist_all(
+    world: World, generator: random.Random, member: str, executor: str
+) -> None:
+    """Let the entries of all executors be missing for a while."""
+    seconds = generator.uniform(0.3, 4.0)
+    for executor_id, found in list(world.cluster.executor_by_id.items()):
+        world.cluster.unlist_executor(executor_id)
+        world.hold(seconds, ("unlisted", executor_id))
+        world.later(seconds, lambda found=found: world.list_again(found))
+
+
 def _pick(world: World, generator: random.Random, executor: str) -> list[str]:
     """Return some executors, with that of the event; sometimes all."""
     ids = list(world.cluster.executor_by_id)
@@ -129,5 +152,7 @@
         (lose_configuration, 1),
         (ignore_stops, 2),
         (refuse_for_room, 2),
+        (everywhere, 4),
+        (unlist_all, 2),
     )
 }
