--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -56,21 +56,22 @@
     gc.disable()
 
 
-def play(seed: int, first: str = "") -> plays.Outcome:
-    """Play the schedule of a seed; ``first`` names its first fault."""
+def play_kinds(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed with every kind of task."""
     _prepare_process()
-    gc.collect()  # Collecting within a schedule takes a tenth of its time.
-    return plays.play(draws.draw(seed, first))
-
+    gc.collect()
+    return plays.play(kind_draws.draw(seed))
 
-def play_kinds(seed: int, *, with_rare: bool = False) -> plays.Outcome:
-    """Play the schedule of a seed that draws every kind of task.
 
-    Args:
-        seed: Seed of the schedule.
-        with_rare: Whether rare faults and wide jobs are drawn in addition.
-    """
+def play_rare(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed with rare faults and wide jobs beside."""
     _prepare_process()
     gc.collect()
-    drawn = rare_draws if with_rare else kind_draws
-    return plays.play(drawn.draw(seed))
+    return plays.play(rare_draws.draw(seed))
+
+
+def play(seed: int, first: str = "") -> plays.Outcome:
+    """Play the schedule of a seed; ``first`` names its first fault."""
+    _prepare_process()
+    gc.collect()  # Collecting within a schedule takes a tenth of its time.
+    return plays.play(draws.draw(seed, first))
