Look at few executors for best-effort work in a busy service

A turn looks at more than the first 40 executors only if the task may not wait for a calmer service: where the service is idle, or the task lasts. Such a task accepts any executor with room after 1.5 s. Only a search of all executors that finds no room is remembered. Tasks with a spread limit fail together as well, as their shape names their step.

--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -4,7 +4,12 @@
 
 from limpetstream.executors import tracking
 from limpetstream.shard import searches, starts, state
-from limpetstream.workflow import eligibility, placement, state as workflow_state
+from limpetstream.workflow import (
+    best_effort,
+    eligibility,
+    placement,
+    state as workflow_state,
+)
 
 # Until a change of an executor's listing or labels is noticed at the latest.
 SEARCH_RETRY_S = 1.0
@@ -73,8 +78,8 @@
 ) -> bool:
     """Start a best-effort task; return whether an executor suits it.
 
-    Only a search that finds no room is remembered: expected speeds change
-    without a change of capacity.
+    Only a search of all executors that finds no room is remembered: expected
+    speeds change without a change of capacity.
 
     Args:
         shard: Shard of the task.
@@ -88,7 +93,7 @@
     )
     executor = placement.choose(searched, task, context)
     if executor is None:
-        if not context.eligible_count:
+        if not context.eligible_count and best_effort.must_run_soon(task, context):
             searches.note_failure(
                 shard.searches, key, searched_all=searched is executors, now=context.now
             )
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -240,8 +240,7 @@
             use = _use_of_service(this_pass, context)
             use.used_millicores += task.step.cpu_millicores
             return [task]
-        if not task.step.max_per_executor:
-            this_pass.unplaceable.add(key)
+        this_pass.unplaceable.add(key)
     task.not_before = this_pass.now + BEST_EFFORT_RETRY_S
     return []
 
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -435,3 +435,29 @@
     executor.release(next(iter(executor.run_by_task.values())))
     scheduling.run_pass(shard)
     assert any(run.task.step.fills for run in executor.run_by_task.values())
+
+
+@pytest.mark.parametrize("limit", [0, 1])
+def test_best_effort_tasks_in_a_busy_service_look_at_a_few_executors(
+    limit, monkeypatch
+):
+    """Guards against a search through all executors for each task's speed.
+
+    One executor in a hundred has room for the tasks, none has speed.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=500)
+    for number, executor in enumerate(shard.executor_by_id.values()):
+        memory_mb = 1_000 if number % 100 == 0 else 250_000
+        busy = builders.copy_step(
+            builders.SHORT, cpu_millicores=58_000, memory_mb=memory_mb
+        )
+        builders.start_run(executor, builders.make_tasks(shard, busy)[0])
+    for number in range(100):
+        step = builders.copy_step(
+            builders.BEST_EFFORT, memory_mb=13_000 + number, max_per_executor=limit
+        )
+        shard.waiting_tasks.extend(builders.make_tasks(shard, step))
+    visits = builders.count_visits(shard, monkeypatch)
+    scheduling.run_pass(shard)
+    assert visits.executors <= 100 * (placement.BATCH_SIZE + 1) + 4 * 500
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -22,8 +22,8 @@
 # Each further second lowers the relaxed pace by this, so that every task runs
 # in the end.
 MIN_PACE_DECREASE_PER_S = 0.04
-# A service that uses a smaller share of its CPU counts as idle. By the rule
-# LOST no task waits for 3 s while less than half of its service is in use.
+# A service that uses a smaller share of its CPU counts as idle. Tasks may not
+# wait for 3 s while less than half of their service is in use.
 IDLE_CPU_SHARE = 0.6
 # Work then waits only this long for a better executor.
 IDLE_SERVICE_WAIT_S = 1.5
@@ -106,16 +106,20 @@
     return None
 
 
+def must_run_soon(task: state.Task, context: eligibility.PlacementContext) -> bool:
+    """Return whether a best-effort task may not wait for a calmer service.
+
+    A task that lasts may not, however full the service is.
+    """
+    return context.is_service_idle or task.step.long_running
+
+
 def accepts_any_executor(
     task: state.Task, context: eligibility.PlacementContext
 ) -> bool:
-    """Return whether a best-effort task no longer waits for speed.
-
-    The rule LOST holds for tasks that last however full the service is.
-    """
+    """Return whether a best-effort task no longer waits for speed."""
     waited_s = context.now - task.ready_at
-    must_run = context.is_service_idle or task.step.long_running
-    return must_run and waited_s >= IDLE_SERVICE_WAIT_S
+    return must_run_soon(task, context) and waited_s >= IDLE_SERVICE_WAIT_S
 
 
 def choose_over_target(
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -47,11 +47,13 @@
     in_doubt = None
     with_room: list[tracking.Executor] = []
     scored_before = context.scored_count
-    for batch in batches:
-        if task.step.fills and context.scored_count - scored_before >= BATCH_SIZE:
+    for number, batch in enumerate(batches):
+        if task.step.fills and number:
             # Scoring is expensive for best-effort work, and the next pass,
             # 0.2 s later, starts at other executors.
-            break
+            scored = context.scored_count - scored_before
+            if scored >= BATCH_SIZE or not best_effort.must_run_soon(task, context):
+                break
         allowed = eligibility.eligible_executors(batch, task, context)
         if task.step.fills:
             with_room = with_room or allowed
