Wait less for leases after a shard was handed over

The new owner waited 6.2 s from its claim, of which 2 s are for the last proof of the owner before, which lived and had released the shard.

An instance that has released a shard sends nothing under its epochs any more, like one that has ended. It now tells so in its answer to the question for the epoch, and the new owner does not wait for those 2 s. It tells so neither while it serves the shard nor from before its claim: an owner whose claim was read back and that has not registered the shard yet would still send orders (test_an_instance_tells_that_it_releases_a_shard_only_after_its_last_order fails if only registered shards count).

Failed before: test_an_owner_that_has_released_the_shard_sends_nothing, test_an_owner_that_claims_again_after_itself_has_released_the_shard, test_tasks_run_again_soon_after_a_shard_was_handed_over.

--- a/limpetstream/shard/instance_votes.py
+++ b/limpetstream/shard/instance_votes.py
@@ -78,8 +78,11 @@
     sent_at = shard.clock.monotonic()
     informs = shard.earlier_proofs_ended_at is not None
     if member == quorum.member:
+        # An instance claims a shard again only once it has released it.
         reply = peer_messages.PeerReply(
-            epoch=quorum.note_epoch(shard.number, shard.epoch), member=member
+            epoch=quorum.note_epoch(shard.number, shard.epoch),
+            member=member,
+            released=True,
         )
     else:
         request = peer_messages.PeerRequest(
@@ -98,7 +101,7 @@
     if not reply.member:
         return  # An instance of a version that does not vote.
     has_ended = reply.member != member
-    if has_ended and member == shard.previous_member:
+    if (has_ended or reply.released) and member == shard.previous_member:
         # Calls that it has sent carry deadlines, however late they arrive.
         ended_at = min(shard.previous_ended_at, shard.clock.monotonic())
         shard.previous_ended_at = ended_at
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,6 +1,7 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
 import random
+from collections.abc import Collection
 from typing import NoReturn
 
 from limpetstream import clock as clock_module, errors
@@ -33,6 +34,8 @@
         server: Shards that this instance owns.
         owner_by_shard: Announced owners that this instance has seen, by
             shard.
+        claimed_shards: Shards that this instance owns, or is claiming; may
+            change.
         member: Name of this instance in the group.
         shard_count: Number of shards in use.
         clock: Source of time.
@@ -45,6 +48,7 @@
         peers: peer_messages.Peers,
         server: shard_server.ShardServer,
         owner_by_shard: dict[int, str],
+        claimed_shards: Collection[int],
         member: str,
         shard_count: int,
         clock: clock_module.Clock,
@@ -53,6 +57,7 @@
         self._peers = peers
         self._server = server
         self._owner_by_shard = owner_by_shard
+        self._claimed_shards = claimed_shards
         self._member = member
         self._shard_count = shard_count
         self._clock = clock
@@ -182,7 +187,9 @@
         if request.kind == "serves":
             return self._server.answer_serves(request)
         if request.kind == "epoch":
-            return self._server.answer_epoch(request)
+            reply = self._server.answer_epoch(request)
+            reply.released = request.shard not in self._claimed_shards
+            return reply
         shard = self._server.shard_by_number.get(request.shard)
         try:
             if shard is None:
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -50,6 +50,9 @@
         epoch: For ``epoch``, the highest epoch of the shard that the member
             knows, with that of the request.
         member: For ``epoch`` and ``serves``, name of the member that answers.
+        released: For ``epoch``, whether the member neither owns nor claims the
+            shard, so that nothing is sent any more under the epochs that it
+            has owned it with; false in versions that do not tell.
         proof_ends: For ``epoch``, as in the request, as the member knows.
     """
 
@@ -61,6 +64,7 @@
     owner: str = ""
     epoch: int = 0
     member: str = ""
+    released: bool = False
     proof_ends: list[proof_ends_module.ProofEnd] = dataclasses.field(
         default_factory=list
     )
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -118,8 +118,8 @@
             that the journal held at the claim, by key.
         previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
         previous_member: Name of that owner; empty if it is unknown.
-        previous_ended_at: Time by which its process had ended; infinity if
-            that is not known.
+        previous_ended_at: Time by which it had released the shard, or its
+            process had ended; infinity if that is not known.
         read_as_claimed: Whether these records were loaded as they were at the
             claim, so that no later owner has changed them.
         recorded_born_ms_by_executor: Start of each inherited executor by its
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -80,12 +80,14 @@
     """Instances that answer the question for the highest epoch they know.
 
     ``name_by_member`` names the process that answers in place of another one,
-    ``epoch_by_member`` holds later epochs that instances know, and
-    ``unreachable`` the instances that do not answer.
+    ``epoch_by_member`` holds later epochs that instances know,
+    ``unreachable`` the instances that do not answer, and ``released`` those
+    that have released the shard.
     """
 
     def __init__(self):
         self.asked = []
+        self.released = set()
         self.epoch_by_member = {}
         self.name_by_member = {}
         self.unreachable = set()
@@ -99,6 +101,7 @@
         return peer_messages.PeerReply(
             epoch=max(request.epoch, self.epoch_by_member.get(member, 0)),
             member=self.name_by_member.get(member, member),
+            released=member in self.released,
         )
 
 
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -179,7 +179,7 @@
         ENDED,
         f"{SHARD}.instance_votes",
         "_ask_member",
-        "if has_ended and member == shard.previous_member:",
+        "if (has_ended or reply.released) and member == shard.previous_member:",
         "if member == shard.previous_member:",
         "shard/tests/test_ended_owners.py::"
         "test_an_owner_that_answers_has_not_ended[m6]",
@@ -189,8 +189,8 @@
         ENDED,
         f"{SHARD}.instance_votes",
         "_ask_member",
-        "if has_ended and member == shard.previous_member:",
-        "if has_ended:",
+        "if (has_ended or reply.released) and member == shard.previous_member:",
+        "if has_ended or reply.released:",
         "shard/tests/test_ended_owners.py::"
         "test_the_end_of_another_process_is_not_that_of_the_owner",
     ),
@@ -204,6 +204,16 @@
         "shard/tests/test_ended_owners.py::"
         "test_leases_of_the_owners_before_are_waited_for[18.0-20.0]",
     ),
+    removed_checks.Removal(
+        "released-claimed",
+        IN_A_ROW,
+        f"{SHARD}.job_api",
+        "JobApi.answer_peer",
+        "request.shard not in self._claimed_shards",
+        "request.shard not in self._server.shard_by_number",
+        "shard/tests/test_ended_owners.py::"
+        "test_an_instance_tells_that_it_releases_a_shard_only_after_its_last_order",
+    ),
     removed_checks.Removal(
         "start-and-place-incarnation",
         INCARNATION,
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -1,5 +1,6 @@
 """Tests of what a new owner knows of the end of the process before it."""
 
+import asyncio
 import math
 
 import loguru
@@ -12,9 +13,10 @@
     instance_votes,
     names,
     ownership,
+    peer_messages,
     sessions,
 )
-from limpetstream.shard.tests import builders
+from limpetstream.shard.tests import builders, schedules
 from limpetstream.store import messages as store_messages
 
 LEASE_S = 4.0 / 0.98 + 0.15
@@ -111,9 +113,25 @@
     assert scene.shard.previous_ended_at == math.inf
 
 
+def test_an_owner_that_has_released_the_shard_sends_nothing(scene):
+    """Guards against a wait for orders after a shard was handed over."""
+    scene.peers.released = {"m6"}
+    ask(scene)
+    assert scene.shard.previous_ended_at == pytest.approx(20.0, abs=0.1)
+    assert scene.peers.asked.count("m6") == 1
+
+
+def test_an_owner_that_claims_again_after_itself_has_released_the_shard(scene):
+    """Guards against a wait for orders of the same process."""
+    scene.shard.previous_member = "m0"
+    ask(scene)
+    assert scene.shard.previous_ended_at == pytest.approx(20.0, abs=0.1)
+
+
 def test_the_end_of_another_process_is_not_that_of_the_owner(scene):
     """Guards against an owner that acts while an instance starts again."""
     scene.peers.name_by_member = {"m1": "m1-again"}
+    scene.peers.released = {"m1", "m2"}
     ask(scene)
     assert scene.shard.previous_ended_at == math.inf
 
@@ -143,3 +161,60 @@
     previous = ownership.newest_claim(entries)
     claim = ownership._make_claim(record, previous, entries, 1.0)
     assert (claim.previous_epoch, claim.previous_member) == (epoch, member)
+
+
+def test_an_instance_tells_that_it_releases_a_shard_only_after_its_last_order():
+    """Guards against orders of an owner that tells that it sends none.
+
+    It claims the shard first, and serves it then.
+    """
+
+    async def scenario(cluster):
+        instance = cluster.start("m0")
+        request = peer_messages.PeerRequest("epoch", 0)
+        told = []
+        claim = instance.ownership._serve
+
+        async def serve(shard, claimed):
+            told.append(await instance.job_api.answer_peer(request))
+            try:
+                await claim(shard, claimed)
+            finally:
+                told.append(await instance.job_api.answer_peer(request))
+
+        instance.ownership._serve = serve
+        await asyncio.sleep(4)
+        assert not (await instance.job_api.answer_peer(request)).released
+        await instance.ownership.release_all()
+        assert [reply.released for reply in told] == [False, False]
+        assert (await instance.job_api.answer_peer(request)).released
+
+    schedules.run_scenario(scenario)
+
+
+def test_tasks_run_again_soon_after_a_shard_was_handed_over():
+    """Guards against the wait for leases after a change of owner in calm."""
+
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        for number in range(3):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(4)
+        step = builders.copy_step(
+            builders.SHORT, count=4, cpu_millicores=8000, long_running=True
+        )
+        assert await cluster.submit(schedules.job_id(0), [step], seconds=0.0)
+        await asyncio.sleep(4)
+        gone = next(e for e in cluster.executor_by_id.values() if e.run_by_task)
+        gone.cut = True
+        gone.restart()
+        cluster.unlist_executor(gone.listing.executor_id)
+        released_at = loop.time()
+        owner = cluster.owner_member()
+        await cluster.instance_by_member[owner].ownership.leave()
+        while sum(len(e.run_by_task) for e in cluster.executor_by_id.values()) < 4:
+            await asyncio.sleep(0.05)
+            assert loop.time() < released_at + 6.0
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -212,6 +212,7 @@
             peers=_PeerClient(self, member),
             server=server,
             owner_by_shard=shard_ownership.owner_by_shard,
+            claimed_shards=shard_ownership.claimed_shards,
             member=member,
             shard_count=self._shards,
             clock=clock,
