Count any run of a job in the check of work that stands still

The check took a job for one without a run while a task ran again whose end had been lost with its executor: it looked at tasks only that were not seen to be done. The rule asks whether the job has nothing running.

--- a/search/standing_tasks.py
+++ b/search/standing_tasks.py
@@ -115,7 +115,6 @@
         is_half_used: bool,
     ) -> Iterator[tuple[str, messages.Step]]:
         """Yield the names of what could run now and does not."""
-        is_running = False
         first_ready: tuple[str, messages.Step] | None = None
         open_steps: set[int] = set()
         for number in sorted(job.open_steps):
@@ -138,7 +137,6 @@
                 for name in open_names
                 if not self._breaches.executors_by_task.get(name)
             ]
-            is_running |= len(idle) < len(open_names)
             # What is seen does not show whether an owner has read a lost end.
             idle = [name for name in idle if name not in self._breaches.lost_ends]
             if not idle or not has_room(usable, step):
@@ -146,9 +144,20 @@
             first_ready = first_ready or (idle[0], step)
             if step.long_running:
                 yield from self._standing_lasting(idle, step, job, now)
-        if first_ready and not is_running and not is_half_used:
+        if first_ready and not is_half_used and not self._is_running(job_id, job):
             yield job_id, first_ready[1]
 
+    def _is_running(self, job_id: str, job: _Job) -> bool:
+        """Return whether any task of a job runs, also one that was done.
+
+        A task runs again if its end was lost with its executor.
+        """
+        return any(
+            self._breaches.executors_by_task.get(name)
+            for number, step in enumerate(job.steps)
+            for name in task_names(job_id, number, step.count)
+        )
+
     def _close(self, job_id: str, job: _Job, number: int) -> None:
         """Note that a step is done; for good if its ends are acknowledged."""
         names = task_names(job_id, number, job.steps[number].count)
