--- a/search/overlapping_faults.py
+++ b/search/overlapping_faults.py
@@ -359,8 +359,8 @@
         world.hold(seconds, ("store", target), *keys)
 
         def leave_to_isolated() -> None:
-            others = [("store", m) for m in world.cluster.instance_by_member]
-            others.remove(("store", isolated))
+            members = world.cluster.instance_by_member
+            others = [("store", each) for each in members if each != isolated]
             barred = [("call", isolated, each) for each in far]
             world.hold(seconds, ("peers", isolated), *others, *barred)
 
