--- a/search/tests/test_standing_tasks.py
+++ b/search/tests/test_standing_tasks.py
@@ -254,6 +254,18 @@
     assert scene.red_at(80, since=40) == 43.25
 
 
+def test_a_gang_one_of_whose_ends_was_lost_decides_nothing():
+    """Guards against a verdict on the members that were stopped.
+
+    An owner that has read the end stops them, as one member counts for all.
+    """
+    gang = dataclasses.replace(STEP, count=2, gang=True)
+    scene = Scene(gang)
+    scene.end(f"{JOB}.0.0.0", 20.0)
+    scene.breaches.lost_ends.add(f"{JOB}.0.0.0")
+    assert scene.red_at(40, since=20) is None
+
+
 def test_a_task_that_is_at_work_again_holds_back_the_next_step():
     """Guards against a verdict on a step before a task that runs again."""
     scene = Scene(STEP, dataclasses.replace(STEP, after=(0,)))
