Let calls to executors wait for the link of the owner

Cause: nothing bounded what an owner has under way, and calls ended at fixed limits. Change: a window of bytes for all calls that follows the shortest delay of all answers; stops, polls, paces, starts in this order; time limits that grow with the delay; fewer polls and no further decisions while calls wait; lines link-full and link-free. A simulated link with a queue for tests.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -382,3 +382,17 @@
     "The progress of a job does not fit into a record of the store; the job fails.",
     "Split the job: fewer open tasks, fewer attempts or shorter checkpoints.",
 )
+LINK_FULL = events.declare(
+    1561,
+    "link-full",
+    "WARNING",
+    "Calls to executors wait, as the link is full or all answers are late.",
+    "See delay_ms, lag_ms and the line traffic; docs/OPERATIONS.md tells more.",
+)
+LINK_FREE = events.declare(
+    1562,
+    "link-free",
+    "INFO",
+    "Calls to executors no longer wait.",
+    "None.",
+)
--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -12,7 +12,7 @@
 import collections
 
 from limpetstream import errors
-from limpetstream.executors import tracking
+from limpetstream.executors import sending, tracking
 from limpetstream.shard import events, objectives, proof, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
@@ -411,6 +411,7 @@
     """
     sent, tries, reason = UNKNOWN_PACE, 0, ""
     while sent != run.pace or tries:
+        await shard.send_window.admit(sending.HEAD_BYTES, sending.PACE_RANK)
         if executor.run_by_task.get(run.task.name) is not run:
             return ""
         if sent != run.pace:
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -121,6 +121,8 @@
         return
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
+    if shard.send_window.has_backlog:
+        return  # What is decided now would be sent late, and in this order.
     this_pass = _begin(shard)
     now = this_pass.now
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -10,7 +10,7 @@
 import math
 
 from limpetstream import errors
-from limpetstream.executors import leases, tracking
+from limpetstream.executors import leases, messages, sending, tracking
 from limpetstream.shard import (
     events,
     executor_records,
@@ -87,41 +87,55 @@
 
 
 async def _poll(shard: state.Shard, executor: tracking.Executor) -> None:
+    async with shard.send_window.turn(sending.HEAD_BYTES, sending.POLL_RANK):
+        sent_at = shard.clock.monotonic()
+        reply = await _request_report(shard, executor, sent_at)
+    if shard.executor_by_id.get(executor.listing.executor_id) is not executor:
+        return  # It was removed in the meantime, and its runs were given up.
+    executor.polled_at = sent_at
+    executor.answered_at = shard.clock.monotonic()
+    status_reports.apply_report(shard, executor, reply, sent_at)
+    executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
+    _note_reply(shard, executor)
+    if proof.is_proven(shard):
+        pacing.adjust(shard, executor)
+    if executor.applied_end > executor.acked_end:
+        await _acknowledge(shard, executor)
+    if not executor.recorded:
+        await _wait_for_record(shard)
+    pause_s = shard.send_window.poll_pause_s
+    if pause_s:  # More ends come with the next reply.
+        await shard.clock.sleep(pause_s)
+
+
+async def _request_report(
+    shard: state.Shard, executor: tracking.Executor, sent_at: float
+) -> messages.PollReply:
+    """Send one poll, which extends the lease if this is allowed."""
     unacknowledged = executor.applied_end > executor.acked_end
     wait_s = pacing.poll_wait_s(executor, POLL_WAIT_S)
-    sent_at = shard.clock.monotonic()
     may_have_restarted = sent_at - executor.answered_at > MIN_RESTART_S
     if unacknowledged or may_have_restarted or not executor.reached:
         # The executor replies at once, and a missing reply is noticed sooner.
         wait_s = 0.0
     elif shard.journal.failing_since is not None:
         wait_s = min(wait_s, OUTAGE_POLL_WAIT_S)
+    # With the longer limit the poll still ends within the usual time.
+    extra_s = shard.send_window.extra_s
+    wait_s = min(wait_s, max(0.0, POLL_WAIT_S - extra_s))
     deadline_ms = None
     may_extend = lease_records.may_extend(shard, executor)
     may_extend = may_extend and not _is_silent_long(executor, sent_at)
     if may_extend and proof.is_proven(shard):
         deadline_ms = executor.lease.extend(sent_at)
-    reply = await shard.executor_client.poll(
+    return await shard.executor_client.poll(
         executor.listing,
         token=shard.epoch,
         acknowledged=_end_to_acknowledge(executor, sent_at),
         deadline_ms=deadline_ms,
         wait_ms=int(wait_s * 1000),
-        timeout_s=wait_s + POLL_MARGIN_S,
+        timeout_s=wait_s + POLL_MARGIN_S + extra_s,
     )
-    if shard.executor_by_id.get(executor.listing.executor_id) is not executor:
-        return  # It was removed in the meantime, and its runs were given up.
-    executor.polled_at = sent_at
-    executor.answered_at = shard.clock.monotonic()
-    status_reports.apply_report(shard, executor, reply, sent_at)
-    executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
-    _note_reply(shard, executor)
-    if proof.is_proven(shard):
-        pacing.adjust(shard, executor)
-    if executor.applied_end > executor.acked_end:
-        await _acknowledge(shard, executor)
-    if not executor.recorded:
-        await _wait_for_record(shard)
 
 
 async def _wait_for_record(shard: state.Shard) -> None:
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.executors import messages as executor_messages
+from limpetstream.executors import messages as executor_messages, sending
 from limpetstream.shard import (
     events,
     executor_list,
@@ -209,12 +209,21 @@
             lease_records_complete=False,
         )
         shard.executor_client = fences.CheckingClient(
-            self._executor_client, functools.partial(proof.confirm, shard)
+            sending.MeasuringClient(
+                self._executor_client, shard.send_window, self._clock
+            ),
+            functools.partial(proof.confirm, shard),
         )
         return shard
 
     async def _load_and_serve(self, shard: state.Shard) -> None:
         shard.spawn(shard.journal.run())
+        shard.spawn(
+            shard.send_window.run(
+                lambda: len(shard.executor_by_id),
+                functools.partial(_report_link, shard),
+            )
+        )
         while shard.view.configuration is None:
             await self._clock.sleep(recovery.RETRY_S)
         shard.load_began_at = self._clock.monotonic()
@@ -264,6 +273,20 @@
         )
 
 
+def _report_link(shard: state.Shard, is_full: bool) -> None:
+    """Log that calls to executors wait for the link, or no longer do."""
+    window = shard.send_window
+    logs.emit(
+        events.LINK_FULL if is_full else events.LINK_FREE,
+        shard=shard.number,
+        window_bytes=round(window.limit_bytes),
+        waiting=window.waiting_count,
+        unsent=window.unsent_starts,
+        delay_ms=round(window.delay_s * 1000),
+        lag_ms=round(window.lag_s * 1000),
+    )
+
+
 def _submissions_follower(
     shard: state.Shard,
 ) -> tuple[follower.Follower, dict[str, records.Progress]]:
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -3,13 +3,18 @@
 import math
 
 from limpetstream import errors
-from limpetstream.executors import messages as executor_messages, tracking
+from limpetstream.executors import (
+    messages as executor_messages,
+    sending,
+    tracking,
+)
 from limpetstream.shard import events, jobs, pacing, proof, sessions, state, stops
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
 START_TIMEOUT_S = 0.4  # Fifty times the round trip between data centres.
 START_TRIES = 3
+MIN_TIMEOUT_S = 0.3  # A last try that ends sooner only adds to the doubt.
 REFUSED_PAUSE_S = 0.3  # An executor gets no starts for so long after a refusal.
 UNWILLING_PAUSE_S = 1.0  # An unhealthy executor needs longer.
 # These refusals are about the task. If its wait counted from the first one, it
@@ -34,19 +39,26 @@
     A start without an answer is retried. If it stays in doubt, the run is
     stopped before the task can run again.
     """
-    await _record_job(shard, run.task.job)
-    async with executor.start_slots:
-        await _try_to_start(shard, executor, run)
+    size = sending.start_bytes(run.task.job.submission.spec)
+    rank = shard.priority_of(run.task.job), run.start_requested_at
+    with shard.send_window.unsent_start() as note_turn:
+        await _record_job(shard, run.task.job)
+        async with executor.start_slots, shard.send_window.turn(size, rank):
+            note_turn()
+            await _try_to_start(shard, executor, run)
 
 
 async def _try_to_start(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
-    """Send a start until it is answered, for a bounded number of times."""
+    """Send a start until it is answered, for a bounded time."""
     is_sent, obstacle = False, ""
+    given_up_at = math.inf
     for _ in range(START_TRIES):
         if run.phase != workflow_state.STARTING:
             return  # Stopped, or reported by a poll, while it waited.
+        if given_up_at - shard.clock.monotonic() < MIN_TIMEOUT_S:
+            break
         obstacle = _obstacle(shard, executor, run, is_sent=is_sent)
         obstacle = obstacle or await _look(shard, executor)
         if run.phase != workflow_state.STARTING:
@@ -57,9 +69,10 @@
             break
         if not is_sent:
             _log_start(shard, executor, run)
+            given_up_at = decided_at + START_TRIES * START_TIMEOUT_S
         is_first_try, is_sent = not is_sent, True
         try:
-            reply = await _send(shard, executor, run, decided_at)
+            reply = await _send(shard, executor, run, decided_at, given_up_at)
         except errors.ExecutorReplaced:
             break  # Polls may reach the executor at a newer address.
         except errors.PlatformUnavailable as error:
@@ -128,7 +141,7 @@
             acknowledged=0,
             deadline_ms=None,
             wait_ms=0,
-            timeout_s=START_TIMEOUT_S,
+            timeout_s=shard.send_window.time_limit_s(START_TIMEOUT_S),
         )
     except (errors.ExecutorReplaced, errors.PlatformUnavailable) as error:
         obstacle = f"the executor does not answer a poll: {error}"
@@ -195,6 +208,7 @@
     executor: tracking.Executor,
     run: workflow_state.Run,
     decided_at: float,
+    given_up_at: float,
 ) -> executor_messages.StartReply:
     """Send a start whose deadline counts from before the proof was checked."""
     sent_at = shard.clock.monotonic()
@@ -205,6 +219,7 @@
         )
     run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     task = run.task
+    timeout_s = shard.send_window.time_limit_s(START_TIMEOUT_S)
     reply = await shard.executor_client.start(
         executor.listing,
         executor_messages.StartRequest(
@@ -215,7 +230,7 @@
             shard.epoch,
             task.checkpoint,
         ),
-        timeout_s=START_TIMEOUT_S,
+        timeout_s=min(timeout_s, max(MIN_TIMEOUT_S, given_up_at - sent_at)),
     )
     if reply.clock_ms is not None:
         executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -6,7 +6,11 @@
 from typing import Any
 
 from limpetstream import clock as clock_module
-from limpetstream.executors import messages as executor_messages, tracking
+from limpetstream.executors import (
+    messages as executor_messages,
+    sending,
+    tracking,
+)
 from limpetstream.shard import (
     instance_quorum as quorum_module,
     journal as journal_module,
@@ -150,6 +154,7 @@
         run_s_by_queue: Mean duration in seconds of runs that ended as done, by
             queue.
         submissions_follower: Reads the topic of submissions.
+        send_window: Bounds what is under way to executors.
     """
 
     number: int
@@ -221,6 +226,10 @@
     long_running_preempted_at: float = float("-inf")
     run_s_by_queue: dict[str, float] = dataclasses.field(default_factory=dict)
     submissions_follower: follower.Follower | None = None
+    send_window: sending.SendWindow = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.send_window = sending.SendWindow(self.clock)
 
     def queue_of(self, job: workflow_state.Job) -> workflow_messages.Queue | None:
         """Return the queue of a job by the configuration in force."""
--- a/limpetstream/shard/stops.py
+++ b/limpetstream/shard/stops.py
@@ -1,7 +1,7 @@
 """Sends the requests that stop runs, until the executor confirms them."""
 
 from limpetstream import errors
-from limpetstream.executors import tracking
+from limpetstream.executors import sending, tracking
 from limpetstream.shard import events, proof, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
@@ -65,6 +65,7 @@
 ) -> None:
     try_count = 0
     while shard.executor_by_id.get(executor.listing.executor_id) is executor:
+        await shard.send_window.admit(sending.HEAD_BYTES, sending.STOP_RANK)
         if run is not None and executor.run_by_task.get(task) is not run:
             return
         if not proof.is_proven(shard):
@@ -76,7 +77,7 @@
                 task,
                 number,
                 shard.epoch,
-                timeout_s=STOP_TIMEOUT_S,
+                timeout_s=shard.send_window.time_limit_s(STOP_TIMEOUT_S),
             )
         except errors.ExecutorReplaced:
             await shard.clock.sleep(STOP_RETRY_S)
--- a/limpetstream/shard/tests/removals_of_runs.py
+++ b/limpetstream/shard/tests/removals_of_runs.py
@@ -172,7 +172,7 @@
         "poll-proof",
         LEASE_POLL,
         f"{SHARD}.sessions",
-        "_poll",
+        "_request_report",
         "if may_extend and proof.is_proven(shard):",
         "if may_extend:",
         "shard/tests/test_proof.py::test_polls_without_a_proof_extend_no_lease",
@@ -181,7 +181,7 @@
         "poll-deadline",
         LEASE_POLL,
         f"{SHARD}.sessions",
-        "_poll",
+        "_request_report",
         "executor.lease.extend(sent_at)",
         "executor.lease.extend(shard.clock.monotonic())",
         "shard/tests/test_polls.py::"
@@ -201,7 +201,7 @@
         "poll-silent",
         SILENT,
         f"{SHARD}.sessions",
-        "_poll",
+        "_request_report",
         " and not _is_silent_long(executor, sent_at)",
         "",
         "shard/tests/test_sessions.py::"
--- a/limpetstream/workflow/tests/test_stored_progress.py
+++ b/limpetstream/workflow/tests/test_stored_progress.py
@@ -92,7 +92,7 @@
 
 
 def test_a_task_that_is_done_takes_few_bytes_in_the_plain_form():
-    """Guards against a full link: each group of ends writes all tasks again."""
+    """Guards against a link full of progress that is written with each end."""
     job = builders.make_job(40, occurrences=0)
     before = len(records.encode_progress(job))
     builders.finish(job, 0, run=100_001)
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -7,6 +7,7 @@
 import dataclasses
 import random
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -21,7 +22,13 @@
 )
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages
-from standins import keyed_store, step_executor_client, step_executors, virtual_time
+from standins import (
+    keyed_store,
+    queued_link,
+    step_executor_client,
+    step_executors,
+    virtual_time,
+)
 
 EXECUTORS_TOPIC = "keyed.executors"
 QUEUE = messages.Queue("desk", "host", "/desk/", "service", 0, 3, 2.0, 1000.0)
@@ -95,7 +102,8 @@
 
     The instances in ``members_without_peers`` reach no others, and no others
     reach them. ``next_by_member`` names the process that has started at the
-    address of one that has ended, and that answers calls to it.
+    address of one that has ended, and that answers calls to it. The calls to
+    executors of the instances in ``link_by_member`` go through these links.
 
     Args:
         loop: Loop on virtual time.
@@ -126,6 +134,7 @@
         self.instance_by_member: dict[str, Instance] = {}
         self.members_without_peers: set[str] = set()
         self.next_by_member: dict[str, str] = {}
+        self.link_by_member: dict[str, queued_link.Link] = {}
         self.view = state.DeploymentView(messages.Configuration(1, [QUEUE, BATCH]))
         self._shards = shards
         self._decode_listing = decode_listing
@@ -185,9 +194,14 @@
         executor_client = step_executor_client.ExecutorClient(self.executor_by_id)
         gate = FreezeGate()
         clock = self._gated_clock(gate)
+        calls: Any = executor_client
+        if member in self.link_by_member:
+            calls = queued_link.LinkedClient(
+                executor_client, self.link_by_member[member]
+            )
         server = shard_server.ShardServer(
             store=_FreezableClient(store, gate),
-            executor_client=_FreezableClient(executor_client, gate),
+            executor_client=_FreezableClient(calls, gate),
             clock=clock,
             view=self.view,
             timing=state.Timing(max_stop_s=step_executors.STOP_DURATION_S),
