Let long-running work give way in proportion to the fleet

Cause: one long-running run each 0.3 s gives way to desk work, whatever the size. Change: one each 0.3 s for each 32 executors; the share of 8% and the other conditions stay.

--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -11,8 +11,10 @@
 # Runs begin to work, and others come close to their end, without a change of
 # capacity; a tenth of ``victims.LONG_RUNNING_MAX_WAIT_S``.
 SEARCH_RETRY_S = 0.2
-# A preempted run takes 0.2 s to stop and free its capacity.
+# A preempted run takes 0.2 s to stop and free its capacity. In a larger fleet as
+# many more runs give way at a time.
 LONG_RUNNING_PREEMPT_INTERVAL_S = 0.3
+EXECUTORS_PER_PREEMPTED_RUN = 32
 LONG_RUNNING_PREEMPT_AFTER_S = 0.1  # Waits for capacity that is just being freed.
 # Long-running tasks that may wait, as a share of those that run. On both of
 # the users' deployments a core earns about four times as much with short tasks
@@ -125,7 +127,9 @@
     That requires a pause since the last one, a short task that has waited long
     enough, and that few long-running tasks wait, none of them for long.
     """
-    if now - shard.long_running_preempted_at < LONG_RUNNING_PREEMPT_INTERVAL_S:
+    fleet = max(1.0, len(shard.executor_by_id) / EXECUTORS_PER_PREEMPTED_RUN)
+    pause_s = LONG_RUNNING_PREEMPT_INTERVAL_S / fleet
+    if now - shard.long_running_preempted_at < pause_s:
         return False
     if not any(
         victims.is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
