Leave a margin beside serving work where best-effort work can wait

Change: in its first 4 s best-effort work leaves a margin (0.7 of the target) beside images that it has run with; unknown pairs are tried as before.

--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -11,8 +11,8 @@
 # Runs begin to work, and others come close to their end, without a change of
 # capacity; a tenth of ``victims.LONG_RUNNING_MAX_WAIT_S``.
 SEARCH_RETRY_S = 0.2
-# A preempted run takes 0.2 s to stop and free its capacity. In a larger fleet as
-# many more runs give way at a time.
+# A preempted run takes 0.2 s to stop and free its capacity. In a larger fleet
+# more runs give way at a time.
 LONG_RUNNING_PREEMPT_INTERVAL_S = 0.3
 EXECUTORS_PER_PREEMPTED_RUN = 32
 LONG_RUNNING_PREEMPT_AFTER_S = 0.1  # Waits for capacity that is just being freed.
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -198,7 +198,8 @@
         )
         self.executor = executor
         self.cpu_share = expected.cpu_share(task.step)
-        self.pace = expected.pace(task.step)
+        waited_s = context.now - task.ready_at
+        self.pace = expected.pace(task.step, calm=waited_s < FULL_PACE_WAIT_S)
         self.score = expected.spare_cores - expected.best_effort_cores
         self.score += eligibility.FULL_PACE_BONUS_CORES * self.pace
         rack = task.step.data_rack
--- a/limpetstream/workflow/capacity_forecast.py
+++ b/limpetstream/workflow/capacity_forecast.py
@@ -28,12 +28,15 @@
         weight_by_image: Utilization that one core adds, by best-effort image.
         headrooms: Utilization that best-effort work may add, at each sample
             offset.
+        calm_margin: Part of the headroom that is left free where a task can
+            wait for a better place.
         added_utilization: Utilization that the best-effort work on the
             executor adds at full speed.
     """
 
     weight_by_image: Mapping[str, float]
     headrooms: list[float]
+    calm_margin: float = 0.0
     added_utilization: float = 0.0
 
 
@@ -59,11 +62,17 @@
         cores = max(MIN_CORES, step.cpu_millicores / 1000)
         return min(1.0, self.spare_cores / (self.best_effort_cores + cores))
 
-    def pace(self, step: messages.Step) -> float:
+    def pace(self, step: messages.Step, *, calm: bool = False) -> float:
         """Return the share of its speed, up to 1, that one more task can keep.
 
         A task is slowed down while it would bring serving work over its
         utilization limit.
+
+        Args:
+            step: Step of the task.
+            calm: Whether to leave the margin free that covers errors of the
+                forecast. Beside images that it has not run with, a task is
+                tried without it.
         """
         cores = max(MIN_CORES, step.cpu_millicores / 1000)
         lowest_paces = None
@@ -74,8 +83,11 @@
             if weight < interference.MIN_RELEVANT_WEIGHT:
                 continue
             added = serving.added_utilization + weight * cores
+            is_known = step.image in serving.weight_by_image
+            margin = serving.calm_margin if calm and is_known else 0.0
             paces = [
-                min(1.0, max(0.0, headroom) / added) for headroom in serving.headrooms
+                min(1.0, max(0.0, headroom - margin) / added)
+                for headroom in serving.headrooms
             ]
             lowest_paces = (
                 paces if lowest_paces is None else list(map(min, lowest_paces, paces))
@@ -140,7 +152,9 @@
             used -= (1 - min(1.0, max(0.0, sum(loads) / len(loads)))) * cores
         serving = serving_by_image.get(image)
         if serving is None:
-            serving_by_image[image] = ServingLoad(model.weights(image), headrooms)
+            serving_by_image[image] = ServingLoad(
+                model.weights(image), headrooms, model.calm_margin(image)
+            )
         else:
             serving.headrooms = list(map(min, serving.headrooms, headrooms))
     cores_by_image: dict[str, float] = {}
--- a/limpetstream/workflow/interference.py
+++ b/limpetstream/workflow/interference.py
@@ -27,6 +27,9 @@
 PEAK_STEP_UP = 0.01
 PEAK_STEP_DOWN = PEAK_STEP_UP / 19
 TAIL_LIMIT = 0.85  # Tail latency up to which work is placed and paced.
+# For work that need not be placed soon. Predictions of the utilization have an
+# error of 0.07, which is about the distance from this limit to the target.
+CALM_TAIL_LIMIT = 0.7
 DEFAULT_WEIGHT = 0.008  # Utilization that a core adds, for an unknown pair.
 # On both of the users' deployments, the learned weights of pairs without
 # effect are -0.005 to 0.005, and those of other pairs 0.015 to 0.06.
@@ -82,6 +85,11 @@
         """Return the utilization that corresponds to ``TAIL_LIMIT``."""
         return self.utilization(serving, TAIL_LIMIT)
 
+    def calm_margin(self, serving: str) -> float:
+        """Return by how much the limit for calm placement is lower."""
+        calm = self.utilization(serving, CALM_TAIL_LIMIT)
+        return self.limit(serving) - calm
+
     def peak(self, serving: str) -> float:
         """Return the utilization that user load alone rarely exceeds."""
         return self._estimate(serving).peak
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -14,7 +14,7 @@
 from limpetstream import errors
 from limpetstream.executors import messages
 from limpetstream.workflow import messages as workflow_messages
-from standins import step_loads
+from standins import sharing_world, step_loads
 
 STOP_DURATION_S = 0.1
 GANG_WAIT_S = 3.0  # A member of a gang waits so long for the others.
@@ -180,6 +180,7 @@
         fail_all: Whether every run fails at once.
         steps_by_spec: Steps of the job, by its text. Without them only the
             processors of its tasks are known.
+        world: How runs slow each other; that of ``step_loads`` if None.
     """
 
     listing: messages.Listing
@@ -202,6 +203,7 @@
     steps_by_spec: dict[str, list[workflow_messages.Step]] = dataclasses.field(
         default_factory=dict
     )
+    world: sharing_world.World | None = None
     _waiters: set[asyncio.Future[None]] = dataclasses.field(default_factory=set)
 
     async def wait_for_change(self, until: float) -> None:
@@ -395,14 +397,25 @@
             return 0
         if not run.step.tail_target_ms:
             return run.cpu * run.pace / 100
+        now = asyncio.get_running_loop().time()
+        if self.world is not None:
+            return self.world.report_ms(run.spec, run.step, self.filled_cores(), now)
         best_effort = {
             other.step.image: other.cpu * other.pace / 100_000
             for other in self.run_by_task.values()
             if other.is_best_effort()
         }
-        now = asyncio.get_running_loop().time()
         return step_loads.tail_ms(run.step, best_effort, now)
 
+    def filled_cores(self) -> dict[str, float]:
+        """Return the cores that best-effort runs use, by image."""
+        cores: dict[str, float] = {}
+        for run in self.run_by_task.values():
+            if run.step is not None and run.step.fills:
+                image = run.step.image
+                cores[image] = cores.get(image, 0.0) + run.cpu * run.pace / 100_000
+        return cores
+
     def _extend_lease(self, deadline_ms: int) -> None:
         longest_ms = self.clock_ms() + MAX_LEASE_MS
         self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
