--- a/limpetstream/executors/sending.py
+++ b/limpetstream/executors/sending.py
@@ -23,14 +23,13 @@
 import itertools
 from collections.abc import AsyncIterator, Callable, Iterator
 
-from limpetstream import clock as clock_module, errors
-from limpetstream.executors import messages
+from limpetstream import clock as clock_module
 
 INITIAL_BYTES = 16_384
 # Four starts of usual size: enough for 100 KB/s at a round trip of 40 ms.
 MIN_BYTES = 4_096
 MAX_BYTES = 262_144
-GROWTH = 1.1  # Per interval in which starts have waited for the window.
+GROWTH = 1.1  # Per interval in which calls have waited for the window.
 SHRINKAGE = 0.5
 # Ten times the round trip between data centres.
 MAX_DELAY_S = 0.1
@@ -270,7 +269,7 @@
         self._admit()
 
     async def _wait(self, size: int, rank: tuple[float, ...]) -> None:
-        """Wait until a start is admitted, which counts its bytes."""
+        """Wait until the call is admitted, which counts its bytes."""
         self._was_full = True
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         heapq.heappush(self._waiting, (rank, next(self._numbers), size, future))
@@ -282,7 +281,7 @@
             raise
 
     def _admit(self) -> None:
-        """Admit the first starts that wait while the window is not full."""
+        """Admit the first calls that wait while the window is not full."""
         while self._waiting and self.under_way_bytes < self.limit_bytes:
             _, _, size, future = heapq.heappop(self._waiting)
             if not future.done():
@@ -297,97 +296,3 @@
     350
     """
     return HEAD_BYTES + len(spec)
-
-
-class MeasuringClient:
-    """Client of executors that notes the delay of each prompt answer.
-
-    Args:
-        client: Client to call.
-        window: Window of the owner.
-        clock: Source of monotonic time.
-    """
-
-    def __init__(
-        self,
-        client: messages.ExecutorClient,
-        window: SendWindow,
-        clock: clock_module.Clock,
-    ) -> None:
-        self._client = client
-        self._window = window
-        self._clock = clock
-
-    async def start(
-        self,
-        listing: messages.Listing,
-        request: messages.StartRequest,
-        *,
-        timeout_s: float,
-    ) -> messages.StartReply:
-        """Start one run."""
-        with self._measured(listing):
-            return await self._client.start(listing, request, timeout_s=timeout_s)
-
-    async def stop(
-        self,
-        listing: messages.Listing,
-        task: str,
-        run: int,
-        token: int,
-        *,
-        timeout_s: float,
-    ) -> None:
-        """Stop one run."""
-        with self._measured(listing):
-            await self._client.stop(listing, task, run, token, timeout_s=timeout_s)
-
-    async def poll(
-        self,
-        listing: messages.Listing,
-        *,
-        token: int,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-        timeout_s: float,
-    ) -> messages.PollReply:
-        """Extend the lease, acknowledge ends and return the runs."""
-        with self._measured(listing, wait_ms / 1000):
-            return await self._client.poll(
-                listing,
-                token=token,
-                acknowledged=acknowledged,
-                deadline_ms=deadline_ms,
-                wait_ms=wait_ms,
-                timeout_s=timeout_s,
-            )
-
-    async def pace(
-        self,
-        listing: messages.Listing,
-        task: str,
-        run: int,
-        percent: int,
-        token: int,
-        *,
-        timeout_s: float,
-    ) -> None:
-        """Set the percentage of full speed that a run may use."""
-        with self._measured(listing):
-            await self._client.pace(
-                listing, task, run, percent, token, timeout_s=timeout_s
-            )
-
-    @contextlib.contextmanager
-    def _measured(
-        self, listing: messages.Listing, wait_s: float = 0.0
-    ) -> Iterator[None]:
-        sent_at = self._clock.monotonic()
-        try:
-            yield
-        except errors.PlatformUnavailable:
-            self._window.note_silence(listing.executor_id)
-            raise
-        # A poll that waits is answered earlier if a run ends meanwhile.
-        self._window.note_answer(self._clock.monotonic() - sent_at - wait_s)
--- a/limpetstream/executors/tests/test_sending.py
+++ b/limpetstream/executors/tests/test_sending.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from limpetstream import errors
 from limpetstream.executors import sending
 from standins import virtual_time
 
@@ -160,55 +159,6 @@
     run(scenario)
 
 
-def test_a_poll_that_waits_is_measured_beyond_its_wait():
-    """Guards against waits for the end of a run that count as delays."""
-
-    class Client:
-        async def poll(self, listing, *, wait_ms, **values):
-            await asyncio.sleep(wait_ms / 1000 + 0.02)
-
-    class Listing:
-        executor_id = "x0"
-
-    async def scenario(window):
-        clock = window._clock
-        client = sending.MeasuringClient(Client(), window, clock)
-        await client.poll(
-            Listing,
-            token=1,
-            acknowledged=0,
-            deadline_ms=None,
-            wait_ms=1000,
-            timeout_s=2,
-        )
-        window.end_interval(0.0, 1)
-        assert abs(window.delay_s - 0.02) < 1e-6
-
-    run(scenario)
-
-
-def test_calls_without_an_answer_are_noted_and_raised():
-    """Guards against an owner that does not see that nobody answers."""
-
-    class Client:
-        async def stop(self, *arguments, **values):
-            raise errors.PlatformUnavailable("no answer")
-
-    class Listing:
-        executor_id = "x0"
-
-    async def scenario(window):
-        client = sending.MeasuringClient(Client(), window, window._clock)
-        try:
-            await client.stop(Listing, "task", 1, 1, timeout_s=1)
-        except errors.PlatformUnavailable:
-            assert window._silent_ids == {"x0"}
-        else:
-            raise AssertionError("the error was swallowed")
-
-    run(scenario)
-
-
 def test_a_full_link_is_reported_once_and_so_is_its_end():
     """Guards against a log line for each interval, or none at all."""
     reports = []
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.executors import messages as executor_messages, sending
+from limpetstream.executors import measuring, messages as executor_messages
 from limpetstream.shard import (
     events,
     executor_list,
@@ -209,7 +209,7 @@
             lease_records_complete=False,
         )
         shard.executor_client = fences.CheckingClient(
-            sending.MeasuringClient(
+            measuring.MeasuringClient(
                 self._executor_client, shard.send_window, self._clock
             ),
             functools.partial(proof.confirm, shard),
