Allow all slots at the end of a ramp despite rounding

Change: the end is compared as a time. Result: test_all_slots_are_allowed_at_the_end_of_a_ramp fails before (7 of 8 slots).

--- a/limpetstream/desk/executor_selection.py
+++ b/limpetstream/desk/executor_selection.py
@@ -250,8 +250,11 @@
             return 0
         if health.ejected:
             return 1 if now >= health.ejected_until else 0
+        # The difference of two times may be a little less than the duration.
+        if now >= health.ramp_started_at + health.ramp_duration_s:
+            return limit
         ramp_share = (now - health.ramp_started_at) / health.ramp_duration_s
-        return limit if ramp_share >= 1.0 else max(1, int(limit * ramp_share))
+        return max(1, int(limit * ramp_share))
 
     def current_slowdown(self, executor: str, now: float) -> float:
         """Return the interference factor, which decays as its sample ages."""
--- a/limpetstream/desk/tests/test_executor_selection.py
+++ b/limpetstream/desk/tests/test_executor_selection.py
@@ -97,6 +97,18 @@
     assert shares == [1, 1, 3, 4, 6, 8]
 
 
+def test_all_slots_are_allowed_at_the_end_of_a_ramp():
+    """Guards against rounding: 15.3837 + 10 - 15.3837 is less than 10."""
+    tracker, returned_at = new_tracker(), 15.3837
+    assert returned_at + executor_selection.RAMP_S - returned_at < 10.0
+    for _ in range(executor_selection.FAILURES_TO_EJECT):
+        tracker.observe("e0", run_s=0.0, answered=False, now=0.0)
+    assert tracker.observe("e0", run_s=0.05, answered=True, now=returned_at)
+    end_at = returned_at + executor_selection.RAMP_S
+    assert tracker.allowed_slots("e0", 8, end_at) == 8
+    assert tracker.allowed_slots("e0", 8, end_at - 0.01) == 7
+
+
 def test_an_answer_from_before_the_ejection_is_no_probe():
     """Guards against a return without a probe after the ejection."""
     tracker = new_tracker()
