--- a/review/kit/cluster.py
+++ b/review/kit/cluster.py
@@ -343,7 +343,7 @@
         try:
             async with asyncio.timeout(limit_s):
                 status = await play()  # type: ignore[operator]
-        except (RuntimeError, OSError, TimeoutError) as error:
+        except Exception as error:
             print(f"could not run: {error!r}")
         sys.stdout.flush()
         os._exit(status)  # Open connections need no orderly end.
