--- a/review/kit/cluster.py
+++ b/review/kit/cluster.py
@@ -340,10 +340,14 @@
 
     async def limited() -> None:
         status = 2
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The processes are ended also if the script is.
+            loop.add_signal_handler(number, task.cancel)  # type: ignore[union-attr]
         try:
             async with asyncio.timeout(limit_s):
                 status = await play()  # type: ignore[operator]
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             print(f"could not run: {error!r}")
         sys.stdout.flush()
         os._exit(status)  # Open connections need no orderly end.
