Tell each attempt to store a job, and calls whose connection broke

The hypotheses, a second copy of the append, one of the peers' call, or an earlier attempt, look alike in the logs: call-refused had the last reason only.

It now lists the attempts with status, copies of the body, connections opened and what was concluded; an instance that was asked to store a job logs its own attempt (1563); call-cut-off (1104) and limpetstream_call_resends_total tell bodies that libcurl sent again, or was not allowed to; a 503 for want of a configuration has a line (1564). No decision changes.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -3,6 +3,7 @@
 They concern pool sizes, safe closing, and what a failed call has received.
 """
 
+import io
 import re
 
 import pycurl
@@ -23,12 +24,56 @@
     return int(match[1]) if match else 0
 
 
-def forbid_resend(handle: pycurl.Curl) -> None:
-    """Let a call fail where libcurl would send its body a second time.
+class Upload:
+    """Hands the body of one call to libcurl and counts how often it is sent.
 
-    libcurl then has to go back to the start of the body, which this refuses.
+    libcurl sends a call again by itself if a reused connection breaks before
+    the first byte of the answer. The answer to the second copy says nothing
+    about the first one. To send the body again, libcurl has to go back to its
+    start, which is counted here, and refused unless ``may_resend`` is true.
+
+    Args:
+        body: Body of the call; None if it has none.
+        may_resend: Whether libcurl may send the body again.
+
+    Attributes:
+        copies: How often libcurl has begun to send the body.
+        opened_connections: Connections that were opened for the call; 0 if it
+            used one that was open.
+        has_body: Whether the call has a body.
+        is_resend_refused: Whether libcurl has tried to send the body again.
     """
-    handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+    def __init__(self, body: bytes | None, *, may_resend: bool) -> None:
+        self.copies = 0
+        self.opened_connections = 0
+        self.is_resend_refused = False
+        self.has_body = body is not None
+        self._body = io.BytesIO(body or b"")
+        self._may_resend = may_resend
+
+    def configure(self, handle: pycurl.Curl) -> None:
+        """Set the options of a libcurl handle for this call."""
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._count_connection)
+        if self.has_body:
+            handle.setopt(pycurl.READFUNCTION, self._read)
+            handle.setopt(pycurl.SEEKFUNCTION, self._seek)
+
+    def _count_connection(self, file_descriptor: int, purpose: int) -> int:
+        self.opened_connections += 1
+        return pycurl.SOCKOPT_OK
+
+    def _read(self, size: int) -> bytes:
+        if self._body.tell() == 0:
+            self.copies += 1
+        return self._body.read(size)
+
+    def _seek(self, offset: int, origin: int) -> int:
+        if not self._may_resend:
+            self.is_resend_refused = True
+            return pycurl.SEEKFUNC_FAIL
+        self._body.seek(offset, origin)
+        return pycurl.SEEKFUNC_OK
 
 
 def close(client: curl_httpclient.CurlAsyncHTTPClient) -> None:
--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -1,5 +1,26 @@
 """Exceptions raised by limpetstream; all derive from LimpetstreamError."""
 
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Delivery:
+    """How one call went out over HTTP.
+
+    Args:
+        status: HTTP status of the answer; 0 if none came.
+        copies: How often the sending of the body was begun; more than once if
+            a reused connection broke and the HTTP library sent it again.
+        opened_connections: Connections that were opened for the call; 0 if it
+            used one that was open.
+        has_body: Whether the call has a body.
+    """
+
+    status: int = 0
+    copies: int = 0
+    opened_connections: int = 0
+    has_body: bool = False
+
 
 class LimpetstreamError(Exception):
     """Base class of all errors that this package raises."""
@@ -41,6 +62,7 @@
         not_applied: Whether the call certainly had no effect.
         answer_began: Whether a part of the answer arrived before the time
             limit.
+        delivery: How the call went out; None if it is not known.
     """
 
     def __init__(
@@ -49,10 +71,12 @@
         *,
         not_applied: bool = False,
         answer_began: bool = False,
+        delivery: Delivery | None = None,
     ) -> None:
         super().__init__(message)
         self.not_applied = not_applied
         self.answer_began = answer_began
+        self.delivery = delivery
 
 
 class LogUnavailable(PlatformUnavailable):
--- a/limpetstream/platform/events.py
+++ b/limpetstream/platform/events.py
@@ -30,3 +30,10 @@
     "Calls that this instance has sent, and their bytes, since the last such line.",
     "Compare them with the instance's link; see docs/OPERATIONS.md.",
 )
+CALL_CUT_OFF = events.declare(
+    1104,
+    "call-cut-off",
+    "INFO",
+    "A connection broke under a call without an answer; it may have taken effect.",
+    "None by itself; see call-refused of the job, or the metric of resends.",
+)
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -32,6 +32,7 @@
 _UNUSED_HEADERS = {"Accept": "", "User-Agent": ""}
 # Unexpected answers of a platform of another version would flood the logs.
 REPORT_INTERVAL_S = 10.0
+CUT_REPORT_INTERVAL_S = 1.0  # For each kind of call; counters tell the others.
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,12 +45,14 @@
         sent_at: Monotonic time before the call was queued and sent, in
             seconds.
         received_at: Monotonic time after the answer was read, in seconds.
+        delivery: How the call went out.
     """
 
     status: int
     body: bytes
     sent_at: float
     received_at: float
+    delivery: errors.Delivery = dataclasses.field(default_factory=errors.Delivery)
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,12 +65,18 @@
         sent_bytes: Bytes of paths and bodies sent; the head of a request adds
             about 200 to each.
         received_bytes: Bytes of bodies received.
+        resends: Bodies that libcurl has sent again, as a connection broke.
+        refused_resends: Bodies that it was not allowed to send again.
+        opened_connections: Connections opened.
     """
 
     calls: int = 0
     failures: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
+    resends: int = 0
+    refused_resends: int = 0
+    opened_connections: int = 0
 
 
 class Client:
@@ -104,6 +113,7 @@
         self.traffic_by_call: dict[str, Traffic] = {}
         self._connect_timeout_s = connect_timeout_s
         self._reported_at = float("-inf")
+        self._cut_reported_at_by_call: dict[str, float] = {}
         self._max_clients = max_clients
         self._curl = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
@@ -153,8 +163,8 @@
         request = self._request(method, path, body, timeout_s)
         if headers:
             request.headers.update(headers)
-        if not may_resend:
-            request.prepare_curl_callback = _curl.forbid_resend
+        upload = _curl.Upload(request.body, may_resend=may_resend)
+        request.prepare_curl_callback = upload.configure
         counted = self._count_sent(path, len(path) + len(request.body or b""))
         _curl.ensure_free_handle(self._curl, self._max_clients)
         try:
@@ -162,24 +172,32 @@
         except (httpclient.HTTPError, OSError) as error:
             # Tornado raises time-outs and failed connections here, although
             # raise_error is false, because they have no HTTP response.
-            self.traffic.failures += 1
-            counted.failures += 1
+            self._count_failure(counted)
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {error}",
                 answer_began=_curl.received_bytes(error) > 0,
+                delivery=_delivery(upload),
             ) from error
+        finally:
+            self._count_upload(path, counted, upload)
         raw = response.body or b""
         self.traffic.received_bytes += len(raw)
         counted.received_bytes += len(raw)
         if response.code in (503, NO_ANSWER_STATUS):
-            self.traffic.failures += 1
-            counted.failures += 1
+            self._count_failure(counted)
             code = getattr(response.error, "errno", 0)
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {response.reason}",
                 not_applied=response.code == 503 or code == pycurl.E_COULDNT_CONNECT,
+                delivery=_delivery(upload, response.code),
             )
-        return Answer(response.code, raw, sent_at, self.clock.monotonic())
+        return Answer(
+            response.code,
+            raw,
+            sent_at,
+            self.clock.monotonic(),
+            _delivery(upload, response.code),
+        )
 
     async def fetch(
         self,
@@ -236,6 +254,30 @@
         counted.sent_bytes += size
         return counted
 
+    def _count_failure(self, counted: Traffic) -> None:
+        self.traffic.failures += 1
+        counted.failures += 1
+
+    def _count_upload(self, path: str, counted: Traffic, upload: _curl.Upload) -> None:
+        """Count how the body of a call was sent; log a broken connection."""
+        for traffic in (self.traffic, counted):
+            traffic.resends += max(0, upload.copies - 1)
+            traffic.refused_resends += upload.is_resend_refused
+            traffic.opened_connections += upload.opened_connections
+        if upload.copies < 2 and not upload.is_resend_refused:
+            return
+        call, now = call_name(path), self.clock.monotonic()
+        reported_at = self._cut_reported_at_by_call.get(call, float("-inf"))
+        if now >= reported_at + CUT_REPORT_INTERVAL_S:
+            self._cut_reported_at_by_call[call] = now
+            logs.emit(
+                events.CALL_CUT_OFF,
+                call=call,
+                copies=upload.copies,
+                resends=counted.resends,
+                refused_resends=counted.refused_resends,
+            )
+
     def _request(
         self, method: str, path: str, body: Any, timeout_s: float
     ) -> httpclient.HTTPRequest:
@@ -253,6 +295,12 @@
         )
 
 
+def _delivery(upload: _curl.Upload, status: int = 0) -> errors.Delivery:
+    return errors.Delivery(
+        status, upload.copies, upload.opened_connections, upload.has_body
+    )
+
+
 def _check_sendable(method: str, path: str, headers: dict[str, str]) -> None:
     """Check the texts for which libcurl's binding raises errors of its own.
 
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -396,3 +396,17 @@
     "Calls to executors no longer wait.",
     "None.",
 )
+PEER_JOB_NOT_STORED = events.declare(
+    1563,
+    "peer-job-not-stored",
+    "INFO",
+    "A job that another instance has passed on was not stored here.",
+    "See the attempt; call-refused of the job at the other instance has its outcome.",
+)
+CALLER_NOT_SERVED = events.declare(
+    1564,
+    "caller-not-served",
+    "INFO",
+    "Requests of callers are refused, as no configuration has been read yet.",
+    "Check the platform's store if it lasts; see list-read-failed.",
+)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -5,7 +5,14 @@
 from typing import NoReturn
 
 from limpetstream import clock as clock_module, errors
-from limpetstream.shard import events, names, peer_messages, queries, shard_server
+from limpetstream.shard import (
+    events,
+    names,
+    peer_messages,
+    queries,
+    shard_server,
+    submission_attempts,
+)
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
@@ -83,7 +90,7 @@
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        failed_tries, may_be_stored = 0, False
+        attempts, failed_tries = submission_attempts.Attempts(self._clock), 0
         timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
         while True:
             try:
@@ -91,19 +98,16 @@
                 self._store_down_since = None
                 break
             except errors.PlatformUnavailable as error:
-                may_be_stored = may_be_stored or not error.not_applied
+                attempts.note_store(error)
                 failed_tries += 1
                 if self._store_down_since is None:
                     self._store_down_since = self._clock.monotonic()
-                reason = str(error)
             if failed_tries >= LOCAL_STORE_TRIES:
-                reply = await self._store_at_peer(shard, submission)
-                if reply.known:
+                if await self._store_at_peer(shard, submission, attempts):
                     self._store_down_since = None
                     break
-                may_be_stored = may_be_stored or reply.unknown
             if self._clock.monotonic() + retry_s >= give_up_at:
-                self._raise_failure(submission, may_be_stored, reason)
+                self._raise_failure(submission, attempts, attempts.reason)
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
             timeout_s = min(MAX_STORE_TIMEOUT_S, timeout_s * 2)
@@ -136,7 +140,7 @@
             return True
         self._raise_failure(
             submission,
-            False,
+            submission_attempts.Attempts(self._clock),
             "the store does not answer; a later request probes it again",
         )
 
@@ -218,6 +222,13 @@
         try:
             await self._append(request.shard, request.submission, STORE_TIMEOUT_S)
         except errors.PlatformUnavailable as error:
+            attempts = submission_attempts.Attempts(self._clock)
+            attempts.note_store(error)
+            logs.emit(
+                events.PEER_JOB_NOT_STORED,
+                job=request.submission.job_id,
+                attempts=attempts.rows(),
+            )
             return peer_messages.PeerReply(
                 refused=str(error), unknown=not error.not_applied
             )
@@ -238,32 +249,47 @@
         )
 
     async def _store_at_peer(
-        self, shard: int, submission: messages.Submission
-    ) -> peer_messages.PeerReply:
-        """Ask another instance to store a job that this one cannot store."""
+        self,
+        shard: int,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+    ) -> bool:
+        """Ask another instance to store a job that this one cannot store.
+
+        Returns:
+            Whether the job is stored; if not, the attempt is noted.
+        """
         others = [member for member in self._members if member != self._member]
         if not others:
-            return peer_messages.PeerReply(refused="no other instance is known")
+            return False
+        member = random.choice(others)
         try:
-            return await self._peers.call(
-                random.choice(others),
+            reply = await self._peers.call(
+                member,
                 peer_messages.PeerRequest("store", shard, submission=submission),
                 timeout_s=PEER_TIMEOUT_S,
             )
         except errors.PeerUnreachable as error:
-            return peer_messages.PeerReply(refused=str(error), unknown=True)
+            reply = peer_messages.PeerReply(refused=str(error), unknown=True)
+        if not reply.known:
+            attempts.note_peer(member, reply)
+        return reply.known
 
     def _raise_failure(
-        self, submission: messages.Submission, may_be_stored: bool, reason: str
+        self,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+        reason: str,
     ) -> NoReturn:
         logs.emit(
             events.CALL_REFUSED,
             call="submit",
             job=submission.job_id,
-            outcome="unknown" if may_be_stored else "not-run",
+            outcome="unknown" if attempts.may_be_stored else "not-run",
             reason=reason,
+            attempts=attempts.rows(),
         )
-        if may_be_stored:
+        if attempts.may_be_stored:
             raise errors.OutcomeUnknown(reason)
         raise errors.NotRun("store-unavailable", reason, retry_after_s=RETRY_AFTER_S)
 
--- a/limpetstream/telemetry/traffic_metrics.py
+++ b/limpetstream/telemetry/traffic_metrics.py
@@ -9,6 +9,8 @@
 from limpetstream.telemetry import logs
 
 REPORT_INTERVAL_S = 5.0
+# Left out of the log line while they do not grow.
+RARE_COUNTERS = frozenset({"resends", "refused_resends", "opened_connections"})
 
 
 async def report(client: http.Client, clock: clock_module.Clock) -> None:
@@ -41,7 +43,8 @@
 ) -> dict[str, dict[str, Any]]:
     """Return by how much the counters of each kind of call have grown.
 
-    Kinds without a new call are left out.
+    Kinds without a new call are left out, and so are most counters that have
+    not grown: a broken connection is rare.
 
     >>> grown = changes({}, {"start": http.Traffic(calls=2, sent_bytes=9)})
     >>> grown["start"]
@@ -50,12 +53,16 @@
     rows = {}
     for name, traffic in after.items():
         old = dataclasses.asdict(before.get(name, http.Traffic()))
-        row = {
+        growth = {
             field: value - old[field]
             for field, value in dataclasses.asdict(traffic).items()
         }
-        if any(row.values()):
-            rows[name] = row
+        if any(growth.values()):
+            rows[name] = {
+                field: value
+                for field, value in growth.items()
+                if value or field not in RARE_COUNTERS
+            }
     return rows
 
 
@@ -63,6 +70,7 @@
     """Return the counters in the Prometheus text format."""
     lines = ["# TYPE limpetstream_calls_total counter"]
     byte_lines = ["# TYPE limpetstream_call_bytes_total counter"]
+    resend_lines = ["# TYPE limpetstream_call_resends_total counter"]
     for name, traffic in sorted(traffic_by_call.items()):
         for result, count in (
             ("answered", traffic.calls - traffic.failures),
@@ -76,4 +84,10 @@
         ):
             labels = f'call="{name}",direction="{direction}"'
             byte_lines.append(f"limpetstream_call_bytes_total{{{labels}}} {size}")
-    return ("\n".join(lines + byte_lines) + "\n").encode()
+        for result, count in (
+            ("sent", traffic.resends),
+            ("refused", traffic.refused_resends),
+        ):
+            labels = f'call="{name}",result="{result}"'
+            resend_lines.append(f"limpetstream_call_resends_total{{{labels}}} {count}")
+    return ("\n".join(lines + byte_lines + resend_lines) + "\n").encode()
