Send the body of a call once, so that a refusal is that of its only copy

The store had done the append when its connection broke; libcurl sent the body again by itself, the store answered the second copy with 503, and that was taken for the answer to both. The same could happen to the 'store' call between instances, and with 429.

Class: an answer to a repeated copy taken for the answer to the call. No call with a body is sent again by libcurl any more, to the store, to instances, executors or the platform's log; each repetition is a decision of the caller, who knows that the first one may have taken effect. not_applied is derived from the answer and the number of copies in one place (errors.Delivery.is_refused).

Tests of test_refused_submissions.py: failed before for an append followed by 503 and by 429 and for the peers' call, pass now. The refused connection after a break and the true refusal passed before too. The error branch for a refused connection in Client.call was dead, as tornado raises it, and is gone.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -25,16 +25,16 @@
 
 
 class Upload:
-    """Hands the body of one call to libcurl and counts how often it is sent.
+    """Hands the body of one call to libcurl and lets it be sent once.
 
     libcurl sends a call again by itself if a reused connection breaks before
     the first byte of the answer. The answer to the second copy says nothing
-    about the first one. To send the body again, libcurl has to go back to its
-    start, which is counted here, and refused unless ``may_resend`` is true.
+    about the first one, which may have taken effect. To send the body again,
+    libcurl has to go back to its start, which is refused here; the call fails
+    as one without an answer.
 
     Args:
         body: Body of the call; None if it has none.
-        may_resend: Whether libcurl may send the body again.
 
     Attributes:
         copies: How often libcurl has begun to send the body.
@@ -44,20 +44,19 @@
         is_resend_refused: Whether libcurl has tried to send the body again.
     """
 
-    def __init__(self, body: bytes | None, *, may_resend: bool) -> None:
+    def __init__(self, body: bytes | None) -> None:
         self.copies = 0
         self.opened_connections = 0
+        self.has_body = bool(body)
         self.is_resend_refused = False
-        self.has_body = body is not None
         self._body = io.BytesIO(body or b"")
-        self._may_resend = may_resend
 
     def configure(self, handle: pycurl.Curl) -> None:
         """Set the options of a libcurl handle for this call."""
         handle.setopt(pycurl.SOCKOPTFUNCTION, self._count_connection)
         if self.has_body:
             handle.setopt(pycurl.READFUNCTION, self._read)
-            handle.setopt(pycurl.SEEKFUNCTION, self._seek)
+            handle.setopt(pycurl.SEEKFUNCTION, self._refuse_resend)
 
     def _count_connection(self, file_descriptor: int, purpose: int) -> int:
         self.opened_connections += 1
@@ -68,12 +67,9 @@
             self.copies += 1
         return self._body.read(size)
 
-    def _seek(self, offset: int, origin: int) -> int:
-        if not self._may_resend:
-            self.is_resend_refused = True
-            return pycurl.SEEKFUNC_FAIL
-        self._body.seek(offset, origin)
-        return pycurl.SEEKFUNC_OK
+    def _refuse_resend(self, offset: int, origin: int) -> int:
+        self.is_resend_refused = True
+        return pycurl.SEEKFUNC_FAIL
 
 
 def close(client: curl_httpclient.CurlAsyncHTTPClient) -> None:
--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Statuses of answers to calls that had no effect.
+REFUSAL_STATUSES = frozenset({429, 503})
+
 
 @dataclasses.dataclass(slots=True)
 class Delivery:
@@ -21,6 +24,14 @@
     opened_connections: int = 0
     has_body: bool = False
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the call certainly had no effect.
+
+        A refusal of a second copy says nothing about the first one.
+        """
+        return self.status in REFUSAL_STATUSES and self.copies <= 1
+
 
 class LimpetstreamError(Exception):
     """Base class of all errors that this package raises."""
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import msgspec
-import pycurl
 from tornado import curl_httpclient, httpclient
 
 from limpetstream import _curl, clock, errors
@@ -22,7 +21,6 @@
 MAX_CONCURRENT_CALLS = 256
 # Enough libcurl handles for an idle instance; more are created on demand.
 INITIAL_HANDLES = 16
-NO_ANSWER_STATUS = 599  # Tornado's status for time-outs and refused connections.
 MAX_DETAIL_CHARACTERS = 200  # Quoted from the body of an unexpected answer.
 # Open connections per concurrent call; idle ones stay open beside those in
 # use, for the next burst (see ``_curl.set_max_connections``).
@@ -82,14 +80,9 @@
 class Client:
     """Sends JSON calls to one platform and maps failures to errors.
 
-    libcurl resends a call on its own when a reused connection breaks before
-    the first byte of the response, so the platform may receive any call
-    twice, unless ``may_resend`` is false. Every other call must therefore be
-    idempotent, and those of this package are: reads have no effect, readers
-    drop a repeated frame of the log (the records of one append) by its writer
-    sequence numbers, a worker answers a repeated start of an attempt (one run
-    of a task) ``already`` by the attempt id, and renewals of leases,
-    throttles, checkpoints and stops set an absolute state.
+    A call with a body is sent at most once (see ``_curl.Upload``): callers
+    decide themselves whether they repeat it. libcurl may send one without a
+    body again, so those must be reads.
 
     Args:
         base_url: Base URL of the platform, such as
@@ -135,7 +128,6 @@
         *,
         timeout_s: float,
         headers: dict[str, str] | None = None,
-        may_resend: bool = True,
     ) -> Answer:
         """Send one call and return its answer, of any status but 503.
 
@@ -147,23 +139,20 @@
             timeout_s: Time limit of the call, including the connection; a wait
                 for one of ``max_clients`` calls to end is not counted.
             headers: Additional headers.
-            may_resend: Whether libcurl may send the call again, seconds after
-                it was decided. Otherwise a call with a body is sent once.
 
         Raises:
             PlatformUnavailable: The call timed out, the connection failed, the
                 status is 503, or the path or a header cannot be sent.
-                ``not_applied`` is true if nothing was sent or the connection
-                was refused, and after 503, which is taken to mean that the
-                call had no effect. ``answer_began`` is true if a part of the
-                answer's body arrived before the time limit.
+                ``not_applied`` is true after 503, which is taken to mean that
+                the call had no effect. ``answer_began`` is true if a part of
+                the answer's body arrived before the time limit.
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
         request = self._request(method, path, body, timeout_s)
         if headers:
             request.headers.update(headers)
-        upload = _curl.Upload(request.body, may_resend=may_resend)
+        upload = _curl.Upload(request.body)
         request.prepare_curl_callback = upload.configure
         counted = self._count_sent(path, len(path) + len(request.body or b""))
         _curl.ensure_free_handle(self._curl, self._max_clients)
@@ -180,24 +169,18 @@
             ) from error
         finally:
             self._count_upload(path, counted, upload)
+        delivery = _delivery(upload, response.code)
         raw = response.body or b""
         self.traffic.received_bytes += len(raw)
         counted.received_bytes += len(raw)
-        if response.code in (503, NO_ANSWER_STATUS):
+        if response.code == 503:
             self._count_failure(counted)
-            code = getattr(response.error, "errno", 0)
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {response.reason}",
-                not_applied=response.code == 503 or code == pycurl.E_COULDNT_CONNECT,
-                delivery=_delivery(upload, response.code),
+                not_applied=delivery.is_refused,
+                delivery=delivery,
             )
-        return Answer(
-            response.code,
-            raw,
-            sent_at,
-            self.clock.monotonic(),
-            _delivery(upload, response.code),
-        )
+        return Answer(response.code, raw, sent_at, self.clock.monotonic(), delivery)
 
     async def fetch(
         self,
--- /dev/null
+++ b/tests/test_refused_submissions.py
@@ -0,0 +1,91 @@
+"""Tests that a job whose refusal is final is not stored (the rule REFUSED).
+
+They use the real HTTP client, whose library sends a call again by itself when
+a reused connection breaks.
+"""
+
+import asyncio
+
+import loguru
+import pytest
+
+from adapter import store as store_module
+from limpetstream.shard import peering
+from tests import breaking_servers, submission_builders as builders
+
+
+@pytest.fixture(autouse=True)
+def disable_logging():
+    loguru.logger.remove()
+
+
+@pytest.mark.parametrize(
+    "status, listens",
+    [
+        (breaking_servers.REFUSED, True),
+        (breaking_servers.BUSY, True),
+        (breaking_servers.REFUSED, False),
+    ],
+)
+def test_a_job_is_not_refused_after_its_append_lost_the_connection(status, listens):
+    """Guards against a promise about a job that the store holds.
+
+    The store does the append, the connection breaks before the answer, and
+    the store turns away everything that follows, also a second copy.
+    """
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "stored"
+            system.store.break_next = store_module.APPEND_PATH
+            system.store.status_after_break = status
+            system.store.listens_after_break = listens
+            assert await builders.submit(system) == "unknown"
+            assert len(system.stored) == 2
+
+    asyncio.run(run())
+
+
+def test_a_job_is_not_refused_after_another_instance_lost_the_connection():
+    """Guards against a promise about a job that another instance has stored.
+
+    The connection to it breaks before its answer, and the second copy meets a
+    store that is closed to it as well.
+    """
+
+    async def run():
+        async with builders.open_system() as system:
+            await system.learn_members()
+            system.store.status = breaking_servers.REFUSED
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "stored"
+            system.peer.break_next = peering.SHARD_PATH
+            system.peer.status_after_break = breaking_servers.OK
+            system.peer._respond = stop_storing(system)
+            assert await builders.submit(system) == "unknown"
+            assert len(system.stored) == 2
+
+    asyncio.run(run())
+
+
+def stop_storing(system):
+    """Return an answerer that stores once and refuses afterwards."""
+    answer = system.peer._respond
+
+    def respond(path, body):
+        if len(system.stored) == 1:
+            return answer(path, body)
+        return {"refused": "503"}
+
+    return respond
+
+
+def test_a_job_that_no_attempt_has_stored_is_refused():
+    """Guards against an outcome that is told as unknown without need."""
+
+    async def run():
+        async with builders.open_system() as system:
+            system.store.status = breaking_servers.REFUSED
+            assert await builders.submit(system) == "refused"
+            assert not system.stored
+
+    asyncio.run(run())
