Know that a call whose body was never sent had no effect

A job whose every attempt met a refused connection at the store was answered with 504, as if it might have been stored, and a start at an address without an executor stayed in doubt until its stop was answered. Tornado raises a failed connection as an exception, in which the branch that should have told it was never reached.

A call with a body that libcurl has not begun to send is reported as not applied, whatever stopped it. Tests: test_a_job_that_no_attempt_has_stored_is_refused and test_a_call_that_was_never_sent_is_known_to_have_no_effect, both red before.

--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -28,9 +28,13 @@
     def is_refused(self) -> bool:
         """Whether the call certainly had no effect.
 
-        A refusal of a second copy says nothing about the first one.
+        Either the only copy was answered by a refusal, or the sending of the
+        body was never begun. A refusal of a second copy says nothing about the
+        first one.
         """
-        return self.status in REFUSAL_STATUSES and self.copies <= 1
+        if self.status:
+            return self.status in REFUSAL_STATUSES and self.copies <= 1
+        return self.has_body and self.copies == 0
 
 
 class LimpetstreamError(Exception):
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -143,9 +143,10 @@
         Raises:
             PlatformUnavailable: The call timed out, the connection failed, the
                 status is 503, or the path or a header cannot be sent.
-                ``not_applied`` is true after 503, which is taken to mean that
-                the call had no effect. ``answer_began`` is true if a part of
-                the answer's body arrived before the time limit.
+                ``not_applied`` is true if the sending of the body was not
+                begun, or the answer is 503, which is taken to mean that the
+                call had no effect. ``answer_began`` is true if a part of the
+                answer's body arrived before the time limit.
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
@@ -162,10 +163,12 @@
             # Tornado raises time-outs and failed connections here, although
             # raise_error is false, because they have no HTTP response.
             self._count_failure(counted)
+            delivery = _delivery(upload)
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {error}",
+                not_applied=delivery.is_refused,
                 answer_began=_curl.received_bytes(error) > 0,
-                delivery=_delivery(upload),
+                delivery=delivery,
             ) from error
         finally:
             self._count_upload(path, counted, upload)
--- a/limpetstream/platform/tests/test_clients.py
+++ b/limpetstream/platform/tests/test_clients.py
@@ -315,3 +315,19 @@
             client.close()
 
     asyncio.run(main())
+
+
+def test_a_call_that_was_never_sent_is_known_to_have_no_effect() -> None:
+    """Guards against doubt about calls to an address that refuses connections."""
+
+    async def main() -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+        client = http.Client(base_url=f"http://127.0.0.1:{port}", clock=clock.Clock())
+        with pytest.raises(errors.PlatformUnavailable) as caught:
+            await client.call("POST", "/calls/start", {}, timeout_s=1.0)
+        assert caught.value.not_applied
+        client.close()
+
+    asyncio.run(main())
--- a/tests/test_refused_submissions.py
+++ b/tests/test_refused_submissions.py
@@ -79,12 +79,15 @@
     return respond
 
 
-def test_a_job_that_no_attempt_has_stored_is_refused():
+@pytest.mark.parametrize("listens", [True, False])
+def test_a_job_that_no_attempt_has_stored_is_refused(listens):
     """Guards against an outcome that is told as unknown without need."""
 
     async def run():
         async with builders.open_system() as system:
             system.store.status = breaking_servers.REFUSED
+            if not listens:
+                system.store.stop_listening()
             assert await builders.submit(system) == "refused"
             assert not system.stored
 
