Do not refuse a job that an earlier request may have stored

A request ended as unknown (504), and a later one for the same id was refused with 503 at the same instance: 'never runs' about a job that the store may hold.

Test: test_a_job_is_not_refused_after_an_earlier_request_may_have_stored_it, red before.

--- a/limpetstream/platform/tests/test_clients.py
+++ b/limpetstream/platform/tests/test_clients.py
@@ -318,7 +318,7 @@
 
 
 def test_a_call_that_was_never_sent_is_known_to_have_no_effect() -> None:
-    """Guards against doubt about calls to an address that refuses connections."""
+    """Guards against doubt about a call that an address refuses at once."""
 
     async def main() -> None:
         with socket.socket() as unused:
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -74,6 +74,7 @@
         self._looked_up_at = float("-inf")
         self._store_down_since: float | None = None
         self._probe_at = float("-inf")
+        self._unknown_jobs = submission_attempts.UnknownJobs()
 
     async def submit(self, submission: messages.Submission, *, wait_s: float) -> None:
         """Store a job durably.
@@ -83,14 +84,15 @@
             wait_s: Seconds that the caller waits.
 
         Raises:
-            NotRun: The job was certainly not stored.
+            NotRun: The job was certainly not stored, by this request or an
+                earlier one at this instance.
             OutcomeUnknown: The job may have been stored.
         """
         shard = names.shard_of(submission.job_id, self._shard_count)
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        attempts, failed_tries = submission_attempts.Attempts(self._clock), 0
+        attempts, failed_tries = self._begin_attempts(submission), 0
         timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
         while True:
             try:
@@ -140,7 +142,7 @@
             return True
         self._raise_failure(
             submission,
-            submission_attempts.Attempts(self._clock),
+            self._begin_attempts(submission),
             "the store does not answer; a later request probes it again",
         )
 
@@ -275,6 +277,13 @@
             attempts.note_peer(member, reply)
         return reply.known
 
+    def _begin_attempts(
+        self, submission: messages.Submission
+    ) -> submission_attempts.Attempts:
+        return submission_attempts.Attempts(
+            self._clock, may_be_stored=submission.job_id in self._unknown_jobs
+        )
+
     def _raise_failure(
         self,
         submission: messages.Submission,
@@ -290,6 +299,7 @@
             attempts=attempts.rows(),
         )
         if attempts.may_be_stored:
+            self._unknown_jobs.add(submission.job_id)
             raise errors.OutcomeUnknown(reason)
         raise errors.NotRun("store-unavailable", reason, retry_after_s=RETRY_AFTER_S)
 
--- a/tests/submission_builders.py
+++ b/tests/submission_builders.py
@@ -11,6 +11,7 @@
 
 JOB_ID = "5c0e7a21d94b36f8"
 OTHER_JOB_ID = "5c0e7a21d94b36f9"
+THIRD_JOB_ID = "5c0e7a21d94b36fa"
 WAIT_S = 1.0
 
 
--- a/tests/test_refused_submissions.py
+++ b/tests/test_refused_submissions.py
@@ -92,3 +92,17 @@
             assert not system.stored
 
     asyncio.run(run())
+
+
+def test_a_job_is_not_refused_after_an_earlier_request_may_have_stored_it():
+    """Guards against a promise that an earlier answer of 504 contradicts."""
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "stored"
+            system.store.break_next = store_module.APPEND_PATH
+            assert await builders.submit(system) == "unknown"
+            assert await builders.submit(system) == "unknown"
+            assert await builders.submit(system, builders.THIRD_JOB_ID) == "refused"
+
+    asyncio.run(run())
