Count a request as refused only if all its tries were refused

The callers of the demonstration and of tests/test_process_faults.py were told "not run" for requests that had run (refused_but_run), and moved non-idempotent requests to another instance after the first had carried them out.

Their HTTP client let libcurl send a request again over a new connection. When an instance was killed with the request in flight, the second copy found the port closed and counted as "refused, nothing was sent", or got a refusal that counted as the reply to both copies. A later try that was refused also replaced "no reply" of an earlier one.

The client uses _curl.Upload now and sends a body once. A refusal after a try that was cut off is recorded as unknown; the outcome is then queried, so a wrong "not run" of an account still counts. Upload tells its Delivery itself, so there is one place that decides what a failed call may have done.

The check of results.py is unchanged.

--- a/demo/desk_load.py
+++ b/demo/desk_load.py
@@ -160,6 +160,9 @@
 def _record_reply(request: SentRequest, reply: http_client.Reply) -> None:
     """Record a reply; check that a 200 answer is whole and not another's."""
     request.outcome = reply.headers.get("Outcome") or f"status {reply.status}"
+    if request.outcome == "not-run" and request.cut_off_by:
+        # The refusal is that of this try; an earlier one may have run.
+        request.outcome = "unknown"
     if reply.status == 200:
         request.outcome = "answered"
         request.answer_fault = executor.fault_in_answer(
--- a/demo/http_client.py
+++ b/demo/http_client.py
@@ -6,7 +6,9 @@
 import msgspec
 from tornado import curl_httpclient, httpclient
 
-COULD_NOT_CONNECT = 7  # CURLE_COULDNT_CONNECT; nothing was sent.
+from limpetstream import _curl
+
+COULD_NOT_CONNECT = 7  # CURLE_COULDNT_CONNECT.
 MAX_CLIENTS = 500
 
 
@@ -35,7 +37,11 @@
 
 
 class HttpClient:
-    """HTTP client that sends calls with keys; one serves a demonstration."""
+    """HTTP client that sends calls with keys; one serves a demonstration.
+
+    A call with a body is sent at most once, so that its reply is not that to a
+    second copy (see ``_curl.Upload``).
+    """
 
     def __init__(self) -> None:
         self._curl = curl_httpclient.CurlAsyncHTTPClient(
@@ -67,7 +73,7 @@
             timeout_s: Time limit in seconds.
 
         Raises:
-            Refused: The connection was refused.
+            Refused: The connection was refused, and nothing was sent before.
             NoReply: No complete reply arrived in time.
         """
         encoded_body = (
@@ -86,10 +92,12 @@
             request_timeout=timeout_s,
             allow_nonstandard_methods=True,
         )
+        upload = _curl.Upload(request.body)
+        request.prepare_curl_callback = upload.configure
         try:
             response = await self._curl.fetch(request, raise_error=False)
         except curl_httpclient.CurlError as error:
-            if error.errno == COULD_NOT_CONNECT:
+            if error.errno == COULD_NOT_CONNECT and not upload.copies:
                 raise Refused(url) from error
             raise NoReply(f"{url}: {error}") from error
         except (httpclient.HTTPError, OSError) as error:
--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -9,6 +9,8 @@
 import pycurl
 from tornado import curl_httpclient
 
+from limpetstream import errors
+
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
 
@@ -58,6 +60,16 @@
             handle.setopt(pycurl.READFUNCTION, self._read)
             handle.setopt(pycurl.SEEKFUNCTION, self._refuse_resend)
 
+    def delivery(self, status: int = 0) -> errors.Delivery:
+        """Return how the call went out.
+
+        Args:
+            status: HTTP status of the answer; 0 if none came.
+        """
+        return errors.Delivery(
+            status, self.copies, self.opened_connections, self.has_body
+        )
+
     def _count_connection(self, file_descriptor: int, purpose: int) -> int:
         self.opened_connections += 1
         return pycurl.SOCKOPT_OK
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -163,7 +163,7 @@
             # Tornado raises time-outs and failed connections here, although
             # raise_error is false, because they have no HTTP response.
             self._count_failure(counted)
-            delivery = _delivery(upload)
+            delivery = upload.delivery()
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {error}",
                 not_applied=delivery.is_refused,
@@ -172,7 +172,7 @@
             ) from error
         finally:
             self._count_upload(path, counted, upload)
-        delivery = _delivery(upload, response.code)
+        delivery = upload.delivery(response.code)
         raw = response.body or b""
         self.traffic.received_bytes += len(raw)
         counted.received_bytes += len(raw)
@@ -281,12 +281,6 @@
         )
 
 
-def _delivery(upload: _curl.Upload, status: int = 0) -> errors.Delivery:
-    return errors.Delivery(
-        status, upload.copies, upload.opened_connections, upload.has_body
-    )
-
-
 def _check_sendable(method: str, path: str, headers: dict[str, str]) -> None:
     """Check the texts for which libcurl's binding raises errors of its own.
 
--- a/tests/breaking_servers.py
+++ b/tests/breaking_servers.py
@@ -18,6 +18,7 @@
 
     Attributes:
         status: Status of the answers; calls are carried out only with 200.
+        refusal_headers: Headers of answers of other statuses.
         break_next: Path of the call that is carried out once more, after which
             its connection is reset without an answer; empty for none.
         status_after_break: Status of all calls after that.
@@ -28,6 +29,7 @@
 
     def __init__(self, respond: Callable[[str, bytes], object]) -> None:
         self.status = OK
+        self.refusal_headers: dict[str, str] = {}
         self.break_next = ""
         self.status_after_break = REFUSED
         self.listens_after_break = True
@@ -65,12 +67,13 @@
                 if path == self.break_next:
                     self._break(path, body, writer)
                     return
-                answer = self._respond(path, body) if self.status == OK else {}
+                is_refused = self.status != OK
+                answer = {} if is_refused else self._respond(path, body)
+                headers = self.refusal_headers if is_refused else {}
                 encoded = msgspec.json.encode(answer)
-                writer.write(
-                    b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%s"
-                    % (self.status, len(encoded), encoded)
-                )
+                head = [f"HTTP/1.1 {self.status} -", f"Content-Length: {len(encoded)}"]
+                head += [f"{name}: {value}" for name, value in headers.items()]
+                writer.write("\r\n".join([*head, "", ""]).encode() + encoded)
 
     def _break(self, path: str, body: bytes, writer: asyncio.StreamWriter) -> None:
         """Carry a call out and reset its connection."""
