Do not tell "not run" of a repeat whose request may have run

A non-idempotent request ended as unknown (504), and a repeat at an instance that was stopping was answered 503 "not run". Another instance that asked this one for the answer passed the refusal on (I6).

A refusal was judged by what the repeat itself had written. The intent in the log tells every instance that an earlier request may have run; if it did when the repeat came, and still does, the refusal is told as unknown.

Repeats of a request that was not run are refused as before (test_a_repeat_of_a_request_that_was_not_run_is_refused_as_not_run). Idempotent requests have no intent, so theirs are judged as before.

--- a/limpetstream/desk/intents.py
+++ b/limpetstream/desk/intents.py
@@ -46,6 +46,11 @@
     attempts: int = 0
     status: int = 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have run, or may still run."""
+        return self.state != "not-run"
+
 
 def key_hash(key: messages.RequestKey) -> int:
     """Return the 64-bit hash that is kept of a dropped intent."""
@@ -94,7 +99,7 @@
         if (intent.service, intent.body_hash) != (service, body_hash):
             return "other-body"
         # A request that was not run may be tried again.
-        return None if intent.state == "not-run" else "taken"
+        return "taken" if intent.may_have_run else None
 
     def apply_intent(self, entry: views.Entry) -> str | None:
         """Apply a ``desk.intent`` record; return why it is void, or None."""
--- a/limpetstream/desk/service.py
+++ b/limpetstream/desk/service.py
@@ -157,9 +157,13 @@
     async def _serve_without_raising(
         self, request: messages.Request, progress: messages.Progress
     ) -> tuple[messages.Answer, Exception | None]:
+        earlier_intent = self.intents.by_key.get(request.key)
         try:
             return await self._admit_and_dispatch(request, progress), None
         except errors.NotRun as error:
+            if earlier_intent is not None and earlier_intent.may_have_run:
+                # The refusal is that of this repeat alone.
+                return generated_answers.unknown(str(error)), error
             return generated_answers.from_error(error, progress), error
         except errors.OutcomeUnknown as error:
             return generated_answers.unknown(str(error), progress.attempts), error
--- a/limpetstream/desk/tests/test_service.py
+++ b/limpetstream/desk/tests/test_service.py
@@ -463,3 +463,53 @@
         assert {each.outcome for each in answers} == {"answered"}
 
     run(main)
+
+
+def test_a_repeat_of_a_request_that_ran_is_not_refused_as_not_run():
+    """Guards against a wrong "not run" after an unknown outcome (I6).
+
+    An instance that stops refuses the repeat. Another one, which also got a
+    repeat, asks the first one for the answer and passed the refusal on.
+    """
+
+    async def main():
+        world = await start_world(run_s=0.4)
+        desk_a, desk_b = world.by_id["a"].desk, world.by_id["b"].desk
+        sent = asyncio.ensure_future(
+            desk_a.handle(builders.request(world, idempotent=False))
+        )
+        await asyncio.sleep(0.2)
+        world.by_id["b"].paused_until = world.loop_time() + 2.5
+        assert (await sent).outcome == "unknown"
+        await asyncio.sleep(5.0)
+        assert world.runs("r1") == 1
+        desk_b.answer_cache.by_key.clear()
+        desk_a.answer_cache.by_key.clear()
+        desk_a.draining = True
+        repeats = [builders.request(world, idempotent=False) for _ in range(2)]
+        answers = await asyncio.gather(
+            desk_a.handle(repeats[0]), desk_b.handle(repeats[1])
+        )
+        assert "not-run" not in [answer.outcome for answer in answers]
+        assert world.runs("r1") == 1
+
+    run(main)
+
+
+def test_a_repeat_of_a_request_that_was_not_run_is_refused_as_not_run():
+    """Guards against an outcome that is told as unknown without need."""
+
+    async def main():
+        world = await start_world()
+        desk_a = world.by_id["a"].desk
+        for _ in range(2):
+            for executor in world.backend_by_id.values():
+                executor.dead = True
+            refused = await desk_a.handle(builders.request(world, idempotent=False))
+            assert refused.outcome == "not-run"
+            await asyncio.sleep(1.0)
+        desk_a.draining = True
+        refused = await desk_a.handle(builders.request(world, idempotent=False))
+        assert (refused.outcome, world.runs("r1")) == ("not-run", 0)
+
+    run(main)
