Answer 504 to a cancel that an owner may have taken

A DELETE was answered 503 "no owner could be asked" although the owner had cancelled the job: its answer was lost, or it was fenced while the cancel was being stored. The log line said "not-run" too.

Each try asked the owner again, and the last refusal was taken for the answer to all tries. Replies to a cancel now tell whether it may take effect, as those to "store" do; a cancel without an answer counts as one. If any try may have taken effect, the caller gets 504. A cancel without any such try is refused with 503 as before.

--- a/demo/tests/test_desk_load.py
+++ b/demo/tests/test_desk_load.py
@@ -64,7 +64,7 @@
 
 @pytest.mark.parametrize("listens", [True, False])
 def test_a_request_whose_first_try_was_cut_off_is_not_recorded_as_refused(listens):
-    """Guards against a breach that is counted though no reply promised anything.
+    """Guards against a breach that no reply has caused.
 
     The HTTP library sent a request again, and took the refusal of the second
     copy, or of its connection, for the answer to both.
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -11,6 +11,7 @@
     peer_messages,
     queries,
     shard_server,
+    state,
     submission_attempts,
 )
 from limpetstream.store import messages as store_messages
@@ -162,7 +163,8 @@
         """Cancel a job durably; return False if it certainly does not exist.
 
         Raises:
-            NotRun: No owner could be asked in time.
+            NotRun: No owner has taken the cancel.
+            OutcomeUnknown: An owner may have taken it.
         """
         shard = names.shard_of(job_id, self._shard_count)
         reply = await self._ask_owner(
@@ -208,11 +210,11 @@
                     count=queries.count_waiting_jobs(shard, request.queue)
                 )
             if request.kind == "cancel":
-                return peer_messages.PeerReply(
-                    known=await queries.cancel(shard, request.job_id)
-                )
-            state = await queries.job_state(shard, request.job_id)
-            return peer_messages.PeerReply(known=state is not None, state=state or "")
+                return await _cancel(shard, request.job_id)
+            job_state = await queries.job_state(shard, request.job_id)
+            return peer_messages.PeerReply(
+                known=job_state is not None, state=job_state or ""
+            )
         except errors.LimpetstreamError as error:
             return peer_messages.PeerReply(refused=f"{type(error).__name__}: {error}")
 
@@ -306,13 +308,20 @@
     async def _ask_owner(
         self, request: peer_messages.PeerRequest, wait_s: float
     ) -> peer_messages.PeerReply:
-        """Ask the owner of a shard; look it up again after each failure."""
+        """Ask the owner of a shard; look it up again after each failure.
+
+        Raises:
+            NotRun: No owner has answered, and the request had no effect.
+            OutcomeUnknown: No owner has answered; one may have carried it out.
+        """
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        retry_s = RETRY_S
+        retry_s, may_be_done = RETRY_S, False
         while True:
-            result = await self._try_owner(request)
-            if isinstance(result, peer_messages.PeerReply):
-                return result
+            for ask in (self.answer_peer, self._ask_known_owner):
+                reply = await ask(request)
+                if not reply.refused:
+                    return reply
+                may_be_done = may_be_done or reply.unknown
             if self._clock.monotonic() + retry_s >= give_up_at:
                 break
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
@@ -322,34 +331,32 @@
             call=request.kind,
             job=request.job_id,
             queue=request.queue,
-            outcome="not-run",
-            reason=result,
+            outcome="unknown" if may_be_done else "not-run",
+            reason=reply.refused,
         )
-        raise errors.NotRun("no-owner", result, retry_after_s=RETRY_AFTER_S)
+        if may_be_done:
+            raise errors.OutcomeUnknown(reply.refused)
+        raise errors.NotRun("no-owner", reply.refused, retry_after_s=RETRY_AFTER_S)
 
-    async def _try_owner(
+    async def _ask_known_owner(
         self, request: peer_messages.PeerRequest
-    ) -> peer_messages.PeerReply | str:
-        if request.shard in self._server.shard_by_number:
-            reply = await self.answer_peer(request)
-            if not reply.refused:
-                return reply
+    ) -> peer_messages.PeerReply:
         member = self._member_by_shard.get(request.shard)
         if member is None or member == self._member:
             await self._look_up_owners()
             member = self._member_by_shard.get(request.shard)
         if member is None:
-            return "no owner of the shard is known"
+            return peer_messages.PeerReply(refused="no owner of the shard is known")
         if member == self._member:
             member = self._owner_by_shard.get(request.shard, self._member)
         if member == self._member:
-            reply = await self.answer_peer(request)
-            return reply if not reply.refused else reply.refused
+            return await self.answer_peer(request)
         try:
             reply = await self._peers.call(member, request, timeout_s=PEER_TIMEOUT_S)
         except errors.PeerUnreachable as error:
             await self._look_up_owners()
-            return str(error)
+            changes_state = request.kind == "cancel"
+            return peer_messages.PeerReply(refused=str(error), unknown=changes_state)
         if not reply.refused:
             return reply
         names_other_owner = reply.owner not in ("", member, self._member)
@@ -361,7 +368,7 @@
             # Members with outdated hints may name each other endlessly.
             self._followed_hints.discard(request.shard)
             await self._look_up_owners()
-        return reply.refused
+        return reply
 
     async def _look_up_owners(self) -> None:
         now = self._clock.monotonic()
@@ -386,3 +393,15 @@
         if member_by_shard != self._member_by_shard:
             logs.emit(events.OWNER_LOOKED_UP, owners=member_by_shard)
         self._member_by_shard = member_by_shard
+
+
+async def _cancel(shard: state.Shard, job_id: str) -> peer_messages.PeerReply:
+    """Cancel a job at its owner; a failure may come after it took effect."""
+    try:
+        return peer_messages.PeerReply(known=await queries.cancel(shard, job_id))
+    except errors.LimpetstreamError as error:
+        job = shard.job_by_id.get(job_id)
+        return peer_messages.PeerReply(
+            refused=f"{type(error).__name__}: {error}",
+            unknown=job is not None and job.outcome == messages.CANCELLED,
+        )
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -44,7 +44,7 @@
         state: State of the job.
         count: Number of waiting jobs.
         refused: Reason why the request failed; empty if it succeeded.
-        unknown: Whether a failed ``store`` may have taken effect.
+        unknown: Whether a failed ``store`` or ``cancel`` may take effect.
         owner: Name of the member that owns the shard, if another member is
             believed to.
         epoch: For ``epoch``, the highest epoch of the shard that the member
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import types
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
@@ -11,6 +12,7 @@
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.shard import (
     audits,
+    job_api,
     journal,
     names,
     peer_messages,
@@ -325,6 +327,20 @@
         )
 
 
+def make_job_api(scene):
+    """Return the operations of the instance that owns the shard of a scene."""
+    return job_api.JobApi(
+        store=scene.store_client,
+        peers=None,
+        server=types.SimpleNamespace(shard_by_number={0: scene.shard}),
+        owner_by_shard={},
+        claimed_shards={0},
+        member="m0",
+        shard_count=1,
+        clock=scene.shard.clock,
+    )
+
+
 class PolledShard(JournaledShard):
     """A journaled shard whose executors are polled.
 
--- a/limpetstream/shard/tests/test_claims.py
+++ b/limpetstream/shard/tests/test_claims.py
@@ -7,7 +7,15 @@
 import pytest
 
 from limpetstream import errors
-from limpetstream.shard import housekeeping, journal, names, ownership, proof, queries
+from limpetstream.shard import (
+    housekeeping,
+    journal,
+    names,
+    ownership,
+    peer_messages,
+    proof,
+    queries,
+)
 from limpetstream.shard.tests import builders
 from limpetstream.store import messages as store_messages
 from standins import keyed_store, virtual_time
@@ -114,6 +122,26 @@
         cancelling.result()
 
 
+def test_an_owner_tells_that_a_failed_cancel_may_take_effect(scene):
+    """Guards against a refusal of a cancel that a later owner finds stored."""
+    api = builders.make_job_api(scene)
+    job = builders.make_tasks(scene.shard, builders.SHORT)[0].job
+    job_id = job.submission.job_id
+    request = peer_messages.PeerRequest("cancel", 0, job_id=job_id)
+    scene.shard.recovered = False
+    early = scene.loop.run_until_complete(api.answer_peer(request))
+    assert early.refused and not early.unknown
+    scene.shard.recovered = True
+    scene.store.down = True
+    cancelling = scene.loop.create_task(api.answer_peer(request))
+    scene.advance(2.0)
+    scene.store.down = False
+    scene.claim_elsewhere()
+    scene.advance(2.0)
+    late = cancelling.result()
+    assert late.refused and late.unknown
+
+
 def test_earlier_owners_have_stopped_2_s_after_their_proofs_have_ended(scene):
     """Guards against a cancelled job that an earlier owner still starts."""
     scene.shard.epoch = 2
