--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -270,13 +270,6 @@
     "The settings file cannot be read; the last settings stay in use.",
     "Correct the file.",
 )
-PART_FAILED = events.declare(
-    1545,
-    "part-failed",
-    "ERROR",
-    "A component of the process ended unexpectedly; the process stops.",
-    "Report it as a fault of the program.",
-)
 LINES_DROPPED = events.declare(
     1546,
     "lines-dropped",
--- a/limpetstream/telemetry/line_writer.py
+++ b/limpetstream/telemetry/line_writer.py
@@ -37,7 +37,11 @@
         """Do nothing; ``drain`` writes the buffered lines."""
 
     def drain(self) -> None:
-        """Write buffered lines until the descriptor would block."""
+        """Write buffered lines until the descriptor would block.
+
+        If it can no longer be written, as when the reader of a pipe has ended,
+        the lines are dropped and counted.
+        """
         while self._lines:
             chunk = bytearray()
             while self._lines and len(chunk) < MAX_WRITE_BYTES:
@@ -46,6 +50,11 @@
                 written = os.write(self._descriptor, chunk)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                self.dropped += chunk.count(b"\n") + len(self._lines)
+                self._lines.clear()
+                self._buffered_bytes = 0
+                return
             self._buffered_bytes -= written
             if written < len(chunk):
                 self._lines.appendleft(bytes(chunk[written:]))
