Send a desk request once also over a pooled connection

The docstring of Sender says that each call sends at most once, which held on new connections only.

The body goes through _curl.Upload now; for a request without a body, the check before the write refuses a second one. Such a send counts as written and without an answer, and the holder retries it within its budget.

--- a/limpetstream/desk/sender.py
+++ b/limpetstream/desk/sender.py
@@ -63,7 +63,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _WriteGuard:
-    """Repeats the check when libcurl is about to write the request.
+    """Repeats the check when libcurl is about to write the request, once.
 
     Between the call of ``fetch`` and that moment, the process may have been
     paused or busy for longer than the right lasts. If that moment was never
@@ -71,12 +71,16 @@
 
     Args:
         check: Raises if the request must not be written.
+        upload: Body of the request, which libcurl may send once only: an
+            executor may go on with the first copy while the second one is
+            answered and its slot is released.
         new_connection: Whether to open a connection for this request only.
         write_allowed: Whether the check was passed before the write.
         error: Error of the check that failed.
     """
 
     check: Callable[[], None]
+    upload: _curl.Upload
     new_connection: bool
     write_allowed: bool = False
     error: Exception | None = None
@@ -87,9 +91,12 @@
             peer_client.use_new_connection(curl)
         else:
             peer_client.use_pooled_connection(curl)
+        self.upload.configure(curl)
         curl.setopt(pycurl.PREREQFUNCTION, self._check_before_write)
 
     def _check_before_write(self, *address: Any) -> int:
+        if self.write_allowed and not self.upload.has_body:
+            return pycurl.PREREQFUNC_ABORT  # ``upload`` cannot refuse a resend.
         try:
             self.check()
         except Exception as error:
@@ -137,7 +144,8 @@
             Exception: ``check`` raised; nothing was written.
         """
         client = self._client_for(executor, service)
-        guard = _WriteGuard(check, new_connection=not request.idempotent)
+        upload = _curl.Upload(request.body)
+        guard = _WriteGuard(check, upload, new_connection=not request.idempotent)
         http_request = _http_request(executor, request, timeout_s, guard)
         started = self.clock.monotonic()
         check()
