Record a repeat for which only another instance had an account entry

The instance that got it first had forwarded it and was killed before its entry was durable. The repeat came to the holder, which keeps the answers that it gives to other instances; such an answer may not be told, as no entry of it is known here, and a repeat that finds an answer made no entry. The same held for a repeat of a request whose own entry was not confirmed in time.

A repeat that finds such an answer now makes an entry of its own, and gets the answer once that is recorded.

--- a/limpetstream/desk/service.py
+++ b/limpetstream/desk/service.py
@@ -124,6 +124,8 @@
             )
         if entry.error is not None:
             raise entry.error
+        if not entry.recorded and not is_new:
+            await self._record_repeat(request, entry)
         if entry.answer is None or not entry.recorded:
             return generated_answers.unknown("the account entry is not confirmed yet")
         return entry.answer
@@ -132,13 +134,7 @@
         self, request: messages.Request, entry: answer_caches.CacheEntry
     ) -> None:
         progress = messages.Progress()
-        receipt = self.accounts.record_receipt(
-            request.caller,
-            request.request_id,
-            kind="desk",
-            received_ms=request.received_ms,
-            body_hash=request.body_hash,
-        )
+        receipt = self._record_receipt(request)
         answer, error = await self._serve_without_raising(request, progress)
         self._record_metrics(request, answer)
         if not isinstance(error, errors.Rejected):
@@ -154,6 +150,38 @@
         if answer.outcome == "unknown" and progress.forwarded_to:
             await at_most_once.resolve_lost_forward(self, request, receipt, progress)
 
+    async def _record_repeat(
+        self, request: messages.Request, entry: answer_caches.CacheEntry
+    ) -> None:
+        """Record a repeat for which an answer is kept, so that it may be told.
+
+        The instance that got the request first may have ended before its
+        account entry was durable.
+        """
+        answer = entry.answer
+        if answer is None or answer.outcome not in ("answered", "failed"):
+            return
+        if not self.accounts.can_record(self.context.clock.monotonic()):
+            return
+        receipt = self._record_receipt(request)
+        self.accounts.record_outcome(
+            receipt,
+            state=answer.outcome,
+            attempts=answer.attempts,
+            detail=answer.reason,
+        )
+        if await self._wait_until_recorded(request, receipt, answer):
+            entry.recorded = True
+
+    def _record_receipt(self, request: messages.Request) -> Any:
+        return self.accounts.record_receipt(
+            request.caller,
+            request.request_id,
+            kind="desk",
+            received_ms=request.received_ms,
+            body_hash=request.body_hash,
+        )
+
     async def _serve_without_raising(
         self, request: messages.Request, progress: messages.Progress
     ) -> tuple[messages.Answer, Exception | None]:
--- a/limpetstream/desk/tests/test_service.py
+++ b/limpetstream/desk/tests/test_service.py
@@ -513,3 +513,48 @@
         assert (refused.outcome, world.runs("r1")) == ("not-run", 0)
 
     run(main)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_repeat_at_the_holder_gets_the_answer_and_an_account_entry(idempotent):
+    """Guards against a request that no account holds after a kill (I11).
+
+    The instance that got the request from the caller was killed once the
+    holder had run it. A repeat at the holder found the kept answer, was told
+    "unknown" whenever it came, and left no entry.
+    """
+
+    async def main():
+        world = await start_world()
+        a, b = world.by_id["a"], world.by_id["b"]
+        first = builders.request(world, idempotent=idempotent)
+        sent = asyncio.ensure_future(a.desk.handle(first))
+        while not b.desk.answer_cache.by_key:
+            await asyncio.sleep(0.001)
+        a.kill()
+        sent.cancel()
+        for _ in range(2):
+            again = builders.request(world, idempotent=idempotent)
+            answer = await b.desk.handle(again)
+            assert (answer.outcome, answer.body) == ("answered", b"answer to body")
+        assert b.accounts.entry_by_key[first.key] == ["received", ("answered", 1)]
+        assert world.runs("r1") == 1
+
+    run(main)
+
+
+def test_a_repeat_is_answered_once_accounts_are_recorded_again():
+    """Guards against a kept answer that is never told after an outage."""
+
+    async def main():
+        world = await start_world()
+        b = world.by_id["b"]
+        b.accounts.hang = True
+        assert (await b.desk.handle(builders.request(world))).outcome == "unknown"
+        b.accounts.usable = False
+        assert (await b.desk.handle(builders.request(world))).outcome == "unknown"
+        b.accounts.hang, b.accounts.usable = False, True
+        assert (await b.desk.handle(builders.request(world))).outcome == "answered"
+        assert world.runs("r1") == 1
+
+    run(main)
