Work out the defaults of stored records once

Each entry of a job's progress leaves out default values. For that, the fields of its data class were listed, and default factories called, again for each task. They are now kept by type; the encoded bytes are the same.

--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import functools
 import itertools
 import re
 import zlib
@@ -249,17 +250,27 @@
 
 def _without_defaults(value: Any) -> dict[str, Any]:
     content_by_field = {}
-    for field in dataclasses.fields(value):
-        content = getattr(value, field.name)
-        if field.default_factory is not dataclasses.MISSING:
-            default: Any = field.default_factory()
-        else:
-            default = field.default
+    for name, default in _defaults(type(value)):
+        content = getattr(value, name)
         if content != default:
-            content_by_field[field.name] = content
+            content_by_field[name] = content
     return content_by_field
 
 
+@functools.cache
+def _defaults(type_: type) -> list[tuple[str, Any]]:
+    """Return the fields of a data class with their default values."""
+    return [
+        (
+            field.name,
+            field.default
+            if field.default_factory is dataclasses.MISSING
+            else field.default_factory(),
+        )
+        for field in dataclasses.fields(type_)
+    ]
+
+
 def _expand(raw: bytes) -> bytes:
     expander = zlib.decompressobj()
     try:
