Compare executors for best-effort work with less repeated work

For each executor, a candidate worked out the same values of the task again, and the pace that a task keeps was computed at four sample times even where the lowest headroom leaves full speed at all of them. Decisions and scores are the same: x / y is at least 1 exactly if x is at least y.

--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -6,7 +6,8 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+import operator
+from collections.abc import Iterable, Iterator
 
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.workflow import eligibility, state
@@ -164,9 +165,10 @@
     others = [
         executor for executor in executors if task.name not in executor.run_by_task
     ]
-    for executor in eligibility.eligible_executors(others, task, context):
+    eligible = eligibility.eligible_executors(others, task, context)
+    for candidate in _candidates(eligible, task, context):
         context.scored_count += 1
-        candidate = _Candidate(executor, task, context)
+        executor = candidate.executor
         if candidate.cpu_share < MIN_CPU_SHARE or candidate.pace < MIN_PACE:
             continue
         if eligibility.is_in_doubt(executor, context.now):
@@ -176,38 +178,42 @@
     return False
 
 
+@dataclasses.dataclass(slots=True)
 class _Candidate:
     """What a best-effort task can expect on one executor.
 
     Args:
         executor: Executor.
-        task: Best-effort task to place.
-        context: What else the placement depends on.
+        cpu_share: Share, up to 1, of its CPU that the task gets.
+        pace: Share, up to 1, of its speed that it can keep.
+        score: How well the executor suits the task; higher is better.
     """
 
-    __slots__ = ("cpu_share", "executor", "pace", "score")
+    executor: tracking.Executor
+    cpu_share: float
+    pace: float
+    score: float
 
-    def __init__(
-        self,
-        executor: tracking.Executor,
-        task: state.Task,
-        context: eligibility.PlacementContext,
-    ) -> None:
-        expected = context.forecasts.get(
-            executor, context.interference_model, context.now
-        )
-        self.executor = executor
-        self.cpu_share = expected.cpu_share(task.step)
-        waited_s = context.now - task.ready_at
-        self.pace = expected.pace(task.step, calm=waited_s < FULL_PACE_WAIT_S)
-        self.score = expected.spare_cores - expected.best_effort_cores
-        self.score += eligibility.FULL_PACE_BONUS_CORES * self.pace
-        rack = task.step.data_rack
-        if rack and rack in executor.listing.labels:
-            self.score += eligibility.DATA_RACK_BONUS_CORES
-        self.score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
-        if eligibility.is_in_doubt(executor, context.now):
-            self.score -= eligibility.IN_DOUBT_PENALTY_CORES
+
+def _candidates(
+    executors: Iterable[tracking.Executor],
+    task: state.Task,
+    context: eligibility.PlacementContext,
+) -> Iterator[_Candidate]:
+    """Yield what a best-effort task can expect on each of the executors."""
+    step, now = task.step, context.now
+    is_calm = now - task.ready_at < FULL_PACE_WAIT_S
+    for executor in executors:
+        expected = context.forecasts.get(executor, context.interference_model, now)
+        pace = expected.pace(step, calm=is_calm)
+        score = expected.spare_cores - expected.best_effort_cores
+        score += eligibility.FULL_PACE_BONUS_CORES * pace
+        if step.data_rack and step.data_rack in executor.listing.labels:
+            score += eligibility.DATA_RACK_BONUS_CORES
+        score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
+        if eligibility.is_in_doubt(executor, now):
+            score -= eligibility.IN_DOUBT_PENALTY_CORES
+        yield _Candidate(executor, expected.cpu_share(step), pace, score)
 
 
 def _ranked(
@@ -218,8 +224,8 @@
     """Return what a task can expect on executors, the best one first."""
     context.scored_count += len(executors)
     return sorted(
-        (_Candidate(executor, task, context) for executor in executors),
-        key=lambda candidate: candidate.score,
+        _candidates(executors, task, context),
+        key=operator.attrgetter("score"),
         reverse=True,
     )
 
@@ -230,7 +236,10 @@
     Best-effort work that started there would run while the other best-effort
     work is paused.
     """
-    return any(run.over_target_since is not None for run in executor.serving_runs())
+    for run in executor.serving_runs():
+        if run.over_target_since is not None:
+            return True
+    return False
 
 
 def _may_probe(
--- a/limpetstream/workflow/capacity_forecast.py
+++ b/limpetstream/workflow/capacity_forecast.py
@@ -28,6 +28,7 @@
         weight_by_image: Utilization that one core adds, by best-effort image.
         headrooms: Utilization that best-effort work may add, at each sample
             offset.
+        lowest_headroom: Lowest of them; set once they are final.
         calm_margin: Part of the headroom that is left free where a task can
             wait for a better place.
         added_utilization: Utilization that the best-effort work on the
@@ -38,6 +39,7 @@
     headrooms: list[float]
     calm_margin: float = 0.0
     added_utilization: float = 0.0
+    lowest_headroom: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +87,8 @@
             added = serving.added_utilization + weight * cores
             is_known = step.image in serving.weight_by_image
             margin = serving.calm_margin if calm and is_known else 0.0
+            if serving.lowest_headroom - margin >= added:
+                continue  # Full speed at each sample offset.
             paces = [
                 min(1.0, max(0.0, headroom - margin) / added)
                 for headroom in serving.headrooms
@@ -164,6 +168,7 @@
         cores_by_image[image] = cores_by_image.get(image, 0.0) + cores
     for image, serving in serving_by_image.items():
         serving.added_utilization = model.added_utilization(image, cores_by_image)
+        serving.lowest_headroom = min(serving.headrooms)
     return CapacityForecast(
         now,
         executor.listing.capacity.cpu_millicores / 1000 - used,
