Watch the sockets of the HTTP client in one epoll set

For each call libcurl asks for its socket to be watched and let go again.

The client now has an epoll set of its own, which is registered with the event loop once. A socket that libcurl keeps open stays in it until it has an event; a closed one leaves it by itself, and a new one with its number is registered.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -9,11 +9,17 @@
 import dataclasses
 import io
 import re
+import select
 from typing import Any
 
 import pycurl
 from tornado import curl_httpclient, ioloop
 
+_MASK_BY_EVENT = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
 
@@ -197,6 +203,10 @@
         self._queue: collections.deque[Call] = collections.deque()
         self._timeout_at = 0.0
         self._loop: asyncio.AbstractEventLoop = ioloop.IOLoop.current().asyncio_loop
+        # One registration with the event loop for all sockets: a call changes
+        # what libcurl waits for on its socket several times.
+        self._poller = select.epoll()
+        self._loop.add_reader(self._poller.fileno(), self._handle_ready)
         super().initialize(max_clients=max_clients)
 
     def send(self, call: Call) -> None:
@@ -217,8 +227,8 @@
     def close(self) -> None:
         """Close all connections; calls in flight never return."""
         super().close()
-        for fd in list(self._fds):
-            self._unwatch(fd)
+        self._loop.remove_reader(self._poller.fileno())
+        self._poller.close()
         self._transfer_by_handle.clear()
 
     def _curl_create(self) -> pycurl.Curl:
@@ -271,24 +281,41 @@
     ) -> None:
         """Watch a socket for what libcurl waits for.
 
-        It is always removed first: libcurl may have closed the socket and
-        opened one with the same number.
+        A socket that libcurl keeps open for later calls stays registered until
+        it has an event. libcurl may have closed one and opened another with
+        the same number, which the kernel then no longer has.
         """
-        self._unwatch(fd)
         if event in (pycurl.POLL_REMOVE, pycurl.POLL_NONE):
+            self._fds.pop(fd, None)
             return
         self._fds[fd] = event
-        if event != pycurl.POLL_OUT:
-            self._loop.add_reader(fd, self._handle_events, fd, ioloop.IOLoop.READ)
-        if event != pycurl.POLL_IN:
-            self._loop.add_writer(fd, self._handle_events, fd, ioloop.IOLoop.WRITE)
-
-    def _unwatch(self, fd: int) -> None:
-        event = self._fds.pop(fd, pycurl.POLL_NONE)
-        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            self._loop.remove_reader(fd)
-        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            self._loop.remove_writer(fd)
+        mask = _MASK_BY_EVENT[event]
+        try:
+            self._poller.modify(fd, mask)
+        except FileNotFoundError:
+            self._poller.register(fd, mask)
+
+    def _handle_ready(self) -> None:
+        """Have libcurl handle all sockets that are ready."""
+        for fd, mask in self._poller.poll(0):
+            event = self._fds.get(fd)
+            if event is None:  # An idle connection; its server has closed it.
+                self._forget(fd)
+                continue
+            action = pycurl.CSELECT_IN if mask & ~select.EPOLLOUT else 0
+            if mask & ~select.EPOLLIN:
+                action |= pycurl.CSELECT_OUT
+            try:
+                self._multi.socket_action(fd, action & event)
+            except pycurl.error:
+                continue  # What it concerns is reported as an ended call.
+        self._finish_pending_requests()
+
+    def _forget(self, fd: int) -> None:
+        try:
+            self._poller.unregister(fd)
+        except OSError:
+            return  # It is closed.
 
     def _set_timeout(self, msecs: int) -> None:
         """Have ``_handle_timeout`` called within a time that libcurl gives.
--- a/limpetstream/platform/tests/test_handles.py
+++ b/limpetstream/platform/tests/test_handles.py
@@ -143,3 +143,57 @@
                 await client.call("GET", "/", timeout_s=0.2)
 
     asyncio.run(main())
+
+
+def test_an_idle_connection_that_its_server_closes_is_replaced():
+    """Guards against a closed socket that wakes the event loop for ever."""
+    writers = []
+
+    async def answer(reader, writer):
+        writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        await asyncio.sleep(0.1)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = http.Client(base_url=f"http://127.0.0.1:{port}", clock=clock.Clock())
+        try:
+            for _ in range(2):
+                answered = await client.call("GET", "/", timeout_s=5)
+                assert answered.delivery.opened_connections == 1
+                used_s = time.process_time()
+                await asyncio.sleep(0.5)
+                assert time.process_time() - used_s < 0.1
+        finally:
+            client.close()
+            server.close()
+            await server.wait_closed()
+        assert len(writers) == 2
+
+    asyncio.run(main())
+
+
+def test_a_socket_number_is_used_again_by_another_connection():
+    """Guards against a new connection whose answer nobody waits for."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = http.Client(base_url=f"http://127.0.0.1:{port}", clock=clock.Clock())
+        try:
+            for _ in range(30):
+                await client.call("GET", "/", timeout_s=2)
+        finally:
+            client.close()
+            server.close()
+            await server.wait_closed()
+
+    asyncio.run(main())
