Place nothing on an executor whose entry is of another incarnation

Nothing is placed or started there while the entry and the polls name different starts of the executor.

--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -70,7 +70,10 @@
     if executor.listing.state != listing.state or not executor.listed:
         _log_change(listing, listing.state)
         shard.changed.set()
-    if _suitability(executor.listing) != _suitability(listing):
+    if (
+        _suitability(executor.listing) != _suitability(listing)
+        or executor.listing.born_ms != listing.born_ms
+    ):
         executor.has_freed = True  # Searches that failed may succeed there now.
         shard.changed.set()
     has_moved = executor.listing.address != listing.address
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -110,6 +110,8 @@
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
+    if not executor.is_listing_current:
+        return "the executor's entry is of another incarnation"
     if not executor.recorded:
         return "the executor is not in the journal yet"
     if not executor.confirmed:
--- a/limpetstream/shard/tests/test_restarts.py
+++ b/limpetstream/shard/tests/test_restarts.py
@@ -1,10 +1,12 @@
 """Tests of what an owner concludes from the restart of an executor."""
 
+import dataclasses
+
 import loguru
 import pytest
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import status_reports
+from limpetstream.shard import executor_list, jobs, scheduling, status_reports
 from limpetstream.shard.tests import builders
 from limpetstream.workflow import state as workflow_state
 
@@ -99,3 +101,52 @@
     assert run.missing_since is None
     report(scene, born_ms=1, clock_ms=5001)
     assert run.missing_since is not None
+
+
+def list_as(scene, *, kind, born_ms):
+    """Apply an entry of the executor in the platform's list."""
+    executor = scene.shard.executor_by_id["x0"]
+    listing = dataclasses.replace(executor.listing, labels=(kind,), born_ms=born_ms)
+    executor_list.apply_listings(scene.shard, {"x0": listing}, complete=False)
+
+
+def queue_task_of_kind(scene, kind):
+    step = builders.copy_step(builders.SHORT, required_label=kind)
+    task = builders.make_tasks(scene.shard, step)[0]
+    jobs.enqueue(scene.shard, task)
+    return task
+
+
+def is_placed(scene, task):
+    """Run a pass and return whether it has placed a task."""
+    scene.shard.executor_by_id["x0"].polled_at = scene.loop.time()
+    scheduling.run_pass(scene.shard)
+    run = task.run
+    scene.advance(0.01)  # Lets a start begin.
+    return run is not None
+
+
+def test_an_executor_that_restarts_as_another_kind_gets_no_task_of_its_former_kind(
+    scene,
+):
+    """Guards against a task on an executor without the label it requires.
+
+    The poll shows the restart before the list shows the new kind.
+    """
+    list_as(scene, kind="b", born_ms=1)
+    report(scene, born_ms=2)
+    scene.advance(0.1)
+    task = queue_task_of_kind(scene, "b")
+    assert not is_placed(scene, task)
+    list_as(scene, kind="a", born_ms=2)
+    assert not is_placed(scene, task)
+
+
+def test_an_executor_whose_entry_precedes_its_polls_gets_tasks_once_they_agree(scene):
+    """Guards against placing by an entry whose executor has not answered."""
+    list_as(scene, kind="b", born_ms=2)
+    task = queue_task_of_kind(scene, "b")
+    assert not is_placed(scene, task)
+    report(scene, born_ms=2)
+    scene.advance(0.1)
+    assert is_placed(scene, task)
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -68,6 +68,7 @@
         and executor.confirmed
         and executor.recorded
         and executor.listed
+        and executor.is_listing_current
         and listing.state == executor_messages.READY
         and listing.data_centre not in context.closed_data_centres
         and executor.silent_since is None
