Store no job whose caller has left, and remember what was cancelled

The owner keeps ids that were cancelled before they were stored for 30 s and cancels such a job as it is loaded; the next owner does not know them.

--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import math
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
@@ -50,6 +51,22 @@
 Responder = Callable[[httputil.HTTPServerRequest], Awaitable[Response]]
 
 
+def is_abandoned(request: httputil.HTTPServerRequest) -> bool:
+    """Return whether the client of a request has closed its connection.
+
+    The end of the connection may still lie unread behind the request.
+    """
+    stream = getattr(request.connection, "stream", None)
+    if stream is None:
+        return False
+    if stream.closed():
+        return True
+    try:
+        return stream.socket.recv(1, socket.MSG_PEEK) == b""
+    except OSError:
+        return False  # Nothing is to be read, so the connection is open.
+
+
 @contextlib.asynccontextmanager
 async def serve(address: str, answer: Responder) -> AsyncIterator[ServerState]:
     """Serve HTTP at an address while the context is open.
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,7 +1,7 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NoReturn
 
 from limpetstream import clock as clock_module, errors
@@ -76,12 +76,22 @@
         self._probe_at = float("-inf")
         self._unknown_jobs = submission_attempts.UnknownJobs()
 
-    async def submit(self, submission: messages.Submission, *, wait_s: float) -> None:
+    async def submit(
+        self,
+        submission: messages.Submission,
+        *,
+        wait_s: float,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Store a job durably.
 
+        A caller that no longer waits may have cancelled the job elsewhere, so
+        nothing is stored for it.
+
         Args:
             submission: Job that was validated.
-            wait_s: Seconds that the caller waits.
+            wait_s: Seconds that the caller still waits.
+            is_wanted: Returns whether the caller still waits for the answer.
 
         Raises:
             NotRun: The job was certainly not stored, by this request or an
@@ -95,6 +105,8 @@
         attempts, failed_tries = self._begin_attempts(submission), 0
         timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
         while True:
+            if wait_s <= 0 or not is_wanted():
+                self._raise_failure(submission, attempts, "the caller has left")
             try:
                 await self._append(shard, submission, timeout_s)
                 self._store_down_since = None
--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -42,6 +42,10 @@
 async def cancel(shard: state.Shard, job_id: str) -> bool:
     """Cancel a job durably; return False if it certainly does not exist.
 
+    A job that is not stored yet is cancelled if it is stored within
+    ``jobs.CANCEL_MEMORY_S``: its request may be under way at an instance that
+    was suspended.
+
     A job that is already final is unchanged. Until earlier owners have
     stopped, one of them could still start its tasks and tell that it is open,
     also if it has failed here.
@@ -58,6 +62,7 @@
         await _read_all_submissions(shard)
         job = shard.job_by_id.get(job_id)
     if job is None:
+        jobs.note_unknown_cancelled(shard, job_id)
         return False
     if not job.visible_outcome:
         _require_no_earlier_owner(shard, job)
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -107,6 +107,7 @@
             _fail(shard, submission)
         elif progress is None:
             jobs.add_job(shard, submission)
+            jobs.finish_if_cancelled(shard, shard.job_by_id[entry.key])
         else:
             _resume(shard, submission, progress)
 
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -140,6 +140,8 @@
         inherited_early_job_ids: Ids of those among them of which an earlier
             owner may have told a state that this one does not know.
         unreadable_job_ids: Ids of jobs whose stored progress cannot be read.
+        cancelled_at_by_unknown_job: Time of the cancelling of jobs that were
+            not stored then, by job id.
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
         settling: Whether earlier runs are settled once an append is confirmed.
@@ -213,6 +215,9 @@
         default_factory=dict
     )
     inherited_early_job_ids: set[str] = dataclasses.field(default_factory=set)
+    cancelled_at_by_unknown_job: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     unreadable_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
     settling: bool = False
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -1,5 +1,7 @@
 """Builders of requests and state for the tests of the platform adapter."""
 
+from collections.abc import Callable
+
 from tornado import httputil
 
 from limpetstream import clock, errors
@@ -22,7 +24,13 @@
         self.submit_error: errors.LimpetstreamError | None = None
         self.state: str | None = "running"
 
-    async def submit(self, submission: messages.Submission, *, wait_s: float) -> None:
+    async def submit(
+        self,
+        submission: messages.Submission,
+        *,
+        wait_s: float,
+        is_wanted: Callable[[], bool],
+    ) -> None:
         """Record a job, or raise ``submit_error``."""
         if self.submit_error:
             raise self.submit_error
--- a/tests/submission_builders.py
+++ b/tests/submission_builders.py
@@ -71,7 +71,7 @@
             client.close()
 
 
-async def submit(system, job_id=JOB_ID):
+async def submit(system, job_id=JOB_ID, **options):
     """Hand a job in and return ``stored``, ``refused`` or ``unknown``."""
     submission = messages.Submission(
         job_id=job_id,
@@ -83,7 +83,7 @@
         accepted_ms=0,
     )
     try:
-        await system.api.submit(submission, wait_s=WAIT_S)
+        await system.api.submit(submission, **{"wait_s": WAIT_S, **options})
     except errors.NotRun:
         return "refused"
     except errors.OutcomeUnknown:
