--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -75,7 +75,7 @@
         self._body = io.BytesIO(body or b"")
 
     def configure(self, handle: pycurl.Curl) -> None:
-        """Set the options of a handle of tornado's own client for this call."""
+        """Set the options of a handle of tornado's own client for the call."""
         handle.setopt(pycurl.SOCKOPTFUNCTION, lambda fd, use: self.count_connection())
         if self.has_body:
             handle.setopt(pycurl.READFUNCTION, self.read)
