Judge refusals in the soak by the callers' own socket

The callers get a small client on asyncio streams, which sends each request once, keeps connections open, and tells a status, a refused connection and a request without a complete answer apart. A job is refused if it had at least one 429 or 503 and no other answer; refused connections count for nothing. The check itself, that a refused job never starts, stays.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,9 +6,8 @@
 import msgspec
 
 from emulator import deployment
-from limpetstream import errors
 from limpetstream.workflow import messages
-from soak import _cluster, _executors, _sizes, _stalls
+from soak import _cluster, _connections, _executors, _sizes, _stalls
 
 DEADLINE_MS = 3000  # Most requests of real users have this deadline, here all.
 TIMEOUT_S = 4.0  # One second more than the deadline, for late answers.
@@ -19,7 +18,7 @@
 MAX_SETTLE_WAIT_S = 120.0
 POLL_INTERVAL_S = 0.2
 CANCEL_SHARE = 0.1  # Share of the accepted jobs that are cancelled.
-NOT_RUN_STATUSES = frozenset({429, 503})
+REFUSAL_STATUSES = frozenset({429, 503})  # The job never runs.
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +32,8 @@
         accepted: Whether an instance has acknowledged the submission.
         outcome_unknown: Whether the outcome of any attempt to submit it was
             unknown; a later acknowledgement does not reset it.
+        refusals: Number of attempts to submit it that were answered with a
+            status of ``REFUSAL_STATUSES``.
         cancelled: Whether an instance has acknowledged the cancellation, or
             has answered it with 410 (unknown job).
         cancel_requested: Whether a cancellation was ever sent.
@@ -46,11 +47,21 @@
     is_long_running: bool
     accepted: bool = False
     outcome_unknown: bool = False
+    refusals: int = 0
     cancelled: bool = False
     cancel_requested: bool = False
     accepted_at: float = 0.0
     final_state: str | None = None
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether every answer promised that the job never runs.
+
+        Attempts that could not be connected have sent nothing and count for
+        nothing.
+        """
+        return self.refusals > 0 and not self.accepted and not self.outcome_unknown
+
 
 class Callers:
     """All callers of one run.
@@ -189,15 +200,17 @@
 
     async def _submit(self, job: Job, body: bytes) -> None:
         for _ in range(MAX_ATTEMPTS):
-            status, _answer = await self._call("POST", job, body)
-            if status == 200:
+            answer = await self._call("POST", job, body)
+            if answer.status == 200:
                 job.accepted = True
                 job.accepted_at = asyncio.get_running_loop().time()
                 return
-            if status is None or status == 504:
+            if answer.status in REFUSAL_STATUSES:
+                job.refusals += 1
+            elif answer.status == 504 or (not answer.status and answer.was_sent):
                 job.outcome_unknown = True
-            elif status not in NOT_RUN_STATUSES:
-                self._add_finding(job, f"got status {status} for its submission")
+            elif answer.status:
+                self._add_finding(job, f"got status {answer.status} for its submission")
                 return
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
 
@@ -208,7 +221,7 @@
         """
         job.cancel_requested = True
         for _ in range(MAX_ATTEMPTS):
-            status, _answer = await self._call("DELETE", job)
+            status = (await self._call("DELETE", job)).status
             if status == 410:
                 self._add_finding(
                     job, "was accepted but is reported unknown on cancellation"
@@ -221,12 +234,12 @@
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
 
     async def _poll_job(self, job: Job) -> None:
-        status, answer = await self._call("GET", job)
-        if status == 410:
+        answer = await self._call("GET", job)
+        if answer.status == 410:
             self._add_finding(job, "was accepted but is now unknown")
             job.final_state = "lost"
-        elif status == 200:
-            state = msgspec.json.decode(answer)["state"]
+        elif answer.status == 200:
+            state = msgspec.json.decode(answer.body)["state"]
             if job.final_state is not None and state != job.final_state:
                 self._add_finding(
                     job, f"changed from final state {job.final_state} to {state}"
@@ -236,29 +249,17 @@
 
     async def _call(
         self, method: str, job: Job, body: bytes | None = None
-    ) -> tuple[int | None, bytes]:
-        """Call a random instance.
-
-        Returns:
-            Status and body of the answer. The status is 503 also if no
-            connection was made, as nothing was sent then, and None if the
-            call may have taken effect but had no answer.
-        """
+    ) -> _connections.Answer:
+        """Call a random instance."""
         instance = self._random.choice(list(self._cluster.instance_by_name.values()))
-        url = f"http://127.0.0.1:{instance.caller_link.port}"
-        try:
-            answer = await self._cluster.client.call(
-                method,
-                f"{url}{deployment.PREFIX}{job.job_id}",
-                body,
-                timeout_s=TIMEOUT_S,
-                headers=deployment.headers(DEADLINE_MS),
-            )
-        except errors.PlatformUnavailable as error:
-            # The client reports every unreachable server by this error, and
-            # an answer with status 503 too.
-            return (503 if error.not_applied else None), b""
-        return answer.status, answer.body
+        return await self._cluster.client.call(
+            method,
+            instance.caller_link.port,
+            f"{deployment.PREFIX}{job.job_id}",
+            body,
+            headers=deployment.headers(DEADLINE_MS),
+            timeout_s=TIMEOUT_S,
+        )
 
     def _add_finding(self, job: Job, text: str) -> None:
         self._cluster.findings.append(f"job {job.job_id} {text}")
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -18,11 +18,9 @@
 from tornado import httputil
 
 from emulator import deployment, executors, store
-from limpetstream import clock as clock_module
 from limpetstream.border import simple_server
 from limpetstream.executors import messages
-from limpetstream.platform import http
-from soak import _cuts, _executors, _lasting, _owners
+from soak import _connections, _cuts, _executors, _lasting, _owners
 from standins import keyed_store, link, processes, step_executors
 
 DIRECTORY = "build/soak"
@@ -97,8 +95,7 @@
         self.linked_executor_by_id: dict[str, _executors.LinkedExecutor] = {}
         self.findings: list[str] = []
         self.version = 0
-        # Callers pass it the absolute URL of an instance as the path.
-        self.client = http.Client(base_url="", clock=clock_module.Clock())
+        self.client = _connections.Client()
         self.group = group
         self._starting: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -48,7 +48,7 @@
             soak itself stood still.
         jobs: Number of jobs that callers tried to submit.
         accepted: Number of jobs whose submission was acknowledged.
-        refused: Number of jobs of which no submission can have taken effect.
+        refused: Number of jobs whose every answer was a refusal.
         starts: Number of runs that executors started.
         room: What the executors had and what was reserved there, every few
             seconds and at the end.
@@ -123,7 +123,7 @@
             injected,
             len(jobs),
             sum(job.accepted for job in jobs),
-            sum(not job.accepted and not job.outcome_unknown for job in jobs),
+            sum(job.is_refused for job in jobs),
             cluster.breaches.starts,
             room,
             cluster.breaches.found + checker.found + cluster.findings,
@@ -211,7 +211,7 @@
 def _check_final_states(cluster: _cluster.Cluster, callers: _callers.Callers) -> None:
     """Add a finding for each job that is not in a permitted final state."""
     for job in callers.job_by_id.values():
-        if not job.accepted and not job.outcome_unknown:
+        if job.is_refused:
             if job.job_id in cluster.breaches.started_jobs:
                 cluster.findings.append(f"job {job.job_id} was refused but has run")
         elif job.final_state not in (None, "completed", "cancelled", "lost"):
