Let late answers of the store in memory tell nothing

A call whose time limit was shorter than the store's delay failed with not_applied=True and had no effect.

Such a call now takes effect, also a join or leave, and the error leaves open whether it did. The soak's emulated platform is not concerned: its calls in memory wait 30 s, longer than any delay, and it answers 503 only to calls that were refused.

test_keyed_store.py failed before (2 of 2) and passes now.

--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -182,7 +182,8 @@
             answer.
         delayed_share: Share of the appends that take effect seconds later,
             without an answer.
-        delay_s: Additional delay of every answer.
+        delay_s: Additional delay of every answer. A call with a shorter time
+            limit takes effect and has no answer.
         transfer_s: Time from the first to the last byte of an answer with
             records.
     """
@@ -224,7 +225,7 @@
             PlatformUnavailable: No answer; the append may take effect later.
         """
         _check_sizes(entries)
-        await self._simulate_network(timeout_s)
+        is_late = await self._reach_store(timeout_s)
         draw = self.store.random.random()
         if draw < self.faults.delayed_share:
             self._append_later(topic, partition, entries, writer, at)
@@ -234,6 +235,7 @@
         if draw < self.faults.delayed_share + self.faults.lost_answer_share:
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("answer to append lost")
+        _check_in_time(is_late)
         return end
 
     def _append_later(
@@ -311,7 +313,7 @@
 
         Every group has the same partitions.
         """
-        await self._simulate_network(timeout_s)
+        is_late = await self._reach_store(timeout_s)
         now = asyncio.get_running_loop().time()
         member_group = self.store.group(group)
         member_group.members(now)
@@ -324,12 +326,14 @@
             for number in range(PARTITIONS_PER_GROUP)
             if member_group.owner(number, now) == member
         ]
+        _check_in_time(is_late)
         return messages.Assignment(member_group.generation, owned)
 
     async def leave(self, group: str, member: str, *, timeout_s: float) -> None:
         """Leave a group at once instead of after the time-to-live."""
-        await self._simulate_network(timeout_s)
+        is_late = await self._reach_store(timeout_s)
         self.store.group(group).remove(member)
+        _check_in_time(is_late)
 
     async def owners(
         self, group: str, *, timeout_s: float
@@ -345,6 +349,18 @@
         return owner_by_partition
 
     async def _simulate_network(self, timeout_s: float) -> None:
+        """Wait until a call that changes nothing is answered."""
+        _check_in_time(await self._reach_store(timeout_s))
+
+    async def _reach_store(self, timeout_s: float) -> bool:
+        """Wait until a call is answered, or its time limit has passed.
+
+        Returns:
+            Whether its answer comes too late; the store gets it all the same.
+
+        Raises:
+            PlatformUnavailable: The store does not get the call.
+        """
         self.calls += 1
         if self.faults.cut:
             await asyncio.sleep(timeout_s)
@@ -355,8 +371,9 @@
         delay_s = RESPONSE_DELAY_S + self.faults.delay_s
         if delay_s >= timeout_s:
             await asyncio.sleep(timeout_s)
-            raise errors.PlatformUnavailable("no answer in time", not_applied=True)
+            return True
         await asyncio.sleep(delay_s)
+        return False
 
     async def _simulate_transfer(self, page: messages.Page, timeout_s: float) -> None:
         if page.entries and self.faults.transfer_s >= timeout_s:
@@ -365,6 +382,16 @@
         await asyncio.sleep(self.faults.transfer_s if page.entries else 0.0)
 
 
+def _check_in_time(is_late: bool) -> None:
+    """Fail a call whose answer comes too late, which tells nothing.
+
+    Raises:
+        PlatformUnavailable: The answer is late.
+    """
+    if is_late:
+        raise errors.PlatformUnavailable("no answer in time")
+
+
 def _check_sizes(entries: list[messages.Entry]) -> None:
     """Check the platform's limits of keys and records.
 
