Search schedules in which connections break after calls took effect

transport_faults adds three faults: the connection of an append breaks after it was done and the store refuses everything from then on; the same for calls between instances (store, cancel, epoch, serves, state, waiting); and a store so slow that calls take effect without an answer.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -1,8 +1,8 @@
 """Plays random schedules of overlapping faults against several instances.
 
-Each seed is played with plain jobs, and with every kind of task. The number of
-schedules and of processes can be set by the environment variables
-``SCHEDULES`` and ``PROCESSES``.
+Each seed is played with plain jobs, with every kind of task, and with these
+and connections that break. The number of schedules and of processes can be set
+by the environment variables ``SCHEDULES`` and ``PROCESSES``.
 """
 
 import concurrent.futures
@@ -13,7 +13,7 @@
 import loguru
 
 from bench import result
-from search import draws, kind_draws, plays, rare_draws
+from search import draws, kind_draws, plays, rare_draws, transport_draws
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -31,7 +31,11 @@
     figures: dict[str, object] = {"schedules of each draw": count}
     broken = 0
     with concurrent.futures.ProcessPoolExecutor(process_count) as pool:
-        for name, function in (("plain", play), ("all kinds", play_kinds)):
+        for name, function in (
+            ("plain", play),
+            ("all kinds", play_kinds),
+            ("broken connections", play_transport),
+        ):
             outcomes = list(pool.map(function, seeds, chunksize=10))
             breaches_by_seed = {
                 each: outcome.breaches
@@ -70,6 +74,13 @@
     return plays.play(rare_draws.draw(seed))
 
 
+def play_transport(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed in which connections break after calls."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(transport_draws.draw(seed))
+
+
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -161,6 +161,8 @@
         change = set.add if is_held else set.discard
         if kind == "store":
             instance.store.faults.cut = is_held
+        elif kind == "refused":
+            instance.store.faults.refuse = is_held
         elif kind == "answers":
             instance.store.faults.lost_answer_share = 0.3 if is_held else 0.0
             instance.store.faults.delayed_share = 0.2 if is_held else 0.0
--- a/search/plays.py
+++ b/search/plays.py
@@ -2,7 +2,8 @@
 
 What is checked is what executors and callers see: no two runs of a task at
 once, no start after an acknowledged end, no start before the preceding steps
-are done, no executor beyond its capacity, and no accepted job that is lost.
+are done, no executor beyond its capacity, no accepted job that is lost, and no
+start of a job whose every submission was refused.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
     rare_faults,
     schedules,
     standing_tasks,
+    transport_faults,
 )
 from standins import shard_cluster, step_executors, virtual_time
 
@@ -29,7 +31,12 @@
 WARM_UP_S = 2.0
 TRIGGER_WAIT_S = 6.0  # A fault whose event does not come is not played.
 LOOK_S = 0.25  # Between two looks for tasks that stand still.
-FAULTS = overlapping_faults.FAULTS | executor_faults.FAULTS | rare_faults.FAULTS
+FAULTS = (
+    overlapping_faults.FAULTS
+    | executor_faults.FAULTS
+    | rare_faults.FAULTS
+    | transport_faults.FAULTS
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -151,6 +158,8 @@
         await asyncio.sleep(0.25)
     world.last_change_at = max(world.last_change_at, began_at + last_at)
     await _check_jobs(world, accepted, checks, standing)
+    for job_id in sorted(world.cluster.refused_jobs & checks.started_jobs):
+        checks.record(f"REFUSED: {job_id} was refused but has run")
     if schedule.is_watched:
         watching.cancel()
 
@@ -215,7 +224,14 @@
 
     began_at = world.now()
     await asyncio.sleep(job.at)
-    if not await cluster.submit(job_id, job.steps, seconds=run_time, queue=job.queue):
+    is_accepted = await cluster.submit(
+        job_id,
+        job.steps,
+        seconds=run_time,
+        queue=job.queue,
+        max_refusals=job.max_refusals,
+    )
+    if not is_accepted:
         return
     standing.accept(job_id, job.steps, world.now())
     accepted[job_id] = job
--- a/search/schedules.py
+++ b/search/schedules.py
@@ -6,6 +6,7 @@
 from standins import shard_cluster
 
 MEMORY_MB = 100
+MAX_ATTEMPTS = 8  # To submit a job.
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +43,8 @@
         cancelled_at: Seconds after the warm-up at which it is cancelled; None
             if it is not.
         queue: Queue to which it is submitted.
+        max_refusals: Refusals after which its caller gives it up, unless an
+            attempt had no answer.
     """
 
     at: float
@@ -51,6 +54,7 @@
     queue: messages.Queue = dataclasses.field(
         default_factory=lambda: shard_cluster.QUEUE
     )
+    max_refusals: int = MAX_ATTEMPTS
 
     def lasts(self) -> bool:
         """Return whether its tasks run until it is cancelled."""
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -104,6 +104,7 @@
     reach them. ``next_by_member`` names the process that has started at the
     address of one that has ended, and that answers calls to it. The calls to
     executors of the instances in ``link_by_member`` go through these links.
+    ``refused_jobs`` are those whose every submission was refused.
 
     Args:
         loop: Loop on virtual time.
@@ -134,6 +135,7 @@
         self.instance_by_member: dict[str, Instance] = {}
         self.members_without_peers: set[str] = set()
         self.next_by_member: dict[str, str] = {}
+        self.refused_jobs: set[str] = set()
         self.link_by_member: dict[str, queued_link.Link] = {}
         self.view = state.DeploymentView(messages.Configuration(1, [QUEUE, BATCH]))
         self._shards = shards
@@ -265,6 +267,28 @@
                 return member
         return None
 
+    async def deliver_to_peer(
+        self, member: str, request: peer_messages.PeerRequest, *, timeout_s: float
+    ) -> peer_messages.PeerReply:
+        """Pass a request to an instance that is not cut off, and its answer.
+
+        Raises:
+            PeerUnreachable: The instance has ended, or is frozen for longer
+                than ``timeout_s``.
+        """
+        while member in self.next_by_member:
+            member = self.next_by_member[member]
+        instance = self.instance_by_member.get(member)
+        await asyncio.sleep(0.004)
+        if instance is None:
+            raise errors.PeerUnreachable(member)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await instance.gate.open.wait()
+                return await instance.job_api.answer_peer(request)
+        except TimeoutError:
+            raise errors.PeerUnreachable(member) from None
+
     async def submit(
         self,
         job_id: str,
@@ -272,8 +296,12 @@
         *,
         seconds: float,
         queue: messages.Queue = QUEUE,
+        max_refusals: int = 8,
     ) -> bool:
-        """Submit at random instances until one accepts; eight attempts."""
+        """Submit at random instances until one accepts; eight attempts.
+
+        A caller that only got refusals gives up after ``max_refusals``.
+        """
         self.size_by_spec[job_id] = (steps[0].cpu_millicores, seconds)
         self.steps_by_spec[job_id] = steps
         submission = messages.Submission(
@@ -285,15 +313,22 @@
             queue.max_attempts,
             self.clock.wall_ms(),
         )
-        for _ in range(8):
+        refusals, attempts = 0, 0
+        while attempts < 8 and not refusals == attempts == max_refusals:
             member = self.random.choice(list(self.instance_by_member))
+            attempts += 1
             try:
                 await self.instance_by_member[member].job_api.submit(
                     submission, wait_s=3.0
                 )
                 return True
-            except (errors.NotRun, errors.OutcomeUnknown):
+            except errors.NotRun:
+                refusals += 1
                 await asyncio.sleep(1.0)
+            except errors.OutcomeUnknown:
+                await asyncio.sleep(1.0)
+        if refusals == attempts:
+            self.refused_jobs.add(job_id)
         return False
 
     async def state(self, job_id: str) -> str | None:
@@ -346,18 +381,7 @@
         if self._cluster.members_without_peers & {member, self._member}:
             await asyncio.sleep(timeout_s)
             raise errors.PeerUnreachable(member)
-        while member in self._cluster.next_by_member:
-            member = self._cluster.next_by_member[member]
-        instance = self._cluster.instance_by_member.get(member)
-        await asyncio.sleep(0.004)
-        if instance is None:
-            raise errors.PeerUnreachable(member)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await instance.gate.open.wait()
-                return await instance.job_api.answer_peer(request)
-        except TimeoutError:
-            raise errors.PeerUnreachable(member) from None
+        return await self._cluster.deliver_to_peer(member, request, timeout_s=timeout_s)
 
 
 def shard_zero(instance: Instance) -> state.Shard | None:
