Tell a busy owner from a service without room

Users saw too little served on a large site with a slow processor. Late starts look the same whether a task has waited for its first turn in a scheduling pass (the owner is busy), or for capacity after it.

run-ordered has turn_ms, the wait for the first turn. owner-state has first turns, late ones and the longest wait by priority, the tasks without a turn and their age, the mean delay of the event loop, the processor time of the process, and the part of it in passes and answers to polls. Percentages are also a metric.

--- a/limpetstream/clock.py
+++ b/limpetstream/clock.py
@@ -15,11 +15,13 @@
         wall: Returns seconds since the Unix epoch; for display and accounts
             only, because this clock may jump.
         sleep: Suspends the calling task for a number of seconds.
+        processor: Returns seconds of processor time that the process has used.
     """
 
     monotonic: Callable[[], float] = time.monotonic
     wall: Callable[[], float] = time.time
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
+    processor: Callable[[], float] = time.process_time
 
     def wall_ms(self) -> int:
         """Return the wall time in whole milliseconds since the Unix epoch."""
--- a/limpetstream/report/stages.py
+++ b/limpetstream/report/stages.py
@@ -42,6 +42,7 @@
 STAGES = (
     Stage("until the job is durable", events.SUBMISSION_STORED, "took_ms"),
     Stage("until the owner has loaded it", events.JOB_LOADED, "waited_ms"),
+    Stage("until a task has its first turn", events.RUN_ORDERED, "turn_ms"),
     Stage("until a task gets capacity", events.RUN_ORDERED, "waited_ms"),
     Stage("until the start request is sent", events.RUN_ORDERED, "placed_ms_ago"),
     Stage("until the end of a run is observed", events.RUN_ENDED, "ran_ms", "done"),
--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -1,9 +1,10 @@
 """Logs how an owner is doing."""
 
+import collections
 import dataclasses
 
 from limpetstream.executors import messages as executor_messages
-from limpetstream.shard import audits, events, state
+from limpetstream.shard import audits, events, owner_load, state
 from limpetstream.telemetry import logs
 
 REPORT_INTERVAL_S = 5.0  # The platform reads the metrics as often.
@@ -17,15 +18,21 @@
         next_report_at: Monotonic time of the next report.
         worst_delay_s: Longest time since the last report that a timer of the
             event loop was late.
+        sum_of_delays_s: Sum of these times.
+        delay_count: Number of these times.
     """
 
     next_report_at: float
     worst_delay_s: float = 0.0
+    sum_of_delays_s: float = 0.0
+    delay_count: int = 0
 
 
 def note_delay(reporter: Reporter, delay_s: float) -> None:
     """Note by how many seconds a timer of the event loop was late."""
     reporter.worst_delay_s = max(reporter.worst_delay_s, delay_s)
+    reporter.sum_of_delays_s += max(0.0, delay_s)
+    reporter.delay_count += 1
 
 
 def report_if_due(shard: state.Shard, reporter: Reporter, audit: audits.Audit) -> None:
@@ -35,17 +42,34 @@
         return
     reporter.next_report_at = now + REPORT_INTERVAL_S
     _log_owner(shard, reporter, audit)
-    reporter.worst_delay_s = 0.0
+    reporter.worst_delay_s = reporter.sum_of_delays_s = 0.0
+    reporter.delay_count = 0
+    owner_load.begin(shard.load, shard.clock)
 
 
 def _log_owner(shard: state.Shard, reporter: Reporter, audit: audits.Audit) -> None:
     configuration = shard.view.configuration
     executors = shard.executor_by_id.values()
+    now = shard.clock.monotonic()
+    elapsed_s = now - shard.load.began_at
+    without_turn = _rows_without_turn(shard, now)
     logs.emit(
         events.OWNER_STATE,
         shard=shard.number,
         epoch=shard.epoch,
         delay_ms=round(reporter.worst_delay_s * 1000),
+        mean_delay_ms=round(
+            reporter.sum_of_delays_s * 1000 / max(1, reporter.delay_count)
+        ),
+        processor_percent=owner_load.percent(
+            shard.clock.processor() - shard.load.processor_began_s, elapsed_s
+        ),
+        work=owner_load.work_rows(shard.load, elapsed_s),
+        turns=owner_load.turn_rows(shard.load),
+        without_turn=without_turn,
+        oldest_without_turn_ms=max(
+            (row["oldest_ms"] for row in without_turn), default=0
+        ),
         version=configuration.version if configuration else None,
         queues=len(configuration.queues) if configuration else 0,
         executors=len(executors),
@@ -59,3 +83,23 @@
         waiting=len(shard.waiting_tasks),
         forgotten=audit.violations,
     )
+
+
+def _rows_without_turn(shard: state.Shard, now: float) -> list[dict[str, int]]:
+    """Return how many tasks wait for their first turn, and for how long.
+
+    The rows are those of the most urgent priorities.
+    """
+    waits_by_priority: dict[int, list[float]] = collections.defaultdict(list)
+    for task in shard.waiting_tasks:
+        if task.first_turn_at < task.ready_at and task.not_before <= now:
+            waited_s = now - max(task.ready_at, task.not_before)
+            waits_by_priority[shard.priority_of(task.job)].append(waited_s)
+    return [
+        {
+            "priority": priority,
+            "tasks": len(waits),
+            "oldest_ms": round(max(waits) * 1000),
+        }
+        for priority, waits in sorted(waits_by_priority.items())
+    ][: owner_load.MAX_PRIORITIES]
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -9,6 +9,7 @@
 from limpetstream.executors import tracking
 from limpetstream.shard import (
     events,
+    owner_load,
     placing,
     preemption,
     proof,
@@ -95,7 +96,8 @@
             await _wait_for_change(shard)
         shard.changed.clear()
         started_at = shard.clock.monotonic()
-        run_pass(shard)
+        with owner_load.measured(shard.load, shard.clock, owner_load.PASSES):
+            run_pass(shard)
         took_s = shard.clock.monotonic() - started_at
         await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
@@ -187,6 +189,7 @@
     """Look for an executor for a task and start the task there."""
     this_pass.checks += CHECKS_PER_TURN
     task.tried_in_round = shard.searches.round_number
+    _note_turn(shard, task)
     if not may_start(shard, task):
         return
     context = placement_context(shard, shard.service_of(task.job), this_pass.now)
@@ -204,6 +207,12 @@
         shard.waiting_tasks.discard(each)
 
 
+def _note_turn(shard: state.Shard, task: workflow_state.Task) -> None:
+    owner_load.note_turn(
+        shard.load, task, shard.priority_of(task.job), shard.clock.monotonic()
+    )
+
+
 def _place_gang(
     shard: state.Shard,
     task: workflow_state.Task,
@@ -220,6 +229,7 @@
     ]
     for member in members:
         member.tried_in_round = shard.searches.round_number
+        _note_turn(shard, member)
     is_placed = placing.place_gang(shard, members, context, this_pass.executors)
     return members if is_placed else []
 
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -15,6 +15,7 @@
     events,
     executor_records,
     lease_records,
+    owner_load,
     pacing,
     proof,
     state,
@@ -94,11 +95,12 @@
         return  # It was removed in the meantime, and its runs were given up.
     executor.polled_at = sent_at
     executor.answered_at = shard.clock.monotonic()
-    status_reports.apply_report(shard, executor, reply, sent_at)
-    executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
-    _note_reply(shard, executor)
-    if proof.is_proven(shard):
-        pacing.adjust(shard, executor)
+    with owner_load.measured(shard.load, shard.clock, owner_load.REPLIES):
+        status_reports.apply_report(shard, executor, reply, sent_at)
+        executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
+        _note_reply(shard, executor)
+        if proof.is_proven(shard):
+            pacing.adjust(shard, executor)
     if executor.applied_end > executor.acked_end:
         await _acknowledge(shard, executor)
     if not executor.recorded:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -14,6 +14,7 @@
 from limpetstream.shard import (
     instance_quorum as quorum_module,
     journal as journal_module,
+    owner_load as owner_load_module,
     proof_ends as proof_ends_module,
     searches as searches_module,
 )
@@ -155,6 +156,7 @@
             queue.
         submissions_follower: Reads the topic of submissions.
         send_window: Bounds what is under way to executors.
+        load: What keeps the owner busy.
     """
 
     number: int
@@ -227,9 +229,13 @@
     run_s_by_queue: dict[str, float] = dataclasses.field(default_factory=dict)
     submissions_follower: follower.Follower | None = None
     send_window: sending.SendWindow = dataclasses.field(init=False)
+    load: owner_load_module.OwnerLoad = dataclasses.field(
+        default_factory=owner_load_module.OwnerLoad
+    )
 
     def __post_init__(self) -> None:
         self.send_window = sending.SendWindow(self.clock)
+        owner_load_module.begin(self.load, self.clock)
 
     def queue_of(self, job: workflow_state.Job) -> workflow_messages.Queue | None:
         """Return the queue of a job by the configuration in force."""
--- a/limpetstream/telemetry/event_metrics.py
+++ b/limpetstream/telemetry/event_metrics.py
@@ -1,7 +1,8 @@
 """Derives the counters and histograms of a process from its log events.
 
 Every decision is logged as an event, so counting events counts decisions.
-Fields that hold a duration are also recorded in histograms.
+Fields that hold a duration are also recorded in histograms, and the newest
+value of fields that hold a percentage is kept.
 """
 
 import collections
@@ -16,16 +17,18 @@
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 90.0, 99.0, 100.0)
 DURATION_SUFFIX = "_ms"
+SHARE_SUFFIX = "_percent"
 
 
 class EventMetrics:
-    """Event counts by name, and duration histograms by event and field."""
+    """Event counts by name; durations and percentages by event and field."""
 
     def __init__(self) -> None:
         self.count_by_event: collections.Counter[str] = collections.Counter()
         self.histogram_by_event_and_field: dict[
             tuple[str, str], hdrh.histogram.HdrHistogram
         ] = {}
+        self.percent_by_event_and_field: dict[tuple[str, str], float] = {}
 
     def observe(self, event: events.Event, fields: dict[str, Any]) -> None:
         """Count one event and record its durations.
@@ -33,7 +36,7 @@
         Args:
             event: Event that is logged.
             fields: Fields of the event; those whose names end in ``_ms`` are
-                durations in milliseconds.
+                durations in milliseconds, in ``_percent`` percentages.
         """
         self.count_by_event[event.name] += 1
         for field, value in fields.items():
@@ -41,6 +44,8 @@
                 self._histogram(event.name, field).record_value(
                     min(HIGHEST_MS, max(LOWEST_MS, int(value)))
                 )
+            elif field.endswith(SHARE_SUFFIX) and isinstance(value, int | float):
+                self.percent_by_event_and_field[event.name, field] = value
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -62,6 +67,11 @@
                 f"limpetstream_event_milliseconds_count{{{labels}}} "
                 f"{histogram.get_total_count()}"
             )
+        lines.append("# TYPE limpetstream_event_percent gauge")
+        lines.extend(
+            f'limpetstream_event_percent{{event="{name}",field="{field}"}} {value}'
+            for (name, field), value in sorted(self.percent_by_event_and_field.items())
+        )
         return ("\n".join(lines) + "\n").encode()
 
     def _histogram(self, name: str, field: str) -> hdrh.histogram.HdrHistogram:
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -107,6 +107,8 @@
             executor.
         tried_in_round: Number of the newest round of scheduling passes in
             which an executor was looked for.
+        first_turn_at: Monotonic time of its first turn in a scheduling pass
+            since ``ready_at``; an earlier time if it had none.
     """
 
     job: "Job"
@@ -126,6 +128,7 @@
     preempted_others_at: float = -math.inf
     moved_at: float = -math.inf
     tried_in_round: int = -1
+    first_turn_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -324,7 +324,7 @@
             await asyncio.sleep(seconds)
             await gate.open.wait()
 
-        return clock_module.Clock(self.clock.monotonic, self.clock.wall, sleep)
+        return dataclasses.replace(self.clock, sleep=sleep)
 
 
 class _PeerClient:
--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -60,12 +60,21 @@
 
     def __init__(self) -> None:
         self._virtual = _Selector()
+        self.processor_s = 0.0
         super().__init__(self._virtual)
 
     def time(self) -> float:
         """Return virtual seconds since the start of the loop."""
         return self._virtual.now
 
+    def use_processor(self, seconds: float) -> None:
+        """Advance the time by what the running callback takes.
+
+        All timers and callbacks of the loop are late meanwhile.
+        """
+        self._virtual.now += seconds
+        self.processor_s += seconds
+
 
 def make_clock(loop: Loop, *, rate: float = 1.0, offset: float = 0.0) -> clock.Clock:
     """Return the clock of one simulated process on the loop's time.
@@ -84,6 +93,7 @@
         monotonic=lambda: loop.time() * rate + offset,
         wall=lambda: EPOCH_S + loop.time(),
         sleep=sleep,
+        processor=lambda: loop.processor_s,
     )
 
 
