Answer the review of the refused jobs

A reviewer who had not seen the work found, with scripts and red tests: - One failed call for each idle connection that a server had closed: libcurl looks for such ones once a second, and no longer repairs the call. A reset of 8 idle connections cost 8 calls; the renewals of a membership had a gap of 1.21 s (limit 1.0). Ids that were stored, or may be, are kept; a stored one is accepted. - A refusal of a call without a body, of which the copies are not known, and an empty reply of another instance counted as proofs. They no longer do; another instance that refuses connections has stored nothing. - The log line of a refusal left out the attempt that decided. Rows are by how attempts ended, the first doubt is always kept, and replies of other instances have their delivery. Counters of second copies, which no longer exist, are gone. - A start that was never sent cleared the doubt about an executor.

Tests: five of test_refused_submissions.py from the review, red before.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -122,6 +122,7 @@
         connect_timeout_s: Time limit for opening a connection.
         timeout_s: Time limit of the whole call, from when it has a handle.
         response: Gets the status and the body of the answer.
+        new_connection: Whether to open a connection although one is open.
     """
 
     method: str
@@ -131,6 +132,7 @@
     connect_timeout_s: float
     timeout_s: float
     response: asyncio.Future[tuple[int, bytes]]
+    new_connection: bool = False
 
 
 class _Transfer:
@@ -140,11 +142,20 @@
         max_body_size: Bytes of an answer beyond which the call fails.
     """
 
-    __slots__ = ("_chunks", "_max_body_size", "call", "is_too_large", "method", "size")
+    __slots__ = (
+        "_chunks",
+        "_max_body_size",
+        "call",
+        "is_too_large",
+        "method",
+        "new_connection",
+        "size",
+    )
 
     def __init__(self, max_body_size: int) -> None:
         self._max_body_size = max_body_size
         self.method = ""
+        self.new_connection = False
         self.call: Call | None = None
         self._chunks: list[bytes] = []
         self.size = 0
@@ -170,6 +181,9 @@
             option = pycurl.POST if call.method == "POST" else pycurl.HTTPGET
             handle.setopt(option, 1)
             self.method = call.method
+        if call.new_connection != self.new_connection:
+            handle.setopt(pycurl.FRESH_CONNECT, int(call.new_connection))
+            self.new_connection = call.new_connection
         if call.method == "POST":
             handle.setopt(pycurl.POSTFIELDSIZE, call.upload.size)
         handle.setopt(pycurl.URL, call.url)
--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-# Statuses of answers to calls that had no effect.
+# Statuses that tell that a call had no effect.
 REFUSAL_STATUSES = frozenset({429, 503})
 
 
@@ -12,8 +12,8 @@
 
     Args:
         status: HTTP status of the answer; 0 if none came.
-        copies: How often the sending of the body was begun; more than once if
-            a reused connection broke and the HTTP library sent it again.
+        copies: How often the sending of the body was begun; 0 if no byte of it
+            was sent, and more than once if the HTTP library has sent it again.
         opened_connections: Connections that were opened for the call; 0 if it
             used one that was open.
         has_body: Whether the call has a body.
@@ -25,15 +25,15 @@
     has_body: bool = False
 
     @property
-    def is_refused(self) -> bool:
-        """Whether the call certainly had no effect.
+    def not_applied(self) -> bool:
+        """Whether a call with a body certainly had no effect.
 
-        Either the only copy was answered by a refusal, or the sending of the
-        body was never begun. A refusal of a second copy says nothing about the
-        first one.
+        Either its only copy was refused, or no byte of the body was sent. A
+        refusal of a second copy says nothing about the first one. How often a
+        call without a body was sent is not known.
         """
         if self.status:
-            return self.status in REFUSAL_STATUSES and self.copies <= 1
+            return self.status in REFUSAL_STATUSES and self.copies == 1
         return self.has_body and self.copies == 0
 
 
@@ -190,7 +190,24 @@
 
 
 class PeerUnreachable(LimpetstreamError):
-    """Another entry instance did not answer; it may still be running."""
+    """Another entry instance did not answer; it may still be running.
+
+    Args:
+        message: The call and how it failed.
+        not_applied: Whether the call certainly had no effect.
+        delivery: How the call went out; None if it is not known.
+    """
+
+    def __init__(
+        self,
+        message: str = "",
+        *,
+        not_applied: bool = False,
+        delivery: Delivery | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.not_applied = not_applied
+        self.delivery = delivery
 
 
 class PeerGone(LimpetstreamError):
--- a/limpetstream/platform/events.py
+++ b/limpetstream/platform/events.py
@@ -34,6 +34,6 @@
     1104,
     "call-cut-off",
     "INFO",
-    "A connection broke under a call without an answer; it may have taken effect.",
-    "None by itself; see call-refused of the job, or the metric of resends.",
+    "An open connection broke under a call, which may have taken effect.",
+    "None by itself; see call-refused of the job, and the metric of such calls.",
 )
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -38,6 +38,9 @@
 # Unexpected answers of a platform of another version would flood the logs.
 REPORT_INTERVAL_S = 10.0
 CUT_REPORT_INTERVAL_S = 1.0  # For each kind of call; counters tell the others.
+# libcurl looks for open connections that servers have closed once a second.
+# Until then it may take such a one for each further call.
+NEW_CONNECTIONS_S = 1.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,8 +73,8 @@
         sent_bytes: Bytes of paths and bodies sent; the head of a request adds
             about 200 to each.
         received_bytes: Bytes of bodies received.
-        resends: Bodies that libcurl has sent again, as a connection broke.
-        refused_resends: Bodies that it was not allowed to send again.
+        cut_off: Calls whose reused connection broke before the answer, and
+            which libcurl would have sent again.
         opened_connections: Connections opened.
     """
 
@@ -79,8 +82,7 @@
     failures: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
-    resends: int = 0
-    refused_resends: int = 0
+    cut_off: int = 0
     opened_connections: int = 0
 
 
@@ -114,6 +116,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._reported_at = float("-inf")
         self._cut_reported_at_by_call: dict[str, float] = {}
+        self._cut_off_at_by_address: dict[str, float] = {}
         self._max_clients = max_clients
         self._curl = _curl.Client(
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
@@ -159,14 +162,16 @@
         _check_sendable(method, path, headers or {})
         encoded = _encode(body)
         upload = _curl.Upload(encoded)
+        url = self.base_url + path
         call = _curl.Call(
             method,
-            self.base_url + path,
+            url,
             _header_lines(headers),
             upload,
             min(self._connect_timeout_s, timeout_s),
             timeout_s,
             asyncio.get_running_loop().create_future(),
+            new_connection=self._needs_new_connection(url, sent_at),
         )
         counted = self._count_sent(path, len(path) + upload.size)
         _curl.ensure_free_handle(self._curl, self._max_clients)
@@ -178,12 +183,12 @@
             delivery = upload.delivery()
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {error}",
-                not_applied=delivery.is_refused,
+                not_applied=delivery.not_applied,
                 answer_began=_curl.received_bytes(error) > 0,
                 delivery=delivery,
             ) from error
         finally:
-            self._count_upload(path, counted, upload)
+            self._count_upload(url, counted, upload)
         delivery = upload.delivery(status)
         self.traffic.received_bytes += len(raw)
         counted.received_bytes += len(raw)
@@ -191,7 +196,7 @@
             self._count_failure(counted)
             raise errors.PlatformUnavailable(
                 f"{method} {path}: Service Unavailable",
-                not_applied=delivery.is_refused,
+                not_applied=delivery.not_applied,
                 delivery=delivery,
             )
         return Answer(status, raw, sent_at, self.clock.monotonic(), delivery)
@@ -240,7 +245,7 @@
         if now >= self._reported_at + REPORT_INTERVAL_S:
             self._reported_at = now
             logs.emit(events.UNEXPECTED_ANSWER, call=call, detail=detail)
-        raise errors.PlatformUnavailable(f"{call}: {detail}")
+        raise errors.PlatformUnavailable(f"{call}: {detail}", delivery=answer.delivery)
 
     def _count_sent(self, path: str, size: int) -> Traffic:
         """Count a call that is being sent; return the counters of its kind."""
@@ -258,24 +263,37 @@
         self.traffic.failures += 1
         counted.failures += 1
 
-    def _count_upload(self, path: str, counted: Traffic, upload: _curl.Upload) -> None:
-        """Count how the body of a call was sent; log a broken connection."""
+    def _needs_new_connection(self, url: str, now: float) -> bool:
+        """Whether the open connections to the address of a call may be closed.
+
+        A call that takes a closed one fails, as it is not sent again.
+        """
+        if not self._cut_off_at_by_address:
+            return False
+        address = _address(url)
+        cut_off_at = self._cut_off_at_by_address.get(address)
+        if cut_off_at is None or now - cut_off_at <= NEW_CONNECTIONS_S:
+            return cut_off_at is not None
+        del self._cut_off_at_by_address[address]
+        return False
+
+    def _count_upload(self, url: str, counted: Traffic, upload: _curl.Upload) -> None:
+        """Count how the body of a call was sent; note a broken connection."""
         for traffic in (self.traffic, counted):
-            traffic.resends += max(0, upload.copies - 1)
-            traffic.refused_resends += upload.is_resend_refused
+            traffic.cut_off += upload.is_resend_refused
             traffic.opened_connections += upload.opened_connections
-        if upload.copies < 2 and not upload.is_resend_refused:
+        if not upload.is_resend_refused:
             return
-        call, now = call_name(path), self.clock.monotonic()
+        call, now = call_name(url), self.clock.monotonic()
+        self._cut_off_at_by_address[_address(url)] = now
         reported_at = self._cut_reported_at_by_call.get(call, float("-inf"))
         if now >= reported_at + CUT_REPORT_INTERVAL_S:
             self._cut_reported_at_by_call[call] = now
             logs.emit(
                 events.CALL_CUT_OFF,
                 call=call,
-                copies=upload.copies,
-                resends=counted.resends,
-                refused_resends=counted.refused_resends,
+                address=_address(url),
+                cut_off=counted.cut_off,
             )
 
 
@@ -308,6 +326,15 @@
     return msgspec.json.encode(body)
 
 
+def _address(url: str) -> str:
+    """Return the host and port of a URL.
+
+    >>> _address("http://127.0.0.1:80/calls/start?part=0")
+    '127.0.0.1:80'
+    """
+    return url.partition("//")[2].partition("/")[0]
+
+
 def call_name(path: str) -> str:
     """Return the last segment of a path, without its query.
 
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -393,7 +393,7 @@
     1563,
     "peer-job-not-stored",
     "INFO",
-    "A job that another instance has passed on was not stored here.",
+    "It is unknown whether a job that another instance has passed on was stored.",
     "See the attempt; call-refused of the job at the other instance has its outcome.",
 )
 CALLER_NOT_SERVED = events.declare(
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -75,7 +75,8 @@
         self._looked_up_at = float("-inf")
         self._store_down_since: float | None = None
         self._probe_at = float("-inf")
-        self._unknown_jobs = submission_attempts.UnknownJobs()
+        self._stored_jobs = submission_attempts.RecentJobs()
+        self._possibly_stored_jobs = submission_attempts.RecentJobs()
 
     async def submit(
         self,
@@ -99,11 +100,13 @@
                 earlier one at this instance.
             OutcomeUnknown: The job may have been stored.
         """
+        if submission.job_id in self._stored_jobs:
+            return  # The request has come before.
         shard = names.shard_of(submission.job_id, self._shard_count)
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        attempts, failed_tries = self._begin_attempts(submission), 0
+        attempts, failed_tries = submission_attempts.Attempts(self._clock), 0
         timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
         while True:
             if wait_s <= 0 or not is_wanted():
@@ -114,6 +117,8 @@
                 break
             except errors.PlatformUnavailable as error:
                 attempts.note_store(error)
+                if attempts.may_be_stored:
+                    self._possibly_stored_jobs.add(submission.job_id)
                 failed_tries += 1
                 if self._store_down_since is None:
                     self._store_down_since = self._clock.monotonic()
@@ -126,6 +131,7 @@
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
             timeout_s = min(MAX_STORE_TIMEOUT_S, timeout_s * 2)
+        self._stored_jobs.add(submission.job_id)
         logs.emit(
             events.SUBMISSION_STORED,
             job=submission.job_id,
@@ -155,7 +161,7 @@
             return True
         self._raise_failure(
             submission,
-            self._begin_attempts(submission),
+            submission_attempts.Attempts(self._clock),
             "the store does not answer; a later request probes it again",
         )
 
@@ -238,13 +244,14 @@
         try:
             await self._append(request.shard, request.submission, STORE_TIMEOUT_S)
         except errors.PlatformUnavailable as error:
-            attempts = submission_attempts.Attempts(self._clock)
-            attempts.note_store(error)
-            logs.emit(
-                events.PEER_JOB_NOT_STORED,
-                job=request.submission.job_id,
-                attempts=attempts.rows(),
-            )
+            if not error.not_applied:
+                attempts = submission_attempts.Attempts(self._clock)
+                attempts.note_store(error)
+                logs.emit(
+                    events.PEER_JOB_NOT_STORED,
+                    job=request.submission.job_id,
+                    attempts=attempts.rows(),
+                )
             return peer_messages.PeerReply(
                 refused=str(error), unknown=not error.not_applied
             )
@@ -286,17 +293,14 @@
                 timeout_s=PEER_TIMEOUT_S,
             )
         except errors.PeerUnreachable as error:
-            reply = peer_messages.PeerReply(refused=str(error), unknown=True)
-        if not reply.known:
+            attempts.note_unreachable(member, error)
+        else:
+            if reply.known:
+                return True
             attempts.note_peer(member, reply)
-        return reply.known
-
-    def _begin_attempts(
-        self, submission: messages.Submission
-    ) -> submission_attempts.Attempts:
-        return submission_attempts.Attempts(
-            self._clock, may_be_stored=submission.job_id in self._unknown_jobs
-        )
+        if attempts.may_be_stored:
+            self._possibly_stored_jobs.add(submission.job_id)
+        return False
 
     def _raise_failure(
         self,
@@ -304,16 +308,23 @@
         attempts: submission_attempts.Attempts,
         reason: str,
     ) -> NoReturn:
+        job_id = submission.job_id
+        # Another request for the job may have ended meanwhile.
+        earlier_request = not attempts.may_be_stored and (
+            job_id in self._possibly_stored_jobs or job_id in self._stored_jobs
+        )
+        may_be_stored = attempts.may_be_stored or earlier_request
         logs.emit(
             events.CALL_REFUSED,
             call="submit",
-            job=submission.job_id,
-            outcome="unknown" if attempts.may_be_stored else "not-run",
+            job=job_id,
+            outcome="unknown" if may_be_stored else "not-run",
             reason=reason,
+            earlier_request=earlier_request,
             attempts=attempts.rows(),
+            left_out=attempts.left_out,
         )
-        if attempts.may_be_stored:
-            self._unknown_jobs.add(submission.job_id)
+        if may_be_stored:
             raise errors.OutcomeUnknown(reason)
         raise errors.NotRun("store-unavailable", reason, retry_after_s=RETRY_AFTER_S)
 
--- a/limpetstream/shard/peering.py
+++ b/limpetstream/shard/peering.py
@@ -36,7 +36,9 @@
                 timeout_s=timeout_s,
             )
         except errors.PlatformUnavailable as error:
-            raise errors.PeerUnreachable(str(error)) from error
+            raise errors.PeerUnreachable(
+                str(error), not_applied=error.not_applied, delivery=error.delivery
+            ) from error
 
 
 async def answer_request(api: job_api.JobApi, body: bytes) -> bytes:
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -78,7 +78,7 @@
         except errors.PlatformUnavailable as error:
             _log_unanswered(executor, run, error)
             continue
-        executor.doubted_at = -math.inf
+        _note_answer(executor, reply)
         if not is_first_try and reply.outcome != executor_messages.STARTED:
             break  # The unanswered try may still take effect.
         _apply_reply(shard, executor, run, reply)
@@ -98,6 +98,14 @@
     stops.stop_run(shard, executor, run, "start in doubt")
 
 
+def _note_answer(
+    executor: tracking.Executor, reply: executor_messages.StartReply
+) -> None:
+    """End the doubt about an executor; an unwilling one may not be reached."""
+    if reply.outcome != executor_messages.UNWILLING:
+        executor.doubted_at = -math.inf
+
+
 def _obstacle(
     shard: state.Shard,
     executor: tracking.Executor,
--- a/limpetstream/shard/submission_attempts.py
+++ b/limpetstream/shard/submission_attempts.py
@@ -13,16 +13,14 @@
 
 STORE = "store"
 MAX_REASON_CHARACTERS = 120
-# Jobs whose outcome was last told as unknown. Callers repeat a request within
-# seconds, so an older one than the newest 4,096 is settled.
-MAX_UNKNOWN_JOBS = 4096
-# Attempts that differ; a request has about ten, most of them alike.
-MAX_ROWS = 12
+# Callers repeat a request within seconds; older ones than these are settled.
+MAX_RECENT_JOBS = 4096
+MAX_ROWS = 12  # Attempts that ended differently.
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, frozen=True)
 class _Row:
-    """Successive attempts that ended alike.
+    """Attempts that ended alike.
 
     Args:
         via: ``store``, or the name of the instance that was asked.
@@ -41,11 +39,12 @@
     opened_connections: int = 0
 
 
-class UnknownJobs:
-    """Jobs whose submission had an unknown outcome here.
+class RecentJobs:
+    """The newest ids of jobs that were added.
 
-    A refusal of a later request for one of them would be a promise about a job
-    that the earlier request may have stored. Other instances do not know them.
+    An instance keeps those that it has stored and those that it may have
+    stored. A refusal of a later request for one of them would be a promise
+    about a job that runs. Other instances do not know them.
     """
 
     def __init__(self) -> None:
@@ -55,10 +54,10 @@
         return job_id in self._job_ids
 
     def add(self, job_id: str) -> None:
-        """Note a job whose outcome is unknown."""
+        """Add a job; the oldest one is dropped if there are too many."""
         self._job_ids[job_id] = None
         self._job_ids.move_to_end(job_id)
-        if len(self._job_ids) > MAX_UNKNOWN_JOBS:
+        if len(self._job_ids) > MAX_RECENT_JOBS:
             self._job_ids.popitem(last=False)
 
 
@@ -67,59 +66,71 @@
 
     Args:
         clock: Source of time.
-        may_be_stored: Whether an earlier request may have stored the job.
 
     Attributes:
         may_be_stored: Whether any attempt may have stored the job.
         reason: Why the newest attempt failed.
+        left_out: Attempts that are not among the rows.
     """
 
-    def __init__(
-        self, clock: clock_module.Clock, *, may_be_stored: bool = False
-    ) -> None:
-        self.may_be_stored = may_be_stored
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self.may_be_stored = False
         self.reason = ""
+        self.left_out = 0
         self._clock = clock
         self._began_at = clock.monotonic()
-        self._rows: list[tuple[_Row, dict[str, int]]] = []
+        self._numbers_by_row: dict[_Row, dict[str, int]] = {}
 
     def note_store(self, error: errors.PlatformUnavailable) -> None:
         """Note a failed append to the store."""
-        delivery = error.delivery or errors.Delivery()
         self.reason = str(error)
-        self._note(
-            _Row(
-                STORE,
-                _outcome(not error.not_applied),
-                str(error)[:MAX_REASON_CHARACTERS],
-                delivery.status,
-                delivery.copies,
-                delivery.opened_connections,
-            )
-        )
+        self._note(STORE, not error.not_applied, str(error), error.delivery)
 
     def note_peer(self, member: str, reply: peer_messages.PeerReply) -> None:
-        """Note that another instance has not stored the job."""
-        outcome = _outcome(reply.unknown)
-        self._note(_Row(member, outcome, reply.refused[:MAX_REASON_CHARACTERS]))
+        """Note that another instance has not confirmed to have stored the job.
 
-    def rows(self) -> list[dict[str, Any]]:
-        """Return the attempts in their order, for the log.
-
-        Successive ones that ended alike are one row, with their number
-        (``times``) and the time from the request to the end of the first one
-        (``after_ms``).
+        Only a reply with a reason, and without doubt, tells that it has not.
         """
-        return [{**dataclasses.asdict(row), **numbers} for row, numbers in self._rows]
+        self._note(member, reply.unknown or not reply.refused, reply.refused)
 
-    def _note(self, row: _Row) -> None:
-        self.may_be_stored = self.may_be_stored or row.outcome == "unknown"
-        if self._rows and self._rows[-1][0] == row:
-            self._rows[-1][1]["times"] += 1
-        elif len(self._rows) < MAX_ROWS:
-            after_ms = round((self._clock.monotonic() - self._began_at) * 1000)
-            self._rows.append((row, {"times": 1, "after_ms": after_ms}))
+    def note_unreachable(self, member: str, error: errors.PeerUnreachable) -> None:
+        """Note that another instance did not answer."""
+        self._note(member, not error.not_applied, str(error), error.delivery)
 
+    def rows(self) -> list[dict[str, Any]]:
+        """Return the attempts in the order of their first ends, for the log.
 
-def _outcome(may_be_stored: bool) -> str:
-    return "unknown" if may_be_stored else "not-run"
+        Those that ended alike are one row, with their number (``times``) and
+        the time from the request to the end of the first one (``after_ms``).
+        """
+        return [
+            {**dataclasses.asdict(row), **numbers}
+            for row, numbers in self._numbers_by_row.items()
+        ]
+
+    def _note(
+        self,
+        via: str,
+        may_be_stored: bool,
+        reason: str,
+        delivery: errors.Delivery | None = None,
+    ) -> None:
+        is_first_doubt = may_be_stored and not self.may_be_stored
+        self.may_be_stored = self.may_be_stored or may_be_stored
+        delivery = delivery or errors.Delivery()
+        row = _Row(
+            via,
+            "unknown" if may_be_stored else "not-run",
+            reason[:MAX_REASON_CHARACTERS],
+            delivery.status,
+            delivery.copies,
+            delivery.opened_connections,
+        )
+        numbers = self._numbers_by_row.get(row)
+        if numbers is not None:
+            numbers["times"] += 1
+        elif len(self._numbers_by_row) < MAX_ROWS or is_first_doubt:
+            after_ms = round((self._clock.monotonic() - self._began_at) * 1000)
+            self._numbers_by_row[row] = {"times": 1, "after_ms": after_ms}
+        else:
+            self.left_out += 1
--- a/limpetstream/telemetry/traffic_metrics.py
+++ b/limpetstream/telemetry/traffic_metrics.py
@@ -10,7 +10,7 @@
 
 REPORT_INTERVAL_S = 5.0
 # Left out of the log line while they do not grow.
-RARE_COUNTERS = frozenset({"resends", "refused_resends", "opened_connections"})
+RARE_COUNTERS = frozenset({"cut_off", "opened_connections"})
 
 
 async def report(client: http.Client, clock: clock_module.Clock) -> None:
@@ -70,7 +70,7 @@
     """Return the counters in the Prometheus text format."""
     lines = ["# TYPE limpetstream_calls_total counter"]
     byte_lines = ["# TYPE limpetstream_call_bytes_total counter"]
-    resend_lines = ["# TYPE limpetstream_call_resends_total counter"]
+    cut_off_lines = ["# TYPE limpetstream_calls_cut_off_total counter"]
     for name, traffic in sorted(traffic_by_call.items()):
         for result, count in (
             ("answered", traffic.calls - traffic.failures),
@@ -84,10 +84,8 @@
         ):
             labels = f'call="{name}",direction="{direction}"'
             byte_lines.append(f"limpetstream_call_bytes_total{{{labels}}} {size}")
-        for result, count in (
-            ("sent", traffic.resends),
-            ("refused", traffic.refused_resends),
-        ):
-            labels = f'call="{name}",result="{result}"'
-            resend_lines.append(f"limpetstream_call_resends_total{{{labels}}} {count}")
-    return ("\n".join(lines + byte_lines + resend_lines) + "\n").encode()
+        labels = f'call="{name}"'
+        cut_off_lines.append(
+            f"limpetstream_calls_cut_off_total{{{labels}}} {traffic.cut_off}"
+        )
+    return ("\n".join(lines + byte_lines + cut_off_lines) + "\n").encode()
--- a/tests/test_refused_submissions.py
+++ b/tests/test_refused_submissions.py
@@ -10,6 +10,7 @@
 import pytest
 
 from adapter import store as store_module
+from limpetstream import errors
 from limpetstream.shard import peering
 from tests import breaking_servers, submission_builders as builders
 
@@ -106,3 +107,70 @@
             assert await builders.submit(system, builders.THIRD_JOB_ID) == "refused"
 
     asyncio.run(run())
+
+
+def test_a_job_that_is_stored_is_not_refused_when_it_is_handed_in_again():
+    """Guards against a promise that a job never runs which was accepted."""
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system) == "stored"
+            system.store.status = breaking_servers.REFUSED
+            assert await builders.submit(system) == "stored"
+
+    asyncio.run(run())
+
+
+def test_a_job_is_not_refused_while_another_request_for_it_becomes_unknown():
+    """Guards against a look at earlier requests that is taken too early."""
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "stored"
+            system.store.break_next = store_module.APPEND_PATH
+            outcomes = await asyncio.gather(
+                builders.submit(system), builders.submit(system)
+            )
+            assert "refused" not in outcomes
+
+    asyncio.run(run())
+
+
+def test_an_empty_append_that_was_sent_twice_is_not_known_to_have_no_effect():
+    """Guards against a second copy of an append that only sets the epoch."""
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "stored"
+            system.store.break_next = store_module.APPEND_PATH
+            with pytest.raises(errors.PlatformUnavailable) as caught:
+                await system.api._store.append("keyed.t", 0, [], timeout_s=1.0)
+            assert not caught.value.not_applied
+
+    asyncio.run(run())
+
+
+def test_a_reply_of_another_instance_without_a_reason_is_no_refusal():
+    """Guards against an empty answer that counts as a proof."""
+
+    async def run():
+        async with builders.open_system() as system:
+            await system.learn_members()
+            system.store.status = breaking_servers.REFUSED
+            system.peer._respond = lambda path, body: {}
+            assert await builders.submit(system) == "unknown"
+
+    asyncio.run(run())
+
+
+def test_another_instance_that_refuses_connections_has_stored_nothing():
+    """Guards against 504 where the job was certainly not stored."""
+
+    async def run():
+        async with builders.open_system() as system:
+            await system.learn_members()
+            system.store.status = breaking_servers.REFUSED
+            system.peer.stop_listening()
+            assert await builders.submit(system) == "refused"
+
+    asyncio.run(run())
--- a/tests/test_submission_logs.py
+++ b/tests/test_submission_logs.py
@@ -6,7 +6,8 @@
 import pytest
 
 from adapter import store as store_module
-from limpetstream.shard import job_api
+from limpetstream import clock, errors
+from limpetstream.shard import job_api, submission_attempts
 from limpetstream.telemetry import logs
 from tests import breaking_servers, submission_builders as builders
 
@@ -36,8 +37,9 @@
     first = refusal["attempts"][0]
     assert (first["via"], first["status"], first["copies"]) == ("store", 503, 1)
     assert first["outcome"] == "not-run"
-    assert first["times"] == job_api.LOCAL_STORE_TRIES
-    assert any(row["via"].endswith("#there") for row in refusal["attempts"])
+    assert first["times"] >= job_api.LOCAL_STORE_TRIES
+    assert {row["status"] for row in refusal["attempts"]} == {503}
+    assert {row["via"][-6:] for row in refusal["attempts"]} == {"store", "#there"}
 
 
 def test_a_call_under_which_a_connection_breaks_is_logged(lines):
@@ -51,3 +53,14 @@
 
     asyncio.run(run())
     assert [name for name, _ in lines].count("call-cut-off") == 1
+
+
+def test_the_attempt_that_leaves_a_job_in_doubt_is_told():
+    """Guards against an unknown outcome whose reason is left out."""
+    attempts = submission_attempts.Attempts(clock.Clock())
+    for number in range(2 * submission_attempts.MAX_ROWS):
+        refusal = errors.PlatformUnavailable(f"refused {number}", not_applied=True)
+        attempts.note_store(refusal)
+    attempts.note_store(errors.PlatformUnavailable("cut off"))
+    assert attempts.rows()[-1]["outcome"] == "unknown"
+    assert attempts.left_out == submission_attempts.MAX_ROWS
