Do not refuse a batch job that an earlier request may have submitted

The append of a job was answered 504, as the log had not confirmed it, and a repeat at the same instance was told 503 "not run" once the log counted as unreachable or the account as unavailable. The job may run later (I6).

The refusal was that of the repeat alone. The instance keeps the newest 4,096 ids whose outcome it told as unknown and answers 504 where it would refuse one of them, as the users' platform does for its jobs; both use limpetstream/unknown_outcomes.py, which was shard/submission_attempts.

Another id is still refused with 503.

--- a/limpetstream/batch/handlers.py
+++ b/limpetstream/batch/handlers.py
@@ -5,7 +5,7 @@
 import uuid
 from typing import Any
 
-from limpetstream import errors
+from limpetstream import errors, unknown_outcomes
 from limpetstream.batch import context, explain, fleet, jobs, messages, requests, tasks
 from limpetstream.border import handler, identity
 
@@ -24,11 +24,15 @@
         context: Dependencies from the rest of the process.
         ledger: Accounts of callers.
         workers: All workers, for explanations.
+        unknown_jobs: Ids of jobs whose submission had an unknown outcome.
     """
 
     context: context.Context
     ledger: Any
     workers: fleet.Fleet
+    unknown_jobs: unknown_outcomes.UnknownOutcomes = dataclasses.field(
+        default_factory=unknown_outcomes.UnknownOutcomes
+    )
 
 
 def routes(*, context: context.Context, ledger: Any) -> list[Any]:
@@ -159,8 +163,20 @@
 
     async def post(self) -> None:
         """Submit a job; repeats with the same Request-Id submit it once."""
-        request_id, receipt = self.open_entry("job")
-        result = await self.run_accounted(receipt, self._submit(request_id))
+        job_id = requests.job_id(
+            self.caller.name, self.request.headers.get("Request-Id", "")
+        )
+        try:
+            request_id, receipt = self.open_entry("job")
+            result = await self.run_accounted(receipt, self._submit(request_id))
+        except errors.OutcomeUnknown:
+            self.shared.unknown_jobs.add(job_id)
+            raise
+        except errors.NotRun as error:
+            if job_id in self.shared.unknown_jobs:
+                # An earlier request may have submitted the job.
+                raise errors.OutcomeUnknown(str(error)) from error
+            raise
         self.set_header("Outcome", "answered")
         self.reply(200, result)
 
--- a/limpetstream/batch/tests/test_handlers.py
+++ b/limpetstream/batch/tests/test_handlers.py
@@ -137,6 +137,22 @@
         assert headers["Outcome"] == "not-run"
         assert self.log.jobs.job_by_id == {}
 
+    def test_a_job_is_not_refused_after_an_earlier_request_may_have_submitted_it(
+        self,
+    ):
+        """Guards against "not run" for a job that may run (I6)."""
+
+        async def never_confirmed(kind, body):
+            raise errors.LogUnavailable("the append may take effect later")
+
+        self.committer.append = never_confirmed
+        assert self.submit()[0] == 504
+        self.log.view.fresh_at = float("-inf")
+        assert self.submit()[0] == 504
+        assert self.submit(request_id="r2")[0] == 503
+        self.ledger.reachable = False
+        assert self.submit()[0] == 504
+
     def test_no_account_no_work(self):
         """Guards against work that the account does not show (I11)."""
         self.ledger.reachable = False
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection
 from typing import NoReturn
 
-from limpetstream import clock as clock_module, errors
+from limpetstream import clock as clock_module, errors, unknown_outcomes
 from limpetstream.shard import (
     events,
     names,
@@ -75,7 +75,7 @@
         self._looked_up_at = float("-inf")
         self._store_down_since: float | None = None
         self._probe_at = float("-inf")
-        self._unknown_jobs = submission_attempts.UnknownJobs()
+        self._unknown_jobs = unknown_outcomes.UnknownOutcomes()
 
     async def submit(self, submission: messages.Submission, *, wait_s: float) -> None:
         """Store a job durably.
--- a/limpetstream/shard/submission_attempts.py
+++ b/limpetstream/shard/submission_attempts.py
@@ -4,7 +4,6 @@
 have had no effect. The account goes into the log line of the refusal.
 """
 
-import collections
 import dataclasses
 from typing import Any
 
@@ -13,9 +12,6 @@
 
 STORE = "store"
 MAX_REASON_CHARACTERS = 120
-# Jobs whose outcome was last told as unknown. Callers repeat a request within
-# seconds, so an older one than the newest 4,096 is settled.
-MAX_UNKNOWN_JOBS = 4096
 # Attempts that differ; a request has about ten, most of them alike.
 MAX_ROWS = 12
 
@@ -41,27 +37,6 @@
     opened_connections: int = 0
 
 
-class UnknownJobs:
-    """Jobs whose submission had an unknown outcome here.
-
-    A refusal of a later request for one of them would be a promise about a job
-    that the earlier request may have stored. Other instances do not know them.
-    """
-
-    def __init__(self) -> None:
-        self._job_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
-
-    def __contains__(self, job_id: str) -> bool:
-        return job_id in self._job_ids
-
-    def add(self, job_id: str) -> None:
-        """Note a job whose outcome is unknown."""
-        self._job_ids[job_id] = None
-        self._job_ids.move_to_end(job_id)
-        if len(self._job_ids) > MAX_UNKNOWN_JOBS:
-            self._job_ids.popitem(last=False)
-
-
 class Attempts:
     """Attempts to store one job within one request.
 
