--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from typing import NoReturn
 
-from limpetstream import clock as clock_module, errors
+from limpetstream import clock as clock_module, errors, recent_ids
 from limpetstream.shard import (
     events,
     names,
@@ -75,8 +75,8 @@
         self._looked_up_at = float("-inf")
         self._store_down_since: float | None = None
         self._probe_at = float("-inf")
-        self._stored_jobs = submission_attempts.RecentJobs()
-        self._possibly_stored_jobs = submission_attempts.RecentJobs()
+        self._stored_jobs = recent_ids.RecentIds()
+        self._possibly_stored_jobs = recent_ids.RecentIds()
 
     async def submit(
         self,
--- a/limpetstream/shard/submission_attempts.py
+++ b/limpetstream/shard/submission_attempts.py
@@ -4,7 +4,6 @@
 have had no effect. The account goes into the log line of the refusal.
 """
 
-import collections
 import dataclasses
 from typing import Any
 
@@ -13,8 +12,6 @@
 
 STORE = "store"
 MAX_REASON_CHARACTERS = 120
-# Callers repeat a request within seconds; older ones than these are settled.
-MAX_RECENT_JOBS = 4096
 MAX_ROWS = 12  # Attempts that ended differently.
 
 
@@ -39,28 +36,6 @@
     opened_connections: int = 0
 
 
-class RecentJobs:
-    """The newest ids of jobs that were added.
-
-    An instance keeps those that it has stored and those that it may have
-    stored. A refusal of a later request for one of them would be a promise
-    about a job that runs. Other instances do not know them.
-    """
-
-    def __init__(self) -> None:
-        self._job_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
-
-    def __contains__(self, job_id: str) -> bool:
-        return job_id in self._job_ids
-
-    def add(self, job_id: str) -> None:
-        """Add a job; the oldest one is dropped if there are too many."""
-        self._job_ids[job_id] = None
-        self._job_ids.move_to_end(job_id)
-        if len(self._job_ids) > MAX_RECENT_JOBS:
-            self._job_ids.popitem(last=False)
-
-
 class Attempts:
     """Attempts to store one job within one request.
 
