--- a/limpetstream/shard/pacing.py
+++ b/limpetstream/shard/pacing.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import math
 
 from limpetstream import errors
 from limpetstream.executors import sending, tracking
@@ -155,8 +156,18 @@
         for run in best_effort_runs:
             _set_pace(shard, executor, run, 0)
         return
+    # Runs that were placed beside a task that is over its target may add
+    # nothing until that task is within it.
+    over_target_since = min(
+        (
+            serving.over_target_since
+            for serving, _ in expected
+            if serving.over_target_since is not None
+        ),
+        default=math.inf,
+    )
     for run in best_effort_runs:
-        if _has_started_over_target(run, expected):
+        if run.start_requested_at > over_target_since:
             _set_pace(shard, executor, run, 0)
     over_limit = [
         (run, utilization)
@@ -170,20 +181,6 @@
         _speed_up(shard, executor, expected, best_effort_runs)
 
 
-def _has_started_over_target(
-    run: workflow_state.Run, expected: list[tuple[workflow_state.Run, float]]
-) -> bool:
-    """Return whether a run was placed beside a task that is over its target.
-
-    Such a run may add nothing until that task is within its target.
-    """
-    return any(
-        serving.over_target_since is not None
-        and run.start_requested_at > serving.over_target_since
-        for serving, _ in expected
-    )
-
-
 def _expected_utilization(
     shard: state.Shard,
     run: workflow_state.Run,
--- a/limpetstream/shard/victims.py
+++ b/limpetstream/shard/victims.py
@@ -27,8 +27,9 @@
 
 def has_waited_long(shard: state.Shard, task: workflow_state.Task) -> bool:
     """Return whether a task is long-running and its longest wait is over."""
-    waited_s = shard.clock.monotonic() - task.ready_at
-    return task.step.long_running and waited_s > LONG_RUNNING_MAX_WAIT_S
+    if not task.step.long_running:
+        return False
+    return shard.clock.monotonic() - task.ready_at > LONG_RUNNING_MAX_WAIT_S
 
 
 def kind_of(shard: state.Shard, task: workflow_state.Task) -> str:
--- a/limpetstream/workflow/capacity_forecast.py
+++ b/limpetstream/workflow/capacity_forecast.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 from limpetstream.executors import tracking
-from limpetstream.workflow import interference, messages
+from limpetstream.workflow import interference, load_forecast, messages
 
 # Offsets from now at which the load of serving work is predicted. Together
 # they cover about the run of one task.
@@ -143,6 +143,7 @@
     """
     serving_by_image: dict[str, ServingLoad] = {}
     used = executor.reserved_millicores / 1000
+    phases = load_forecast.phases(now + offset for offset in SAMPLE_OFFSETS_S)
     for run in executor.serving_runs():
         image, limit = run.task.step.image, model.limit(run.task.step.image)
         load = model.user_load(run.task.job.submission.job_id)
@@ -151,7 +152,7 @@
             headrooms = [limit - model.peak(image)] * len(SAMPLE_OFFSETS_S)
             used -= (1 - DEFAULT_UTILIZATION) * cores
         else:
-            loads = [load.predict(now + offset) for offset in SAMPLE_OFFSETS_S]
+            loads = load.predict_at_phases(phases)
             headrooms = [limit - predicted for predicted in loads]
             used -= (1 - min(1.0, max(0.0, sum(loads) / len(loads)))) * cores
         serving = serving_by_image.get(image)
--- a/limpetstream/workflow/interference.py
+++ b/limpetstream/workflow/interference.py
@@ -83,7 +83,8 @@
 
     def limit(self, serving: str) -> float:
         """Return the utilization that corresponds to ``TAIL_LIMIT``."""
-        return self.utilization(serving, TAIL_LIMIT)
+        idle = self._estimate(serving).idle
+        return 1.0 - idle / (idle if idle > TAIL_LIMIT else TAIL_LIMIT)
 
     def calm_margin(self, serving: str) -> float:
         """Return by how much the limit for calm placement is lower."""
@@ -120,10 +121,13 @@
         >>> round(model.added_utilization("desk", {"batch": 5.0}), 3)
         0.04
         """
-        return sum(
-            self.weight(serving, best_effort) * cores
-            for best_effort, cores in cores_by_image.items()
-        )
+        weight_by_image = self._estimate(serving).weight_by_image
+        added = 0.0
+        for best_effort, cores in cores_by_image.items():
+            weight = weight_by_image.get(best_effort, DEFAULT_WEIGHT)
+            if weight > 0:
+                added += weight * cores
+        return added
 
     def may_probe(self, serving: str, best_effort: str, now: float) -> bool:
         """Return whether a run may start beside a serving image.
@@ -160,7 +164,7 @@
     def user_load(self, job_id: str) -> load_forecast.LoadForecast | None:
         """Return the user load of a job; None while it is uncertain."""
         load = self._load_by_job.get(job_id)
-        return load if load is not None and load.is_reliable(load.reported_at) else None
+        return load if load is not None and load.is_reliable_at_report else None
 
     def observe(
         self,
--- a/limpetstream/workflow/load_forecast.py
+++ b/limpetstream/workflow/load_forecast.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable
 
 # The users' deployments have periods of 10 and 14 s. With the decay time
 # below, predictions with 12 s are about as good as with the true periods.
@@ -34,6 +35,8 @@
         reported_at: Monotonic time of the newest report.
         state: Mean, amplitude of the sine and amplitude of the cosine.
         covariance: Upper triangle of the state's covariance, row by row.
+        is_reliable_at_report: Whether a prediction for ``reported_at`` is
+            reliable.
     """
 
     reported_at: float
@@ -46,6 +49,11 @@
         0.0,
         PRIOR_AMPLITUDE_VARIANCE,
     )
+    is_reliable_at_report: bool = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Work out what does not change until the next report."""
+        self.is_reliable_at_report = self.is_reliable(self.reported_at)
 
     def predict(self, time: float) -> float:
         """Return the expected utilization at a monotonic time.
@@ -57,6 +65,11 @@
         angle = _angle(time)
         return mean + sine * math.sin(angle) + cosine * math.cos(angle)
 
+    def predict_at_phases(self, phases: list[tuple[float, float]]) -> list[float]:
+        """Return the expected utilizations at the times of ``phases``."""
+        mean, sine, cosine = self.state
+        return [mean + sine * sin + cosine * cos for sin, cos in phases]
+
     def predict_max(self, since: float, until: float) -> float:
         """Return the highest expected utilization between two times."""
         mean, sine, cosine = self.state
@@ -121,6 +134,17 @@
             decay * (f - third * third / variance)
             + (1 - decay) * PRIOR_AMPLITUDE_VARIANCE,
         )
+        self.is_reliable_at_report = self.is_reliable(time)
+
+
+def phases(times: Iterable[float]) -> list[tuple[float, float]]:
+    """Return sine and cosine of the oscillation's phase at monotonic times.
+
+    >>> LoadForecast(0.0).predict_at_phases(phases([5.0]))
+    [0.44]
+    """
+    angles = [_angle(time) for time in times]
+    return [(math.sin(angle), math.cos(angle)) for angle in angles]
 
 
 def _angle(time: float) -> float:
