--- a/limpetstream/telemetry/logs.py
+++ b/limpetstream/telemetry/logs.py
@@ -44,7 +44,8 @@
         target.flush()
 
     loguru.logger.remove()
-    loguru.logger.add(write, level=level, catch=True)
+    # ``write`` reads the record; the text that loguru makes of it is not used.
+    loguru.logger.add(write, level=level, format="{message}", catch=True)
     tornado_log = logging.getLogger("tornado")
     tornado_log.handlers = [LibraryHandler(logging.WARNING)]
     tornado_log.propagate = False
