Look at what a candidate gets of its processor only once it is the best

The share was worked out for each of the forty executors that a best-effort task is compared on, though the best one nearly always suffices. Whether a serving run is over its target no longer copies the list of runs. The order of candidates and the choice are the same.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -161,6 +161,13 @@
         """Return the runs of tasks that have a tail latency target."""
         return list(self._serving_by_task.values())
 
+    def has_run_over_target(self) -> bool:
+        """Return whether a task exceeds its tail latency target now."""
+        for run in self._serving_by_task.values():
+            if run.over_target_since is not None:
+                return True
+        return False
+
     def best_effort_runs(self) -> list[state.Run]:
         """Return the runs of best-effort tasks."""
         return list(self._best_effort_by_task.values())
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -8,9 +8,10 @@
 import dataclasses
 import operator
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.workflow import eligibility, state
+from limpetstream.workflow import capacity_forecast, eligibility, state
 
 # Below these values a task waits. Minimum paces of 0.7, 0.9 and 0.98 were
 # compared over eight days (MEASUREMENTS.md).
@@ -88,7 +89,11 @@
         task: Best-effort task to place.
         context: What else the placement depends on.
     """
-    within_target = [executor for executor in allowed if not _is_over_target(executor)]
+    # Work that started beside a serving task over its target would run while
+    # the other best-effort work there is paused.
+    within_target = [
+        executor for executor in allowed if not executor.has_run_over_target()
+    ]
     if not within_target:
         return None
     ranked = _ranked(within_target, task, context)
@@ -101,7 +106,9 @@
         min_cpu_share = RELAXED_MIN_CPU_SHARE
         min_pace = RELAXED_MIN_PACE - MIN_PACE_DECREASE_PER_S * further_s
     for candidate in ranked:
-        if candidate.cpu_share >= min_cpu_share and candidate.pace >= min_pace:
+        if candidate.pace < min_pace:
+            continue
+        if candidate.expected.cpu_share(task.step) >= min_cpu_share:
             if _may_probe(candidate.executor, task, context):
                 return candidate.executor
     return None
@@ -169,30 +176,31 @@
     for candidate in _candidates(eligible, task, context):
         context.scored_count += 1
         executor = candidate.executor
-        if candidate.cpu_share < MIN_CPU_SHARE or candidate.pace < MIN_PACE:
+        if candidate.pace < MIN_PACE:
+            continue
+        if candidate.expected.cpu_share(task.step) < MIN_CPU_SHARE:
             continue
         if eligibility.is_in_doubt(executor, context.now):
             continue
-        if not _is_over_target(executor) and _may_probe(executor, task, context):
+        if not executor.has_run_over_target() and _may_probe(executor, task, context):
             return True
     return False
 
 
-@dataclasses.dataclass(slots=True)
-class _Candidate:
+class _Candidate(NamedTuple):
     """What a best-effort task can expect on one executor.
 
     Args:
-        executor: Executor.
-        cpu_share: Share, up to 1, of its CPU that the task gets.
-        pace: Share, up to 1, of its speed that it can keep.
         score: How well the executor suits the task; higher is better.
+        executor: Executor.
+        pace: Share, up to 1, of its speed that the task can keep.
+        expected: Forecast of the executor.
     """
 
+    score: float
     executor: tracking.Executor
-    cpu_share: float
     pace: float
-    score: float
+    expected: capacity_forecast.CapacityForecast
 
 
 def _candidates(
@@ -201,19 +209,20 @@
     context: eligibility.PlacementContext,
 ) -> Iterator[_Candidate]:
     """Yield what a best-effort task can expect on each of the executors."""
-    step, now = task.step, context.now
+    step, rack, now = task.step, task.step.data_rack, context.now
+    model, forecast_of = context.interference_model, context.forecasts.get
     is_calm = now - task.ready_at < FULL_PACE_WAIT_S
     for executor in executors:
-        expected = context.forecasts.get(executor, context.interference_model, now)
+        expected = forecast_of(executor, model, now)
         pace = expected.pace(step, calm=is_calm)
         score = expected.spare_cores - expected.best_effort_cores
         score += eligibility.FULL_PACE_BONUS_CORES * pace
-        if step.data_rack and step.data_rack in executor.listing.labels:
+        if rack and rack in executor.listing.labels:
             score += eligibility.DATA_RACK_BONUS_CORES
         score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
         if eligibility.is_in_doubt(executor, now):
             score -= eligibility.IN_DOUBT_PENALTY_CORES
-        yield _Candidate(executor, expected.cpu_share(step), pace, score)
+        yield _Candidate(score, executor, pace, expected)
 
 
 def _ranked(
@@ -225,23 +234,11 @@
     context.scored_count += len(executors)
     return sorted(
         _candidates(executors, task, context),
-        key=operator.attrgetter("score"),
+        key=operator.itemgetter(0),
         reverse=True,
     )
 
 
-def _is_over_target(executor: tracking.Executor) -> bool:
-    """Return whether a serving task on the executor exceeds its target now.
-
-    Best-effort work that started there would run while the other best-effort
-    work is paused.
-    """
-    for run in executor.serving_runs():
-        if run.over_target_since is not None:
-            return True
-    return False
-
-
 def _may_probe(
     executor: tracking.Executor,
     task: state.Task,
