Encode the progress of done tasks once

Most tasks in the record of a job are done, and all of these have the same content. Bytes are the same.

--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -86,6 +86,11 @@
     )
 
 
+# Most entries are of tasks that are done.
+_DONE = TaskProgress(done=True)
+_DONE_CONTENT = {"done": True}
+
+
 def encode_submission(submission: messages.Submission) -> bytes:
     """Return the stored form of a submission, without default values."""
     value = _without_defaults(submission)
@@ -138,7 +143,7 @@
     value = _without_defaults(progress)
     if progress.task_by_place:
         value["task_by_place"] = {
-            place: _without_defaults(task)
+            place: _DONE_CONTENT if task is _DONE else _without_defaults(task)
             for place, task in progress.task_by_place.items()
         }
     return msgspec.json.encode(value)
@@ -182,7 +187,7 @@
 def _task_progress(task: state.Task) -> TaskProgress:
     """Return the progress of a task; of one that is done, only that."""
     if task.done:
-        return TaskProgress(done=True)
+        return _DONE
     return TaskProgress(
         False, sorted(task.failed_runs), task.ended_run, task.checkpoint
     )
