Check fewer conditions of executors one call at a time

The executors of a batch are checked by one comprehension that calls two functions for each instead of four; the conditions are the same.

--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -108,12 +108,15 @@
 ) -> list[tracking.Executor]:
     """Return the executors that may run a task and have capacity for it."""
     context.checked_count += len(executors)
+    step, service = task.step, context.service
+    is_constrained = bool(step.required_label or step.max_per_executor)
     eligible = [
         executor
         for executor in executors
-        if executor.fits(task.step)
-        and accepts_new_tasks(executor, context)
-        and meets_constraints(executor, task)
+        if executor.fits(step)
+        and executor.listing.service == service
+        and is_available(executor, context)
+        and (not is_constrained or meets_constraints(executor, task))
     ]
     context.eligible_count += len(eligible)
     return eligible
