--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -91,12 +91,13 @@
     if len(executors) <= BATCH_SIZE:
         yield executors
         return
-    start = zlib.crc32(f"{name} {int(now / BATCH_ROTATION_S)}".encode()) % len(
-        executors
-    )
-    for first in range(start, start + len(executors), BATCH_SIZE):
-        stop = min(first + BATCH_SIZE, start + len(executors))
-        yield [executors[index % len(executors)] for index in range(first, stop)]
+    count = len(executors)
+    start = zlib.crc32(f"{name} {int(now / BATCH_ROTATION_S)}".encode()) % count
+    for first in range(start, start + count, BATCH_SIZE):
+        stop = min(first + BATCH_SIZE, start + count)
+        # Positions from ``count`` on are those from the start of the list.
+        around = executors[max(0, first - count) : max(0, stop - count)]
+        yield executors[first:stop] + around
 
 
 def _has_few_candidates(step: messages.Step) -> bool:
