Serve urgent work first while the owner's event loop is late

Callers on a large site saw desk jobs start seconds late where the owner's processor was slow. Two mechanisms made a late loop later. And every pass decided up to 64 starts of any queue, which all later turns, starts and ends waited behind.

Limits follow the lag of the loop and vanish while it is in time: polls of an executor are up to 0.2 s apart, but close enough to acknowledge; a pass starts 64 to 2 tasks of less urgent queues; passes take a quarter of the time. The most urgent queues, lasting tasks, leases, proofs and stops are not deferred. owner-late (1565) and owner-in-time (1566) tell when.

--- /dev/null
+++ b/limpetstream/executors/lateness.py
@@ -0,0 +1,61 @@
+"""Adapts an owner's work to the time by which its event loop is late.
+
+An owner whose processor is the limit serves everything late. What can be
+grouped or can wait then makes room for the rest: each executor is polled less
+often, so that more ends share an answer, and fewer starts of less urgent
+queues are decided at once. The limits shrink by a factor and grow slowly, as
+those of ``sending``.
+"""
+
+import dataclasses
+
+# The loop is late when a timer is later than this. A first start passes the
+# loop about five times from its submission to the request; the aim for it is
+# half a second.
+MAX_LAG_S = 0.05
+# The next poll acknowledges the ends of the last answer, which must not be
+# older than the shortest restart (``shard.sessions.MIN_RESTART_S``).
+MAX_PAUSE_S = 0.2
+MIN_PAUSE_S = 0.025
+MAX_STARTS = 64
+MIN_STARTS = 2  # Less urgent work goes on, however late the loop is.
+SHRINKAGE = 0.5
+GROWTH = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class Lateness:
+    """How late an event loop is, and what that allows.
+
+    Args:
+        lag_s: Longest time by which a timer was late in the last interval.
+        pause_s: Time from an executor's answer to its next poll; 0 while the
+            loop is in time.
+        starts: Number of starts of less urgent queues in one pass.
+        late_intervals: Number of intervals in a row with such limits.
+    """
+
+    lag_s: float = 0.0
+    pause_s: float = 0.0
+    starts: float = MAX_STARTS
+    late_intervals: int = 0
+
+    @property
+    def is_late(self) -> bool:
+        """Whether work is grouped or deferred because the loop is late."""
+        return self.pause_s > 0 or self.starts < MAX_STARTS
+
+    def note_lag(self, lag_s: float) -> None:
+        """Shrink the limits at once if a timer was late."""
+        if lag_s > MAX_LAG_S:
+            self.pause_s = min(MAX_PAUSE_S, max(self.pause_s, lag_s) * 2)
+            factor = max(SHRINKAGE, MAX_LAG_S / lag_s)
+            self.starts = max(MIN_STARTS, self.starts * factor)
+
+    def end_interval(self, lag_s: float) -> None:
+        """Let the limits grow if no timer of an interval was late."""
+        self.lag_s = lag_s
+        if lag_s <= MAX_LAG_S:
+            self.pause_s = self.pause_s / 2 if self.pause_s > MIN_PAUSE_S else 0.0
+            self.starts = min(MAX_STARTS, self.starts * GROWTH)
+        self.late_intervals = self.late_intervals + 1 if self.is_late else 0
--- a/limpetstream/executors/sending.py
+++ b/limpetstream/executors/sending.py
@@ -24,6 +24,7 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 
 from limpetstream import clock as clock_module
+from limpetstream.executors import lateness
 
 INITIAL_BYTES = 16_384
 # Four starts of usual size: enough for 100 KB/s at a round trip of 40 ms.
@@ -35,6 +36,7 @@
 MAX_DELAY_S = 0.1
 TICK_S = 0.05
 TICKS_PER_INTERVAL = 5
+LATE_INTERVALS = 4  # A second.
 # Executors that did not answer in an interval in which none answered.
 MIN_SILENT_EXECUTORS = 3
 # Beyond the usual limits. With it a poll still ends before an executor counts
@@ -75,7 +77,7 @@
         self.unsent_starts = 0
         self.poll_pause_s = 0.0
         self.delay_s = 0.0  # Shortest delay of the last interval.
-        self.lag_s = 0.0  # Longest time by which the event loop was late in it.
+        self.lateness = lateness.Lateness()
         self._waiting: list[
             tuple[tuple[float, ...], int, int, asyncio.Future[None]]
         ] = []
@@ -128,7 +130,7 @@
     @property
     def extra_s(self) -> float:
         """Seconds to add to the usual time limits."""
-        delay_s = self.delay_s + self.lag_s
+        delay_s = self.delay_s + self.lateness.lag_s
         if delay_s <= MAX_DELAY_S:
             return 0.0
         return min(MAX_EXTRA_S, DELAYS_ALLOWED * delay_s)
@@ -209,6 +211,7 @@
         self,
         count_executors: Callable[[], int],
         report: Callable[[bool], None] = lambda is_full: None,
+        report_lateness: Callable[[bool], None] = lambda is_late: None,
     ) -> None:
         """Adapt the window at the end of each interval, until cancelled.
 
@@ -216,21 +219,30 @@
             count_executors: Returns how many executors are polled.
             report: Called once calls have waited or been late for about a
                 second, with true, and once they no longer are, with false.
+            report_lateness: Called likewise for a late event loop.
         """
-        is_reported = False
+        is_reported = is_late_reported = False
         lag_s = 0.0
         for tick in itertools.count(1):
             due_at = self._clock.monotonic() + TICK_S
             await self._clock.sleep(TICK_S)
-            lag_s = max(lag_s, self._clock.monotonic() - due_at)
+            tick_lag_s = max(0.0, self._clock.monotonic() - due_at)
+            self.lateness.note_lag(tick_lag_s)
+            lag_s = max(lag_s, tick_lag_s)
             if tick % TICKS_PER_INTERVAL == 0:
-                self.end_interval(max(0.0, lag_s), count_executors())
+                self.end_interval(lag_s, count_executors())
                 lag_s = 0.0
                 is_full = self.poll_pause_s >= (0.0 if is_reported else MAX_PAUSE_S)
                 is_full = is_full and self.poll_pause_s > 0
                 if is_full != is_reported:
                     is_reported = is_full
                     report(is_full)
+                is_late = self.lateness.late_intervals >= (
+                    1 if is_late_reported else LATE_INTERVALS
+                )
+                if is_late != is_late_reported:
+                    is_late_reported = is_late
+                    report_lateness(is_late)
 
     def end_interval(self, lag_s: float, executors: int) -> None:
         """Set the window by what was noted since the last call.
@@ -240,7 +252,7 @@
                 have been read that much later, and its call been sent.
             executors: Number of executors that are polled.
         """
-        self.lag_s = lag_s
+        self.lateness.end_interval(lag_s)
         is_late = False
         if self._shortest_s is not None:
             self.delay_s = max(0.0, self._shortest_s - 2 * lag_s)
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -410,3 +410,17 @@
     "Requests of callers are refused, as no configuration has been read yet.",
     "Check the platform's store if it lasts; see list-read-failed.",
 )
+OWNER_LATE = events.declare(
+    1565,
+    "owner-late",
+    "WARNING",
+    "The owner's event loop is late: less urgent starts wait, polls are grouped.",
+    "Give the instance more processor time; see owner-state and OPERATIONS.md.",
+)
+OWNER_IN_TIME = events.declare(
+    1566,
+    "owner-in-time",
+    "INFO",
+    "The owner's event loop is in time again.",
+    "None.",
+)
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -28,6 +28,7 @@
 
 PASS_INTERVAL_S = 0.004  # Events that come close together share a pass.
 MAX_PAUSE_S = 0.1  # After a pass; the process may have been frozen in it.
+LATE_PAUSE_FACTOR = 3.0  # Passes take a quarter of the time while the loop is late.
 IDLE_PASS_INTERVAL_S = 0.05  # While only time has passed.
 MAX_STATUS_AGE_S = 2.5  # A start needs a poll newer than this; see design.md.
 BEST_EFFORT_RETRY_S = 0.2  # Comparing all executors for such tasks is expensive.
@@ -56,6 +57,7 @@
             answer.
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
+        urgent_priority: Priority of the most urgent queues.
         checks: Work done so far.
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
@@ -74,6 +76,7 @@
     executors: list[tracking.Executor]
     has_doubt: bool
     may_preempt_long_running: bool
+    urgent_priority: int
     checks: int = 0
     placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
@@ -99,6 +102,8 @@
         with owner_load.measured(shard.load, shard.clock, owner_load.PASSES):
             run_pass(shard)
         took_s = shard.clock.monotonic() - started_at
+        if shard.send_window.lateness.is_late:
+            took_s *= LATE_PAUSE_FACTOR
         await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
 
@@ -136,6 +141,8 @@
         elif _is_at_bound(this_pass):
             this_pass.is_finished = False
             break
+        elif _is_deferred(shard, task, this_pass):
+            this_pass.has_skipped = True
         elif _may_have_turn(shard, task, this_pass):
             _give_turn(shard, task, this_pass)
         else:
@@ -158,7 +165,9 @@
     )
     may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
     has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
-    return _Pass(now, executors, has_doubt, may_preempt_long_running)
+    queues = shard.view.configuration.queues if shard.view.configuration else []
+    urgent_priority = min((queue.priority for queue in queues), default=0)
+    return _Pass(now, executors, has_doubt, may_preempt_long_running, urgent_priority)
 
 
 def _is_at_bound(this_pass: _Pass) -> bool:
@@ -168,6 +177,22 @@
     )
 
 
+def _is_deferred(
+    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
+) -> bool:
+    """Return whether a less urgent task waits because the event loop is late.
+
+    Each start delays the turns, starts and ends of urgent work that follow.
+    """
+    late = shard.send_window.lateness
+    return (
+        late.is_late
+        and this_pass.placed >= late.starts
+        and not task.step.long_running
+        and shard.priority_of(task.job) > this_pass.urgent_priority
+    )
+
+
 def _may_have_turn(
     shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
 ) -> bool:
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -31,6 +31,7 @@
 # ``proof.VALIDITY_S`` from the sending of the poll.
 OUTAGE_POLL_WAIT_S = 0.5
 MIN_RESTART_S = 0.25  # An executor takes longer than this to restart.
+PAUSE_MARGIN_S = 0.03  # From the end of a pause until the poll is sent.
 # Time for the journal to make ends durable. After that, the next poll renews
 # the lease without acknowledging them.
 FLUSH_TIMEOUT_S = 0.4
@@ -105,8 +106,22 @@
         await _acknowledge(shard, executor)
     if not executor.recorded:
         await _wait_for_record(shard)
+    await _pause(shard, executor)
+
+
+async def _pause(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Let more ends come with the next answer while the owner is slow.
+
+    A pause for the sake of the loop counts from the last answer, and the next
+    poll can still acknowledge the ends.
+    """
     pause_s = shard.send_window.poll_pause_s
-    if pause_s:  # More ends come with the next reply.
+    late = shard.send_window.lateness
+    if late.pause_s:
+        longest_s = MIN_RESTART_S - PAUSE_MARGIN_S - 2 * late.lag_s
+        since_s = shard.clock.monotonic() - executor.answered_at
+        pause_s = max(pause_s, min(late.pause_s, longest_s) - since_s)
+    if pause_s > 0:
         await shard.clock.sleep(pause_s)
 
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -222,6 +222,7 @@
             shard.send_window.run(
                 lambda: len(shard.executor_by_id),
                 functools.partial(_report_link, shard),
+                functools.partial(_report_lateness, shard),
             )
         )
         while shard.view.configuration is None:
@@ -283,7 +284,20 @@
         waiting=window.waiting_count,
         unsent=window.unsent_starts,
         delay_ms=round(window.delay_s * 1000),
-        lag_ms=round(window.lag_s * 1000),
+        lag_ms=round(window.lateness.lag_s * 1000),
+    )
+
+
+def _report_lateness(shard: state.Shard, is_late: bool) -> None:
+    """Log that the owner defers work because it is late, or no longer does."""
+    late = shard.send_window.lateness
+    logs.emit(
+        events.OWNER_LATE if is_late else events.OWNER_IN_TIME,
+        shard=shard.number,
+        lag_ms=round(late.lag_s * 1000),
+        pause_ms=round(late.pause_s * 1000),
+        starts=round(late.starts),
+        waiting=len(shard.waiting_tasks),
     )
 
 
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -9,6 +9,7 @@
 import loguru
 import pytest
 
+from limpetstream.executors import lateness
 from limpetstream.shard import (
     events,
     jobs,
@@ -336,10 +337,15 @@
     """Guards against polls and ends that wait behind pass after pass."""
     loop = virtual_time.Loop()
     shard = builders.make_shard(loop)
+    assert pauses_between_passes(shard, loop, 0.03) == pytest.approx([0.03] * 3)
+
+
+def pauses_between_passes(shard, loop, pass_s):
+    """Return the pauses after three passes that take so long."""
     paused_s = []
 
     def slow_pass(shard):
-        loop._virtual.now += 0.03
+        loop._virtual.now += pass_s
         shard.changed.set()
 
     async def sleep(seconds):
@@ -354,7 +360,51 @@
         patch.setattr(scheduling, "run_pass", slow_pass)
         with pytest.raises(asyncio.CancelledError):
             virtual_time.run(scheduling.run(shard), loop=loop)
-    assert paused_s == pytest.approx([0.03] * 3)
+    return paused_s
+
+
+def make_late(shard):
+    """Let the event loop be so late that least is started in a pass."""
+    for _ in range(20):
+        shard.send_window.lateness.note_lag(1.0)
+
+
+def test_less_urgent_tasks_are_deferred_while_the_loop_is_late():
+    """Guards against urgent tasks that wait behind starts of other queues."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=4)
+    small = builders.copy_step(builders.SHORT, cpu_millicores=500, count=20)
+    batch = builders.make_tasks(shard, small, queue="batch")
+    desk = builders.make_tasks(shard, small, queue="desk")
+    shard.waiting_tasks.extend(batch + desk)
+    make_late(shard)
+    scheduling.run_pass(shard)
+    assert all(task.run is not None for task in desk)
+    assert not any(task.run is not None for task in batch)
+    assert shard.changed.is_set()
+    scheduling.run_pass(shard)
+    started = [task for task in batch if task.run is not None]
+    assert len(started) == lateness.MIN_STARTS
+
+
+def test_lasting_tasks_are_not_deferred():
+    """Guards against lasting tasks without a run for 6 s (rule LOST)."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=40)
+    step = builders.copy_step(builders.SERVING, count=40)
+    lasting = builders.make_tasks(shard, step, queue="batch")
+    shard.waiting_tasks.extend(lasting)
+    make_late(shard)
+    scheduling.run_pass(shard)
+    assert [task.name for task in lasting if task.run is None] == []
+
+
+def test_passes_leave_most_of_a_late_loop_to_other_work():
+    """Guards against starts and ends that wait behind pass after pass."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop)
+    make_late(shard)
+    assert pauses_between_passes(shard, loop, 0.03) == pytest.approx([0.09] * 3)
 
 
 def simulate(shard, loop, visits, seconds):
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -25,6 +25,7 @@
 from standins import (
     keyed_store,
     queued_link,
+    slow_processor,
     step_executor_client,
     step_executors,
     virtual_time,
@@ -104,6 +105,7 @@
     reach them. ``next_by_member`` names the process that has started at the
     address of one that has ended, and that answers calls to it. The calls to
     executors of the instances in ``link_by_member`` go through these links.
+    The calls of the instances in ``costs_by_member`` take processor time.
 
     Args:
         loop: Loop on virtual time.
@@ -135,7 +137,9 @@
         self.members_without_peers: set[str] = set()
         self.next_by_member: dict[str, str] = {}
         self.link_by_member: dict[str, queued_link.Link] = {}
+        self.costs_by_member: dict[str, slow_processor.Costs] = {}
         self.view = state.DeploymentView(messages.Configuration(1, [QUEUE, BATCH]))
+        self._loop = loop
         self._shards = shards
         self._decode_listing = decode_listing
         self._encode_listing = encode_listing
@@ -199,8 +203,13 @@
             calls = queued_link.LinkedClient(
                 executor_client, self.link_by_member[member]
             )
+        store_calls: Any = store
+        if member in self.costs_by_member:
+            costs = self.costs_by_member[member]
+            calls = slow_processor.CostlyClient(calls, costs, self._loop)
+            store_calls = slow_processor.CostlyClient(store, costs, self._loop)
         server = shard_server.ShardServer(
-            store=_FreezableClient(store, gate),
+            store=_FreezableClient(store_calls, gate),
             executor_client=_FreezableClient(calls, gate),
             clock=clock,
             view=self.view,
