Quote the present text of a check in its removal

The answers to polls are measured in a block, so the check of the proof before paces has another indentation, and the catalogue of removed checks did not find its text. The removed check and the test that notices it are the same; its entry passes again.

--- a/limpetstream/shard/tests/removals_of_runs.py
+++ b/limpetstream/shard/tests/removals_of_runs.py
@@ -279,8 +279,8 @@
         PACE,
         f"{SHARD}.sessions",
         "_poll",
-        "    if proof.is_proven(shard):\n        pacing",
-        "    if True:\n        pacing",
+        "        if proof.is_proven(shard):\n            pacing",
+        "        if True:\n            pacing",
         "shard/tests/test_proof.py::test_no_pace_is_decided_without_a_proof",
     ),
     removed_checks.Removal(
