Bound the time of a pass on slow processors

A pass was bounded by the number of its checks.

Turns of a pass also end after 20 ms. The time counts from the first turn, so that each pass gives some, however long it takes to sort the tasks. The round goes on in the next pass, as at the bound of checks.

test_a_pass_on_a_slow_processor_is_bounded_in_time: 60 turns of 3 ms took 180 ms in one pass without the bound.

--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -43,6 +43,10 @@
     MAX_COMPARED_PER_PASS * (1 + eligibility.CHECKS_PER_SCORE)
     + MAX_PLACED_PER_PASS * CHECKS_PER_TURN
 )
+# On a slow processor a pass takes longer for the same work. Less than half of
+# ``lateness.MAX_LAG_S``, so that passes alone do not make the loop late. It
+# counts from the first turn: each pass gives some, however many tasks wait.
+MAX_PASS_S = 0.02
 REPORT_INTERVAL_S = 10.0  # Of the log line about passes that reach the bound.
 
 
@@ -58,6 +62,7 @@
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
         urgent_priority: Priority of the most urgent queues.
+        turns_began_at: Monotonic time after the tasks were sorted.
         checks: Work done so far.
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
@@ -77,6 +82,7 @@
     has_doubt: bool
     may_preempt_long_running: bool
     urgent_priority: int
+    turns_began_at: float = 0.0
     checks: int = 0
     placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
@@ -134,12 +140,14 @@
     this_pass = _begin(shard)
     now = this_pass.now
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
-    for task in turn_order.sort(shard, due, now):
+    in_order = turn_order.sort(shard, due, now)
+    this_pass.turns_began_at = shard.clock.monotonic()
+    for task in in_order:
         if task.job.outcome or task.done or task.run is not None:
             shard.waiting_tasks.discard(task)
         elif task.step.gang and workflow_state.step_name(task) in this_pass.gangs:
             continue
-        elif _is_at_bound(this_pass):
+        elif _is_at_bound(shard, this_pass):
             this_pass.is_finished = False
             break
         elif _is_deferred(shard, task, this_pass):
@@ -171,13 +179,19 @@
     return _Pass(now, executors, has_doubt, may_preempt_long_running, urgent_priority)
 
 
-def _is_at_bound(this_pass: _Pass) -> bool:
+def _is_at_bound(shard: state.Shard, this_pass: _Pass) -> bool:
     return (
         this_pass.placed >= MAX_PLACED_PER_PASS
         or this_pass.checks >= MAX_CHECKS_PER_PASS
+        or _elapsed_s(shard, this_pass) >= MAX_PASS_S
     )
 
 
+def _elapsed_s(shard: state.Shard, this_pass: _Pass) -> float:
+    """Return for how long a pass has given turns."""
+    return shard.clock.monotonic() - this_pass.turns_began_at
+
+
 def _is_deferred(
     shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
 ) -> bool:
@@ -208,7 +222,11 @@
     if task.tried_in_round != shard.searches.round_number:
         return True
     is_cheap = not task.step.gang and not task.step.fills
-    return is_cheap and this_pass.checks < MAX_CHECKS_PER_PASS // 2
+    return (
+        is_cheap
+        and this_pass.checks < MAX_CHECKS_PER_PASS // 2
+        and _elapsed_s(shard, this_pass) < MAX_PASS_S / 2
+    )
 
 
 def _give_turn(shard: state.Shard, task: workflow_state.Task, this_pass: _Pass) -> None:
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -37,6 +37,7 @@
 VISIT_S = 2e-6
 STOP_S = 0.2  # Until the capacity of a stopped run is free.
 SHORT_RUN_S = 0.8
+TURN_S = 0.003  # Of one turn on a slow processor.
 MAX_LASTING_WAIT_S = 6.0  # Rule LOST: from the last run of a lasting task.
 
 
@@ -387,6 +388,33 @@
     assert len(started) == lateness.MIN_STARTS
 
 
+def test_a_pass_on_a_slow_processor_is_bounded_in_time(monkeypatch):
+    """Guards against polls that wait for a pass, however slow its checks are.
+
+    The next passes go on where the first one has ended.
+    """
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=8)
+    place = placing.place
+
+    def slow_place(*args, **kwargs):
+        loop.use_processor(TURN_S)
+        return place(*args, **kwargs)
+
+    monkeypatch.setattr(placing, "place", slow_place)
+    small = builders.copy_step(builders.SHORT, cpu_millicores=500, count=60)
+    tasks = builders.make_tasks(shard, small, queue="desk")
+    shard.waiting_tasks.extend(tasks)
+    passes = 0
+    while shard.waiting_tasks and passes < len(tasks):
+        began_at, passes = loop.time(), passes + 1
+        scheduling.run_pass(shard)
+        assert loop.time() - began_at <= scheduling.MAX_PASS_S + TURN_S
+        assert shard.changed.is_set() or not shard.waiting_tasks
+        advance(shard, loop, PASS_S)
+    assert passes <= len(tasks) * TURN_S / scheduling.MAX_PASS_S + 1
+
+
 def test_lasting_tasks_are_not_deferred():
     """Guards against lasting tasks without a run for 6 s (rule LOST)."""
     loop = virtual_time.Loop()
