--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -28,6 +28,7 @@
 
 PASS_INTERVAL_S = 0.004  # Events that come close together share a pass.
 MAX_PAUSE_S = 0.1  # After a pass; the process may have been frozen in it.
+LATE_PAUSE_FACTOR = 3.0  # Passes take a quarter of the time while the loop is late.
 IDLE_PASS_INTERVAL_S = 0.05  # While only time has passed.
 MAX_STATUS_AGE_S = 2.5  # A start needs a poll newer than this; see design.md.
 BEST_EFFORT_RETRY_S = 0.2  # Comparing all executors for such tasks is expensive.
@@ -42,6 +43,10 @@
     MAX_COMPARED_PER_PASS * (1 + eligibility.CHECKS_PER_SCORE)
     + MAX_PLACED_PER_PASS * CHECKS_PER_TURN
 )
+# On a slow processor a pass takes longer for the same work. Less than half of
+# ``lateness.MAX_LAG_S``, so that passes alone do not make the loop late. It
+# counts from the first turn: each pass gives some, however many tasks wait.
+MAX_PASS_S = 0.02
 REPORT_INTERVAL_S = 10.0  # Of the log line about passes that reach the bound.
 
 
@@ -56,6 +61,8 @@
             answer.
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
+        urgent_priority: Priority of the most urgent queues.
+        turns_began_at: Monotonic time after the tasks were sorted.
         checks: Work done so far.
         placed: Number of tasks that were placed.
         unplaceable: Shapes of best-effort tasks for which no executor was
@@ -74,6 +81,8 @@
     executors: list[tracking.Executor]
     has_doubt: bool
     may_preempt_long_running: bool
+    urgent_priority: int
+    turns_began_at: float = 0.0
     checks: int = 0
     placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
@@ -99,6 +108,8 @@
         with owner_load.measured(shard.load, shard.clock, owner_load.PASSES):
             run_pass(shard)
         took_s = shard.clock.monotonic() - started_at
+        if shard.send_window.lateness.is_late:
+            took_s *= LATE_PAUSE_FACTOR
         await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
 
@@ -124,18 +135,23 @@
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
     if shard.send_window.has_backlog:
+        shard.changed.set()  # No change tells when the starts are sent.
         return  # What is decided now would be sent late, and in this order.
     this_pass = _begin(shard)
     now = this_pass.now
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
-    for task in turn_order.sort(shard, due, now):
+    in_order = turn_order.sort(shard, due, now)
+    this_pass.turns_began_at = shard.clock.monotonic()
+    for task in in_order:
         if task.job.outcome or task.done or task.run is not None:
             shard.waiting_tasks.discard(task)
         elif task.step.gang and workflow_state.step_name(task) in this_pass.gangs:
             continue
-        elif _is_at_bound(this_pass):
+        elif _is_at_bound(shard, this_pass):
             this_pass.is_finished = False
             break
+        elif _is_deferred(shard, task, this_pass):
+            this_pass.has_skipped = True
         elif _may_have_turn(shard, task, this_pass):
             _give_turn(shard, task, this_pass)
         else:
@@ -158,13 +174,37 @@
     )
     may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
     has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
-    return _Pass(now, executors, has_doubt, may_preempt_long_running)
+    queues = shard.view.configuration.queues if shard.view.configuration else []
+    urgent_priority = min((queue.priority for queue in queues), default=0)
+    return _Pass(now, executors, has_doubt, may_preempt_long_running, urgent_priority)
 
 
-def _is_at_bound(this_pass: _Pass) -> bool:
+def _is_at_bound(shard: state.Shard, this_pass: _Pass) -> bool:
     return (
         this_pass.placed >= MAX_PLACED_PER_PASS
         or this_pass.checks >= MAX_CHECKS_PER_PASS
+        or _elapsed_s(shard, this_pass) >= MAX_PASS_S
+    )
+
+
+def _elapsed_s(shard: state.Shard, this_pass: _Pass) -> float:
+    """Return for how long a pass has given turns."""
+    return shard.clock.monotonic() - this_pass.turns_began_at
+
+
+def _is_deferred(
+    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
+) -> bool:
+    """Return whether a less urgent task waits because the event loop is late.
+
+    Each start delays the turns, starts and ends of urgent work that follow.
+    """
+    late = shard.send_window.lateness
+    return (
+        late.is_late
+        and this_pass.placed >= late.starts
+        and not task.step.long_running
+        and shard.priority_of(task.job) > this_pass.urgent_priority
     )
 
 
@@ -182,7 +222,11 @@
     if task.tried_in_round != shard.searches.round_number:
         return True
     is_cheap = not task.step.gang and not task.step.fills
-    return is_cheap and this_pass.checks < MAX_CHECKS_PER_PASS // 2
+    return (
+        is_cheap
+        and this_pass.checks < MAX_CHECKS_PER_PASS // 2
+        and _elapsed_s(shard, this_pass) < MAX_PASS_S / 2
+    )
 
 
 def _give_turn(shard: state.Shard, task: workflow_state.Task, this_pass: _Pass) -> None:
