Break connections to the store in the soak after an append of a job

store_restart resets all connections of some or all instances once the store has done an append of a job and before its answer; store_hangs_up closes only that connection. For 0.3 to 5 s from then on the store answers 503 or 429, or refuses connections (Link.refuse keeps the port bound). Callers give up after one to eight refusals.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
     seconds: float = 30.0,
     cuts: bool = True,
     leaves: bool = True,
+    breaks: bool = True,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
@@ -29,11 +30,14 @@
         seconds: How long each run submits jobs and injects faults.
         cuts: Whether connections are also cut in one direction.
         leaves: Whether many executors also leave or restart at once.
+        breaks: Whether connections to the store also break after an append.
     """
     loguru.logger.remove()
     failed_runs = 0
     for seed in range(first, first + seeds):
-        outcome = asyncio.run(_run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves))
+        outcome = asyncio.run(
+            _run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves, breaks=breaks)
+        )
         failed_runs += bool(outcome.findings)
         print(msgspec.json.encode(dataclasses.asdict(outcome)).decode(), flush=True)
     sys.exit(1 if failed_runs else 0)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -199,6 +199,7 @@
         return cpu
 
     async def _submit(self, job: Job, body: bytes) -> None:
+        patience = self._cluster.draw_patience(MAX_ATTEMPTS)
         for _ in range(MAX_ATTEMPTS):
             answer = await self._call("POST", job, body)
             if answer.status == 200:
@@ -212,6 +213,8 @@
             elif answer.status:
                 self._add_finding(job, f"got status {answer.status} for its submission")
                 return
+            if job.is_refused and job.refusals >= patience:
+                return
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
 
     async def _cancel(self, job: Job) -> None:
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -20,7 +20,7 @@
 from emulator import deployment, executors, store
 from limpetstream.border import simple_server
 from limpetstream.executors import messages
-from soak import _connections, _cuts, _executors, _lasting, _owners
+from soak import _breaks, _connections, _cuts, _executors, _lasting, _owners
 from standins import keyed_store, link, processes, step_executors
 
 DIRECTORY = "build/soak"
@@ -84,6 +84,10 @@
         self.cut_choices = random.Random(seed)
         self.leave_choices = random.Random(f"leaves {seed}")
         self.replacement_choices = random.Random(f"replacements {seed}")
+        self.break_choices = random.Random(f"breaks {seed}")
+        self.patience_choices = random.Random(f"patience {seed}")
+        self.gate = _breaks.StoreGate()
+        self.is_patient = True  # Whether callers make all their attempts.
         self.network = _cuts.Network()
         self.store = keyed_store.Store(seed=seed)
         self.owners = _owners.Owners(self.store)
@@ -196,6 +200,12 @@
         linked.publish()
         return linked
 
+    def draw_patience(self, max_attempts: int) -> int:
+        """Return after how many refusals a caller gives a job up."""
+        if self.is_patient:
+            return max_attempts
+        return self.patience_choices.choice([1, 1, 2, 4, max_attempts])
+
     def start(self, instance: Instance) -> None:
         """Start the process of an instance, which is set once it runs."""
         self._starting.add(asyncio.create_task(self._start(instance)))
@@ -267,8 +277,11 @@
         client = keyed_store.Client(self.store)
         handler = store.StoreHandler(client)
 
+        async def handle(request: httputil.HTTPServerRequest) -> simple_server.Response:
+            return await self.gate.answer(name, request, handler.answer)
+
         async def answer(request: httputil.HTTPServerRequest) -> simple_server.Response:
-            return await self.network.deliver(name, STORE, request, handler.answer)
+            return await self.network.deliver(name, STORE, request, handle)
 
         store_link = await self._serve_behind_link(answer)
         path = self.group.log_directory / f"{name}.json"
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,11 +4,14 @@
 """
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
 
-from soak import _cluster
+from tornado import httputil
+
+from soak import _breaks, _cluster
 from standins import link
 
 Fault = Callable[[_cluster.Cluster], Awaitable[None]]
@@ -16,6 +19,8 @@
 # Longer than a lease and than the time-to-live of a member of a group.
 MAX_FAULT_S = 6.0
 MIN_FAULT_S = 0.3
+# An instance tries for 2.1 s to store a job, and callers try again.
+MAX_REFUSAL_S = 5.0
 DELAY_MS = 120.0  # Thirty times the delay between two data centres.
 POLL_INTERVAL_S = 0.01
 EXECUTOR_RESTART_S = 0.5  # A real executor process cannot start faster.
@@ -158,7 +163,22 @@
     await _cut_one_way(cluster, frozenset([owner] if owner else []))
 
 
+async def store_restart(cluster: _cluster.Cluster) -> None:
+    """Break all connections after an append of a job, then refuse calls.
+
+    The append is done and its answer lost; in half of the cases only some of
+    the instances are concerned.
+    """
+    await _break_after_append(cluster, is_single=False)
+
+
+async def store_hangs_up(cluster: _cluster.Cluster) -> None:
+    """Close the connection of an append of a job, then refuse calls."""
+    await _break_after_append(cluster, is_single=True)
+
+
 # Injected beside the others, with random decisions of their own.
+BREAKS: tuple[Fault, ...] = (store_restart, store_hangs_up)
 CUTS: tuple[Fault, ...] = (data_centre_one_way, owner_one_way)
 
 ALL: tuple[Fault, ...] = (
@@ -236,6 +256,42 @@
         await hold(cluster.cut_choices)
 
 
+async def _break_after_append(cluster: _cluster.Cluster, *, is_single: bool) -> None:
+    """Break connections to the store after an append of a job.
+
+    Args:
+        cluster: Cluster to disturb.
+        is_single: Whether only the connection of the append is closed;
+            otherwise all those of the instances concerned are reset.
+    """
+    choices = cluster.break_choices
+    names = list(cluster.instance_by_name)
+    count = choices.choice([len(names), len(names), choices.randint(1, len(names))])
+    instances = frozenset(choices.sample(names, count))
+    status = choices.choice([503, 503, 429, None])  # None refuses connections.
+    refused_s = choices.uniform(MIN_FAULT_S, MAX_REFUSAL_S)
+    links = [cluster.instance_by_name[name].store_link for name in sorted(instances)]
+    with contextlib.ExitStack() as stack:
+
+        def break_connections(request: httputil.HTTPServerRequest) -> None:
+            if status is not None:
+                refusal = _breaks.Refusal(instances, status)
+                stack.enter_context(cluster.gate.refusing(refusal))
+            for each in links:
+                if status is None:
+                    each.refuse()
+                if not is_single:
+                    each.reset()
+            request.connection.stream.close()
+
+        if await cluster.gate.wait_for_append(
+            instances, break_connections, timeout_s=MAX_FAULT_S
+        ):
+            await asyncio.sleep(refused_s)
+        for each in links:
+            await each.listen()
+
+
 async def hold(choices: random.Random) -> None:
     """Wait as long as a fault lasts."""
     await asyncio.sleep(choices.uniform(MIN_FAULT_S, MAX_FAULT_S))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -29,6 +29,7 @@
 MEAN_SERIES_INTERVAL_S = 2.5  # Between the starts of two series of faults.
 MEAN_CUT_INTERVAL_S = 12.0  # The same for cuts.
 MEAN_LEAVE_INTERVAL_S = 8.0  # The same for many executors at once.
+MEAN_BREAK_INTERVAL_S = 12.0  # The same for broken connections to the store.
 MAX_FAULTS_IN_SERIES = 4
 # The longest lease of an executor (6 s) may end a run without disturbance; the
 # rule for lasting tasks holds from 6 s later, for waits of 3 s.
@@ -66,7 +67,12 @@
 
 
 async def run(
-    seed: int, *, seconds: float, cuts: bool = True, leaves: bool = True
+    seed: int,
+    *,
+    seconds: float,
+    cuts: bool = True,
+    leaves: bool = True,
+    breaks: bool = True,
 ) -> Outcome:
     """Run one seed and return its result.
 
@@ -75,11 +81,14 @@
         seconds: How long jobs are submitted and faults are injected.
         cuts: Whether connections are also cut in one direction.
         leaves: Whether many executors also leave or restart at once.
+        breaks: Whether connections to the store also break after it has
+            stored a job, and callers give up after fewer refusals.
     """
     opened = _cluster.open_cluster(
         seed, instance_count=INSTANCES, executor_count=EXECUTORS
     )
     async with opened as cluster, _stalls.watch() as stall_watch:
+        cluster.is_patient = not breaks
         callers = _callers.Callers(cluster)
         checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
@@ -106,6 +115,8 @@
                     task_group.create_task(_inject_cuts(cluster, seconds, injected))
                 if leaves:
                     task_group.create_task(_inject_leaves(cluster, seconds, injected))
+                if breaks:
+                    task_group.create_task(_inject_breaks(cluster, seconds, injected))
             await asyncio.gather(
                 callers.wait_until_settled(stall_watch, limit_s=SETTLE_TIMEOUT_S),
                 asyncio.sleep(CALM_END_S),
@@ -172,6 +183,20 @@
     )
 
 
+async def _inject_breaks(
+    cluster: _cluster.Cluster, seconds: float, injected: list[str]
+) -> None:
+    """Inject series of broken connections to the store beside the others."""
+    await _inject_series_of(
+        _faults.BREAKS,
+        cluster,
+        seconds,
+        injected,
+        choices=cluster.break_choices,
+        mean_interval_s=MEAN_BREAK_INTERVAL_S,
+    )
+
+
 async def _inject_series_of(
     faults: tuple[_faults.Fault, ...],
     cluster: _cluster.Cluster,
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -33,6 +33,12 @@
     (3, 10.0, "the same"),
     (6, 10.0, "the same"),
 )
+# Runs that failed as connections to the store broke after it had stored a job.
+FAILED_BREAK_RUNS = (
+    (2, 10.0, "the answer to a second copy of an append was taken for the first's"),
+    (5, 10.0, "the same"),
+    (6, 10.0, "the same"),
+)
 
 
 @pytest.fixture(autouse=True)
@@ -40,7 +46,7 @@
     loguru.logger.remove()
 
 
-def run_seeds(duration_by_seed, *, cuts, leaves=False):
+def run_seeds(duration_by_seed, *, cuts, leaves=False, breaks=False):
     """Run seeds at the same time and check that their guarantees hold.
 
     The message tells all findings, so that a red listed test can be traced.
@@ -50,7 +56,9 @@
         async with _stalls.watch() as watch:
             outcomes = await asyncio.gather(
                 *[
-                    _run.run(seed, seconds=seconds, cuts=cuts, leaves=leaves)
+                    _run.run(
+                        seed, seconds=seconds, cuts=cuts, leaves=leaves, breaks=breaks
+                    )
                     for seed, seconds in duration_by_seed.items()
                 ]
             )
@@ -94,9 +102,16 @@
     run_seeds(duration_by_seed, cuts=True, leaves=True)
 
 
+def test_seeds_that_failed_as_connections_to_the_store_broke_pass():
+    """Guards against jobs that run though their callers were refused."""
+    duration_by_seed = {seed: seconds for seed, seconds, _cause in FAILED_BREAK_RUNS}
+    outcomes = run_seeds(duration_by_seed, cuts=False, breaks=True)
+    assert any(outcome.refused for outcome in outcomes)
+
+
 def test_every_kind_of_fault_is_drawn():
     """Guards against a kind of fault that no seed injects."""
     source = random.Random(0)
-    for faults in (_faults.ALL, _faults.CUTS, _leaves.ALL):
+    for faults in (_faults.ALL, _faults.CUTS, _faults.BREAKS, _leaves.ALL):
         drawn = {source.choice(faults) for _ in range(1000)}
         assert drawn == set(faults)
--- a/standins/link.py
+++ b/standins/link.py
@@ -48,6 +48,8 @@
     _random: random.Random = dataclasses.field(init=False)
     _open_writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _relays: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    _socket: socket.socket | None = None
+    _server: asyncio.Server | None = None
 
     def __post_init__(self) -> None:
         self._random = random.Random(self.seed)
@@ -55,9 +57,36 @@
     def cut(self) -> None:
         """Reset all connections and every new one."""
         self.is_cut = True
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
         for writer in list(self._open_writers):
             _reset(writer)
 
+    async def listen(self) -> None:
+        """Accept connections, on the same port as before."""
+        if self._server is None:
+            if self._socket is None:
+                self._bind()
+            self._server = await asyncio.start_server(self.accept, sock=self._socket)
+
+    def refuse(self) -> None:
+        """Refuse new connections until ``listen``; the open ones stay.
+
+        The port stays bound, so that no other program takes it.
+        """
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+            self._bind()
+
+    def _bind(self) -> None:
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", self.port))
+        self.port = self._socket.getsockname()[1]
+
     def restore(self) -> None:
         """Undo a cut, a pause and a one-way pause."""
         self.is_cut = False
@@ -70,6 +99,9 @@
 
     async def close(self) -> None:
         """Cut the link and wait a bounded time for its connections to end."""
+        self.refuse()
+        if self._socket is not None:
+            self._socket.close()
         self.cut()
         if self._relays:
             await asyncio.wait(self._relays, timeout=CLOSE_TIMEOUT_S)
@@ -179,11 +211,9 @@
         port: Port to listen on; 0 takes a free one.
         values: Other fields of ``Link``.
     """
-    link = Link(target_host, target_port, **values)
-    server = await asyncio.start_server(link.accept, "127.0.0.1", port)
-    link.port = server.sockets[0].getsockname()[1]
+    link = Link(target_host, target_port, port=port, **values)
+    await link.listen()
     try:
         yield link
     finally:
-        server.close()
         await link.close()
--- a/standins/tests/test_link.py
+++ b/standins/tests/test_link.py
@@ -85,3 +85,27 @@
             writer.close()
 
     asyncio.run(main())
+
+
+def test_refused_connections_are_accepted_again_on_the_same_port() -> None:
+    """Guards against a refusal that resets open connections."""
+
+    async def main() -> None:
+        async with echo_link() as opened:
+            port = opened.port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            opened.refuse()
+            opened.refuse()
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"x")
+            assert await reader.readexactly(1) == b"x"
+            await opened.listen()
+            await opened.listen()
+            late_reader, late_writer = await asyncio.open_connection("127.0.0.1", port)
+            late_writer.write(b"y")
+            assert await late_reader.readexactly(1) == b"y"
+            writer.close()
+            late_writer.close()
+
+    asyncio.run(main())
