Let removals take out the check of an executor's entry with others

The check is a function of eligibility, as a change replaces the text of one function. A test shows it for a start that waits.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -110,16 +110,6 @@
     _best_effort_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
     _count_by_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
-    @property
-    def is_listing_current(self) -> bool:
-        """Whether its entry is of the incarnation that answers the polls.
-
-        An executor that restarts under its id may be of another kind, and its
-        entry is read later than the replies to polls, or earlier.
-        """
-        known = self.born_ms and self.listing.born_ms
-        return not known or self.born_ms == self.listing.born_ms
-
     def reserve(self, run: state.Run) -> None:
         """Reserve capacity for a run."""
         name, step = run.task.name, run.task.step
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -10,7 +10,7 @@
 )
 from limpetstream.shard import events, jobs, pacing, proof, sessions, state, stops
 from limpetstream.telemetry import logs
-from limpetstream.workflow import state as workflow_state
+from limpetstream.workflow import eligibility, state as workflow_state
 
 START_TIMEOUT_S = 0.4  # Fifty times the round trip between data centres.
 START_TRIES = 3
@@ -118,7 +118,7 @@
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
-    if not executor.is_listing_current:
+    if not eligibility.has_current_entry(executor):
         return "the executor's entry is of another incarnation"
     if not executor.recorded:
         return "the executor is not in the journal yet"
--- a/limpetstream/shard/tests/removals_of_quorum.py
+++ b/limpetstream/shard/tests/removals_of_quorum.py
@@ -139,7 +139,7 @@
         "",
         "shard/tests/test_quorum.py::"
         "test_a_restarted_executor_proves_nothing_until_an_append_is_confirmed",
-        also=("confirm-incarnation",),
+        also=("confirm-incarnation", "entry-incarnation"),
     ),
     removed_checks.Removal(
         "claim-binds",
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -223,7 +223,7 @@
         "if False:",
         "shard/tests/test_settled_too_early.py::"
         "test_no_task_runs_twice_after_all_executors_knew_the_successor[5.0]",
-        also=("place-incarnation",),
+        also=("place-incarnation", "entry-incarnation"),
     ),
     removed_checks.Removal(
         "start-incarnation",
@@ -245,6 +245,16 @@
         "shard/tests/test_executor_records.py::"
         "test_no_task_is_placed_where_it_may_run_unknown[confirmed]",
     ),
+    removed_checks.Removal(
+        "entry-incarnation",
+        INCARNATION,
+        "limpetstream.workflow.eligibility",
+        "has_current_entry",
+        "executor.born_ms == executor.listing.born_ms",
+        "True",
+        "shard/tests/test_restarts.py::"
+        "test_an_executor_whose_entry_precedes_its_polls_gets_tasks_once_they_agree",
+    ),
     removed_checks.Removal(
         "confirm-incarnation",
         INCARNATION,
@@ -254,6 +264,7 @@
         "pass",
         "shard/tests/test_polls.py::"
         "test_an_incarnation_is_confirmed_by_an_append_that_began_after_its_answer",
+        also=("entry-incarnation",),
     ),
     removed_checks.Removal(
         "restart-incarnation",
--- a/limpetstream/shard/tests/test_restarts.py
+++ b/limpetstream/shard/tests/test_restarts.py
@@ -150,3 +150,16 @@
     report(scene, born_ms=2)
     scene.advance(0.1)
     assert is_placed(scene, task)
+
+
+def test_a_start_that_waits_while_the_entry_changes_is_not_sent(scene):
+    """Guards against a start that the entry of the former kind has decided."""
+    list_as(scene, kind="b", born_ms=1)
+    task = queue_task_of_kind(scene, "b")
+    scene.shard.executor_by_id["x0"].polled_at = scene.loop.time()
+    scheduling.run_pass(scene.shard)
+    assert task.run is not None
+    list_as(scene, kind="a", born_ms=2)
+    scene.advance(0.05)
+    assert task.run is None
+    assert "start" not in scene.client.calls
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -68,7 +68,7 @@
         and executor.confirmed
         and executor.recorded
         and executor.listed
-        and executor.is_listing_current
+        and has_current_entry(executor)
         and listing.state == executor_messages.READY
         and listing.data_centre not in context.closed_data_centres
         and executor.silent_since is None
@@ -78,6 +78,17 @@
     )
 
 
+def has_current_entry(executor: tracking.Executor) -> bool:
+    """Return whether the entry is of the incarnation that answers the polls.
+
+    An executor that restarts under its id may be of another kind, and its
+    entry is read later than the replies to polls, or earlier.
+    """
+    if not (executor.born_ms and executor.listing.born_ms):
+        return True  # One of the two does not tell its start.
+    return executor.born_ms == executor.listing.born_ms
+
+
 def is_in_doubt(executor: tracking.Executor, now: float) -> bool:
     """Return whether an executor has lately left a start without an answer.
 
--- a/search/tests/test_search.py
+++ b/search/tests/test_search.py
@@ -61,11 +61,11 @@
 def allow_resends(monkeypatch):
     """Let the HTTP library send the body of a call again."""
 
-    def seek(upload, offset, origin):
-        upload._body.seek(offset, origin)
+    def rewind(upload):
+        upload._body.seek(0)
         return pycurl.SEEKFUNC_OK
 
-    monkeypatch.setattr(_curl.Upload, "_refuse_resend", seek)
+    monkeypatch.setattr(_curl.Upload, "rewind", rewind)
 
 
 def has_refused_job_that_ran(seed):
@@ -78,7 +78,7 @@
     seed = RED_SEED_IF_APPENDS_ARE_SENT_TWICE
     assert not has_refused_job_that_ran(seed)  # The copies are counted.
     is_refusal = property(lambda delivery: delivery.status in errors.REFUSAL_STATUSES)
-    monkeypatch.setattr(errors.Delivery, "is_refused", is_refusal)
+    monkeypatch.setattr(errors.Delivery, "not_applied", is_refusal)
     assert has_refused_job_that_ran(seed)
 
 
--- a/search/transport_faults.py
+++ b/search/transport_faults.py
@@ -54,7 +54,7 @@
         """Return the error of the call, as ``http.Client`` raises it."""
         delivery = errors.Delivery(status, self.upload.copies, 0, True)
         return errors.PlatformUnavailable(
-            text, not_applied=delivery.is_refused, delivery=delivery
+            text, not_applied=delivery.not_applied, delivery=delivery
         )
 
 
