Let a stop in the soak wait for the handler of SIGTERM

The soak waited until the process handled SIGHUP; where that is inherited as ignored, as under nohup, it counts as handled from the start, and SIGTERM met an interpreter without handlers. The program handles SIGTERM last, so the soak waits for that.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -215,9 +215,13 @@
 
 
 async def _wait_for_signal_handlers(instance: _cluster.Instance) -> None:
-    """Wait until the program has installed its signal handlers, or ended."""
+    """Wait until the program has installed its signal handlers, or ended.
+
+    It handles SIGTERM last. It may have inherited SIGHUP as ignored, from
+    ``nohup`` for example.
+    """
     while instance.process.exit_status is None:
-        if instance.process.handles_signal(signal.SIGHUP):
+        if instance.process.handles_signal(signal.SIGTERM):
             return
         await asyncio.sleep(POLL_INTERVAL_S)
 
