Pause passes of a late loop by their overhead, not by their turns

The pause of a late loop was three times as long as the pass, so that on a slow processor urgent turns had a quarter of the time at most. It is three times what the pass took before its first turn now: sorting a long queue for a few starts is what the pause saves.

A pass that was left out for a backlog of unsent starts follows when the backlog ends, in place of each 4 ms: that cost a slow processor most when it had least time. Turns of a pass end after 30 ms in place of 20.

--- a/limpetstream/executors/sending.py
+++ b/limpetstream/executors/sending.py
@@ -75,6 +75,7 @@
         self.limit_bytes = float(INITIAL_BYTES)
         self.under_way_bytes = 0
         self.unsent_starts = 0
+        self.is_pass_left_out = False  # Because of the backlog.
         self.poll_pause_s = 0.0
         self.delay_s = 0.0  # Shortest delay of the last interval.
         self.lateness = lateness.Lateness()
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -28,7 +28,7 @@
 
 PASS_INTERVAL_S = 0.004  # Events that come close together share a pass.
 MAX_PAUSE_S = 0.1  # After a pass; the process may have been frozen in it.
-LATE_PAUSE_FACTOR = 3.0  # Passes take a quarter of the time while the loop is late.
+LATE_PAUSE_FACTOR = 3.0  # Times what a pass takes apart from its turns.
 IDLE_PASS_INTERVAL_S = 0.05  # While only time has passed.
 MAX_STATUS_AGE_S = 2.5  # A start needs a poll newer than this; see design.md.
 BEST_EFFORT_RETRY_S = 0.2  # Comparing all executors for such tasks is expensive.
@@ -43,10 +43,10 @@
     MAX_COMPARED_PER_PASS * (1 + eligibility.CHECKS_PER_SCORE)
     + MAX_PLACED_PER_PASS * CHECKS_PER_TURN
 )
-# On a slow processor a pass takes longer for the same work. Less than half of
+# On a slow processor a pass takes longer for the same work. Less than
 # ``lateness.MAX_LAG_S``, so that passes alone do not make the loop late. It
 # counts from the first turn: each pass gives some, however many tasks wait.
-MAX_PASS_S = 0.02
+MAX_PASS_S = 0.03
 REPORT_INTERVAL_S = 10.0  # Of the log line about passes that reach the bound.
 
 
@@ -109,7 +109,7 @@
             run_pass(shard)
         took_s = shard.clock.monotonic() - started_at
         if shard.send_window.lateness.is_late:
-            took_s *= LATE_PAUSE_FACTOR
+            took_s = max(took_s, LATE_PAUSE_FACTOR * shard.searches.overhead_s)
         await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
 
@@ -135,13 +135,14 @@
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
     if shard.send_window.has_backlog:
-        shard.changed.set()  # No change tells when the starts are sent.
+        shard.send_window.is_pass_left_out = True
         return  # What is decided now would be sent late, and in this order.
     this_pass = _begin(shard)
     now = this_pass.now
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
     in_order = turn_order.sort(shard, due, now)
     this_pass.turns_began_at = shard.clock.monotonic()
+    shard.searches.overhead_s = this_pass.turns_began_at - now
     for task in in_order:
         if task.job.outcome or task.done or task.run is not None:
             shard.waiting_tasks.discard(task)
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -45,9 +45,18 @@
         await _record_job(shard, run.task.job)
         async with executor.start_slots, shard.send_window.turn(size, rank):
             note_turn()
+            _resume_passes(shard)
             await _try_to_start(shard, executor, run)
 
 
+def _resume_passes(shard: state.Shard) -> None:
+    """Let a pass that was left out follow once the backlog has ended."""
+    window = shard.send_window
+    if window.is_pass_left_out and not window.has_backlog:
+        window.is_pass_left_out = False
+        shard.changed.set()
+
+
 async def _try_to_start(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
