--- a/tests/test_background_parts.py
+++ b/tests/test_background_parts.py
@@ -9,6 +9,7 @@
 
 from adapter import operator, process
 from limpetstream import clock
+from limpetstream.border import stalls
 from limpetstream.entry import lifecycle
 from limpetstream.platform import http
 from limpetstream.shard import state
@@ -50,6 +51,7 @@
     def __init__(self):
         self.view = state.DeploymentView()
         self.store = OddStore()
+        self.stalls = stalls.Stalls(clock.Clock())
 
 
 def run_parts(instance, output, seconds):
