--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -1,13 +1,27 @@
-"""Workarounds for tornado's libcurl client.
+"""A faster form of tornado's libcurl client, and workarounds for the latter.
 
-They concern pool sizes, safe closing, and what a failed call has received.
+The workarounds concern pool sizes, safe closing, and what a failed call has
+received.
 """
 
+import asyncio
+import collections
+import dataclasses
+import io
 import re
+import select
+from typing import Any
 
 import pycurl
-from tornado import curl_httpclient
+from tornado import curl_httpclient, ioloop
 
+from limpetstream import errors
+
+_MASK_BY_EVENT = {
+    pycurl.POLL_IN: select.EPOLLIN,
+    pycurl.POLL_OUT: select.EPOLLOUT,
+    pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
+}
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
 
@@ -23,12 +37,337 @@
     return int(match[1]) if match else 0
 
 
-def forbid_resend(handle: pycurl.Curl) -> None:
-    """Let a call fail where libcurl would send its body a second time.
+class Upload:
+    """Hands the body of one call to libcurl and lets it be sent once.
+
+    libcurl sends a call again by itself if a reused connection breaks before
+    the first byte of the answer. The answer to the second copy says nothing
+    about the first one, which may have taken effect. To send the body again,
+    libcurl has to go back to its start, which is refused here; the call fails
+    as one without an answer.
+
+    Args:
+        body: Body of the call; None if it has none.
+
+    Attributes:
+        copies: How often libcurl has begun to send the body.
+        opened_connections: Connections that were opened for the call; 0 if it
+            used one that was open.
+        has_body: Whether the call has a body.
+        is_resend_refused: Whether libcurl has tried to send the body again.
+    """
+
+    __slots__ = (
+        "_body",
+        "copies",
+        "has_body",
+        "is_resend_refused",
+        "opened_connections",
+        "size",
+    )
+
+    def __init__(self, body: bytes | None) -> None:
+        self.copies = 0
+        self.opened_connections = 0
+        self.has_body = bool(body)
+        self.is_resend_refused = False
+        self.size = len(body or b"")
+        self._body = io.BytesIO(body or b"")
+
+    def configure(self, handle: pycurl.Curl) -> None:
+        """Set the options of a handle of tornado's own client for the call."""
+        handle.setopt(pycurl.SOCKOPTFUNCTION, lambda fd, use: self.count_connection())
+        if self.has_body:
+            handle.setopt(pycurl.READFUNCTION, self.read)
+            handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: self.rewind())
+
+    def delivery(self, status: int = 0) -> errors.Delivery:
+        """Return how the call went out.
+
+        Args:
+            status: HTTP status of the answer; 0 if none came.
+        """
+        return errors.Delivery(
+            status, self.copies, self.opened_connections, self.has_body
+        )
+
+    def count_connection(self) -> int:
+        """Count a connection that libcurl opens for the call."""
+        self.opened_connections += 1
+        return pycurl.SOCKOPT_OK
+
+    def read(self, size: int) -> bytes:
+        """Return the next bytes of the body."""
+        if self.has_body and self._body.tell() == 0:
+            self.copies += 1
+        return self._body.read(size)
+
+    def rewind(self) -> int:
+        """Refuse to go back to the start of a body."""
+        if not self.has_body:
+            return pycurl.SEEKFUNC_OK
+        self.is_resend_refused = True
+        return pycurl.SEEKFUNC_FAIL
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call to send.
+
+    Args:
+        method: GET or POST.
+        url: Address.
+        header_lines: Headers; a line without a value leaves a header out.
+        upload: Body of the call, which a GET does not have.
+        connect_timeout_s: Time limit for opening a connection.
+        timeout_s: Time limit of the whole call, from when it has a handle.
+        response: Gets the status and the body of the answer.
+        new_connection: Whether to open a connection although one is open.
+    """
+
+    method: str
+    url: str
+    header_lines: list[bytes]
+    upload: Upload
+    connect_timeout_s: float
+    timeout_s: float
+    response: asyncio.Future[tuple[int, bytes]]
+    new_connection: bool = False
+
+
+class _Transfer:
+    """State of a libcurl handle: its present call, and what was received.
+
+    Args:
+        max_body_size: Bytes of an answer beyond which the call fails.
+    """
+
+    __slots__ = (
+        "_chunks",
+        "_max_body_size",
+        "call",
+        "is_too_large",
+        "method",
+        "new_connection",
+        "size",
+    )
+
+    def __init__(self, max_body_size: int) -> None:
+        self._max_body_size = max_body_size
+        self.method = ""
+        self.new_connection = False
+        self.call: Call | None = None
+        self._chunks: list[bytes] = []
+        self.size = 0
+        self.is_too_large = False
+
+    def set_options(self, handle: pycurl.Curl) -> None:
+        """Set the options that all calls have in common."""
+        protocols = pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS
+        handle.setopt(pycurl.PROTOCOLS, protocols)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._count_connection)
+        handle.setopt(pycurl.READFUNCTION, self._read)
+        handle.setopt(pycurl.SEEKFUNCTION, self._rewind)
+        handle.setopt(pycurl.WRITEFUNCTION, self._write)
+
+    def begin(self, handle: pycurl.Curl, call: Call) -> None:
+        """Set the options in which calls differ."""
+        if call.method not in ("GET", "POST"):
+            raise ValueError(f"unknown method {call.method}")
+        if call.method == "GET" and call.upload.has_body:
+            raise ValueError("a GET has no body")
+        if call.method != self.method:
+            option = pycurl.POST if call.method == "POST" else pycurl.HTTPGET
+            handle.setopt(option, 1)
+            self.method = call.method
+        if call.new_connection != self.new_connection:
+            handle.setopt(pycurl.FRESH_CONNECT, int(call.new_connection))
+            self.new_connection = call.new_connection
+        if call.method == "POST":
+            handle.setopt(pycurl.POSTFIELDSIZE, call.upload.size)
+        handle.setopt(pycurl.URL, call.url)
+        handle.setopt(pycurl.HTTPHEADER, call.header_lines)
+        # libcurl takes 0 for its default or for no limit.
+        connect_ms = max(1, int(1000 * call.connect_timeout_s))
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(1000 * call.timeout_s)))
+        self.call = call
+
+    def end(self) -> tuple[Call, bytes]:
+        """Return the call and the body of its answer, and let go of both."""
+        call, body = self.call, b"".join(self._chunks)
+        assert call is not None
+        self.call = None
+        self._chunks = []
+        self.size = 0
+        self.is_too_large = False
+        return call, body
+
+    def _count_connection(self, file_descriptor: int, purpose: int) -> int:
+        return self.call.upload.count_connection() if self.call else pycurl.SOCKOPT_OK
+
+    def _read(self, size: int) -> bytes:
+        return self.call.upload.read(size) if self.call else b""
 
-    libcurl then has to go back to the start of the body, which this refuses.
+    def _rewind(self, offset: int, origin: int) -> int:
+        return self.call.upload.rewind() if self.call else pycurl.SEEKFUNC_FAIL
+
+    def _write(self, chunk: bytes) -> int:
+        self.size += len(chunk)
+        if self.size > self._max_body_size:
+            self.is_too_large = True
+            return 0  # libcurl then fails the call.
+        self._chunks.append(chunk)
+        return len(chunk)
+
+
+class Client(curl_httpclient.CurlAsyncHTTPClient):
+    """Sends calls on libcurl handles whose common options are set once.
+
+    For each call tornado sets some forty options, reads all headers of the
+    answer and resets the handle, which takes more time than libcurl itself.
+    Nothing here needs headers of answers. Use ``send`` in place of ``fetch``.
     """
-    handle.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+    def initialize(self, max_clients: int = 10) -> None:
+        """Create ``max_clients`` handles; see ``ensure_free_handle``."""
+        self._transfer_by_handle: dict[pycurl.Curl, _Transfer] = {}
+        self._queue: collections.deque[Call] = collections.deque()
+        self._timeout_at = 0.0
+        self._loop: asyncio.AbstractEventLoop = ioloop.IOLoop.current().asyncio_loop
+        # One registration with the event loop for all sockets: a call changes
+        # what libcurl waits for on its socket several times.
+        self._poller = select.epoll()
+        self._loop.add_reader(self._poller.fileno(), self._handle_ready)
+        super().initialize(max_clients=max_clients)
+
+    def send(self, call: Call) -> None:
+        """Send a call, once a handle is free.
+
+        Raises:
+            RuntimeError: The client is closed.
+        """
+        if self._closed:
+            raise RuntimeError("a call on a closed client")
+        self._queue.append(call)
+        self._process_queue()
+
+    def fetch_impl(self, request: Any, callback: Any) -> None:
+        """Refuse to send a request of tornado."""
+        raise NotImplementedError("use send")
+
+    def close(self) -> None:
+        """Close all connections; calls in flight never return."""
+        super().close()
+        self._loop.remove_reader(self._poller.fileno())
+        self._poller.close()
+        self._transfer_by_handle.clear()
+
+    def _curl_create(self) -> pycurl.Curl:
+        handle = super()._curl_create()
+        transfer = _Transfer(self.max_body_size)
+        transfer.set_options(handle)
+        self._transfer_by_handle[handle] = transfer
+        return handle
+
+    def _process_queue(self) -> None:
+        """Begin the calls that wait, as far as handles are free."""
+        while self._free_list and self._queue:
+            handle, call = self._free_list.pop(), self._queue.popleft()
+            try:
+                self._transfer_by_handle[handle].begin(handle, call)
+            except Exception as error:
+                self._free_list.append(handle)
+                if not call.response.done():
+                    call.response.set_exception(error)
+            else:
+                self._multi.add_handle(handle)
+                self._set_timeout(0)
+
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        """Pass on the answer or error of a call, and free its handle."""
+        transfer = self._transfer_by_handle[curl]
+        is_too_large = transfer.is_too_large
+        call, body = transfer.end()
+        status = curl.getinfo(pycurl.HTTP_CODE)
+        self._multi.remove_handle(curl)
+        self._free_list.append(curl)
+        if call.response.done():
+            return  # Its caller was cancelled.
+        if not curl_error:
+            call.response.set_result((status, body))
+            return
+        if is_too_large:
+            curl_message = f"body exceeded {self.max_body_size} bytes"
+        call.response.set_exception(
+            curl_httpclient.CurlError(curl_error, curl_message or "")
+        )
+
+    def _handle_socket(
+        self, event: int, fd: int, multi: pycurl.CurlMulti, data: Any | None
+    ) -> None:
+        """Watch a socket for what libcurl waits for.
+
+        A socket that libcurl keeps open for later calls stays registered until
+        it has an event. libcurl may have closed one and opened another with
+        the same number, which the kernel then no longer has.
+        """
+        if event in (pycurl.POLL_REMOVE, pycurl.POLL_NONE):
+            self._fds.pop(fd, None)
+            return
+        self._fds[fd] = event
+        mask = _MASK_BY_EVENT[event]
+        try:
+            self._poller.modify(fd, mask)
+        except FileNotFoundError:
+            self._poller.register(fd, mask)
+
+    def _handle_ready(self) -> None:
+        """Have libcurl handle all sockets that are ready."""
+        for fd, mask in self._poller.poll(0):
+            event = self._fds.get(fd)
+            if event is None:  # An idle connection; its server has closed it.
+                self._forget(fd)
+                continue
+            action = pycurl.CSELECT_IN if mask & ~select.EPOLLOUT else 0
+            if mask & ~select.EPOLLIN:
+                action |= pycurl.CSELECT_OUT
+            try:
+                self._multi.socket_action(fd, action & event)
+            except pycurl.error:
+                continue  # What it concerns is reported as an ended call.
+        self._finish_pending_requests()
+
+    def _forget(self, fd: int) -> None:
+        try:
+            self._poller.unregister(fd)
+        except OSError:
+            return  # It is closed.
+
+    def _set_timeout(self, msecs: int) -> None:
+        """Have ``_handle_timeout`` called within a time that libcurl gives.
+
+        A timer that fires earlier is left as it is, because most calls end
+        long before their time limit. ``_handle_timeout`` then sets the next.
+        """
+        if msecs < 0:
+            return
+        timeout_at = self._loop.time() + msecs / 1000
+        if self._timeout is not None:
+            if self._timeout_at <= timeout_at:
+                return
+            self._timeout.cancel()
+        self._timeout_at = timeout_at
+        if msecs == 0:
+            self._timeout = self._loop.call_soon(self._handle_timeout)
+        else:
+            self._timeout = self._loop.call_at(timeout_at, self._handle_timeout)
 
 
 def close(client: curl_httpclient.CurlAsyncHTTPClient) -> None:
--- a/limpetstream/errors.py
+++ b/limpetstream/errors.py
@@ -1,5 +1,41 @@
 """Exceptions raised by limpetstream; all derive from LimpetstreamError."""
 
+import dataclasses
+
+# Statuses that tell that a call had no effect.
+REFUSAL_STATUSES = frozenset({429, 503})
+
+
+@dataclasses.dataclass(slots=True)
+class Delivery:
+    """How one call went out over HTTP.
+
+    Args:
+        status: HTTP status of the answer; 0 if none came.
+        copies: How often the sending of the body was begun; 0 if no byte of it
+            was sent, and more than once if the HTTP library has sent it again.
+        opened_connections: Connections that were opened for the call; 0 if it
+            used one that was open.
+        has_body: Whether the call has a body.
+    """
+
+    status: int = 0
+    copies: int = 0
+    opened_connections: int = 0
+    has_body: bool = False
+
+    @property
+    def not_applied(self) -> bool:
+        """Whether a call with a body certainly had no effect.
+
+        Either its only copy was refused, or no byte of the body was sent. A
+        refusal of a second copy says nothing about the first one. How often a
+        call without a body was sent is not known.
+        """
+        if self.status:
+            return self.status in REFUSAL_STATUSES and self.copies == 1
+        return self.has_body and self.copies == 0
+
 
 class LimpetstreamError(Exception):
     """Base class of all errors that this package raises."""
@@ -41,6 +77,7 @@
         not_applied: Whether the call certainly had no effect.
         answer_began: Whether a part of the answer arrived before the time
             limit.
+        delivery: How the call went out; None if it is not known.
     """
 
     def __init__(
@@ -49,10 +86,12 @@
         *,
         not_applied: bool = False,
         answer_began: bool = False,
+        delivery: Delivery | None = None,
     ) -> None:
         super().__init__(message)
         self.not_applied = not_applied
         self.answer_began = answer_began
+        self.delivery = delivery
 
 
 class LogUnavailable(PlatformUnavailable):
@@ -151,7 +190,24 @@
 
 
 class PeerUnreachable(LimpetstreamError):
-    """Another entry instance did not answer; it may still be running."""
+    """Another entry instance did not answer; it may still be running.
+
+    Args:
+        message: The call and how it failed.
+        not_applied: Whether the call certainly had no effect.
+        delivery: How the call went out; None if it is not known.
+    """
+
+    def __init__(
+        self,
+        message: str = "",
+        *,
+        not_applied: bool = False,
+        delivery: Delivery | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.not_applied = not_applied
+        self.delivery = delivery
 
 
 class PeerGone(LimpetstreamError):
--- a/limpetstream/platform/events.py
+++ b/limpetstream/platform/events.py
@@ -30,3 +30,10 @@
     "Calls that this instance has sent, and their bytes, since the last such line.",
     "Compare them with the instance's link; see docs/OPERATIONS.md.",
 )
+CALL_CUT_OFF = events.declare(
+    1104,
+    "call-cut-off",
+    "INFO",
+    "An open connection broke under a call, which may have taken effect.",
+    "None by itself; see call-refused of the job, and the metric of such calls.",
+)
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -4,14 +4,14 @@
 workers.
 """
 
+import asyncio
 import dataclasses
 import math
 import urllib.parse
 from typing import Any
 
 import msgspec
-import pycurl
-from tornado import curl_httpclient, httpclient
+from tornado import httpclient
 
 from limpetstream import _curl, clock, errors
 from limpetstream.platform import events
@@ -22,16 +22,25 @@
 MAX_CONCURRENT_CALLS = 256
 # Enough libcurl handles for an idle instance; more are created on demand.
 INITIAL_HANDLES = 16
-NO_ANSWER_STATUS = 599  # Tornado's status for time-outs and refused connections.
 MAX_DETAIL_CHARACTERS = 200  # Quoted from the body of an unexpected answer.
 # Open connections per concurrent call; idle ones stay open beside those in
 # use, for the next burst (see ``_curl.set_max_connections``).
 OPEN_CONNECTIONS_FACTOR = 2
-# libcurl adds these, and leaves out those that are empty. A poll has a body of
-# 100 bytes, so they would be a fifth of it.
-_UNUSED_HEADERS = {"Accept": "", "User-Agent": ""}
+# libcurl adds the empty ones unless they are given, and then leaves them out.
+# A poll has a body of 100 bytes, so they would be a fifth of it.
+_HEADER_LINES = (
+    b"Content-Type: application/json",
+    b"Accept:",
+    b"User-Agent:",
+    b"Expect:",
+    b"Pragma:",
+)
 # Unexpected answers of a platform of another version would flood the logs.
 REPORT_INTERVAL_S = 10.0
+CUT_REPORT_INTERVAL_S = 1.0  # For each kind of call; counters tell the others.
+# libcurl looks for open connections that servers have closed once a second.
+# Until then it may take such a one for each further call.
+NEW_CONNECTIONS_S = 1.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,12 +53,14 @@
         sent_at: Monotonic time before the call was queued and sent, in
             seconds.
         received_at: Monotonic time after the answer was read, in seconds.
+        delivery: How the call went out.
     """
 
     status: int
     body: bytes
     sent_at: float
     received_at: float
+    delivery: errors.Delivery = dataclasses.field(default_factory=errors.Delivery)
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,25 +73,25 @@
         sent_bytes: Bytes of paths and bodies sent; the head of a request adds
             about 200 to each.
         received_bytes: Bytes of bodies received.
+        cut_off: Calls whose reused connection broke before the answer, and
+            which libcurl would have sent again.
+        opened_connections: Connections opened.
     """
 
     calls: int = 0
     failures: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
+    cut_off: int = 0
+    opened_connections: int = 0
 
 
 class Client:
     """Sends JSON calls to one platform and maps failures to errors.
 
-    libcurl resends a call on its own when a reused connection breaks before
-    the first byte of the response, so the platform may receive any call
-    twice, unless ``may_resend`` is false. Every other call must therefore be
-    idempotent, and those of this package are: reads have no effect, readers
-    drop a repeated frame of the log (the records of one append) by its writer
-    sequence numbers, a worker answers a repeated start of an attempt (one run
-    of a task) ``already`` by the attempt id, and renewals of leases,
-    throttles, checkpoints and stops set an absolute state.
+    A call with a body is sent at most once (see ``_curl.Upload``): callers
+    decide themselves whether they repeat it. libcurl may send one without a
+    body again, so those must be reads.
 
     Args:
         base_url: Base URL of the platform, such as
@@ -104,8 +115,10 @@
         self.traffic_by_call: dict[str, Traffic] = {}
         self._connect_timeout_s = connect_timeout_s
         self._reported_at = float("-inf")
+        self._cut_reported_at_by_call: dict[str, float] = {}
+        self._cut_off_at_by_address: dict[str, float] = {}
         self._max_clients = max_clients
-        self._curl = curl_httpclient.CurlAsyncHTTPClient(
+        self._curl = _curl.Client(
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
         )
         _curl.set_max_connections(self._curl, max_clients * OPEN_CONNECTIONS_FACTOR)
@@ -125,7 +138,6 @@
         *,
         timeout_s: float,
         headers: dict[str, str] | None = None,
-        may_resend: bool = True,
     ) -> Answer:
         """Send one call and return its answer, of any status but 503.
 
@@ -137,49 +149,57 @@
             timeout_s: Time limit of the call, including the connection; a wait
                 for one of ``max_clients`` calls to end is not counted.
             headers: Additional headers.
-            may_resend: Whether libcurl may send the call again, seconds after
-                it was decided. Otherwise a call with a body is sent once.
 
         Raises:
             PlatformUnavailable: The call timed out, the connection failed, the
                 status is 503, or the path or a header cannot be sent.
-                ``not_applied`` is true if nothing was sent or the connection
-                was refused, and after 503, which is taken to mean that the
+                ``not_applied`` is true if the sending of the body was not
+                begun, or the answer is 503, which is taken to mean that the
                 call had no effect. ``answer_began`` is true if a part of the
                 answer's body arrived before the time limit.
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
-        request = self._request(method, path, body, timeout_s)
-        if headers:
-            request.headers.update(headers)
-        if not may_resend:
-            request.prepare_curl_callback = _curl.forbid_resend
-        counted = self._count_sent(path, len(path) + len(request.body or b""))
+        encoded = _encode(body)
+        upload = _curl.Upload(encoded)
+        url = self.base_url + path
+        call = _curl.Call(
+            method,
+            url,
+            _header_lines(headers),
+            upload,
+            min(self._connect_timeout_s, timeout_s),
+            timeout_s,
+            asyncio.get_running_loop().create_future(),
+            new_connection=self._needs_new_connection(url, sent_at),
+        )
+        counted = self._count_sent(path, len(path) + upload.size)
         _curl.ensure_free_handle(self._curl, self._max_clients)
         try:
-            response = await self._curl.fetch(request, raise_error=False)
+            self._curl.send(call)
+            status, raw = await call.response
         except (httpclient.HTTPError, OSError) as error:
-            # Tornado raises time-outs and failed connections here, although
-            # raise_error is false, because they have no HTTP response.
-            self.traffic.failures += 1
-            counted.failures += 1
+            self._count_failure(counted)
+            delivery = upload.delivery()
             raise errors.PlatformUnavailable(
                 f"{method} {path}: {error}",
+                not_applied=delivery.not_applied,
                 answer_began=_curl.received_bytes(error) > 0,
+                delivery=delivery,
             ) from error
-        raw = response.body or b""
+        finally:
+            self._count_upload(url, counted, upload)
+        delivery = upload.delivery(status)
         self.traffic.received_bytes += len(raw)
         counted.received_bytes += len(raw)
-        if response.code in (503, NO_ANSWER_STATUS):
-            self.traffic.failures += 1
-            counted.failures += 1
-            code = getattr(response.error, "errno", 0)
+        if status == 503:
+            self._count_failure(counted)
             raise errors.PlatformUnavailable(
-                f"{method} {path}: {response.reason}",
-                not_applied=response.code == 503 or code == pycurl.E_COULDNT_CONNECT,
+                f"{method} {path}: Service Unavailable",
+                not_applied=delivery.not_applied,
+                delivery=delivery,
             )
-        return Answer(response.code, raw, sent_at, self.clock.monotonic())
+        return Answer(status, raw, sent_at, self.clock.monotonic(), delivery)
 
     async def fetch(
         self,
@@ -225,32 +245,56 @@
         if now >= self._reported_at + REPORT_INTERVAL_S:
             self._reported_at = now
             logs.emit(events.UNEXPECTED_ANSWER, call=call, detail=detail)
-        raise errors.PlatformUnavailable(f"{call}: {detail}")
+        raise errors.PlatformUnavailable(f"{call}: {detail}", delivery=answer.delivery)
 
     def _count_sent(self, path: str, size: int) -> Traffic:
         """Count a call that is being sent; return the counters of its kind."""
         self.traffic.calls += 1
         self.traffic.sent_bytes += size
-        counted = self.traffic_by_call.setdefault(call_name(path), Traffic())
+        name = call_name(path)
+        counted = self.traffic_by_call.get(name)
+        if counted is None:
+            counted = self.traffic_by_call[name] = Traffic()
         counted.calls += 1
         counted.sent_bytes += size
         return counted
 
-    def _request(
-        self, method: str, path: str, body: Any, timeout_s: float
-    ) -> httpclient.HTTPRequest:
-        return httpclient.HTTPRequest(
-            self.base_url + path,
-            method=method,
-            body=_encode(body),
-            headers={"Content-Type": "application/json", **_UNUSED_HEADERS},
-            decompress_response=False,
-            connect_timeout=min(self._connect_timeout_s, timeout_s),
-            # libcurl takes 0 as no limit.
-            request_timeout=max(timeout_s, 0.001),
-            follow_redirects=False,
-            allow_nonstandard_methods=True,
-        )
+    def _count_failure(self, counted: Traffic) -> None:
+        self.traffic.failures += 1
+        counted.failures += 1
+
+    def _needs_new_connection(self, url: str, now: float) -> bool:
+        """Whether the open connections to the address of a call may be closed.
+
+        A call that takes a closed one fails, as it is not sent again.
+        """
+        if not self._cut_off_at_by_address:
+            return False
+        address = _address(url)
+        cut_off_at = self._cut_off_at_by_address.get(address)
+        if cut_off_at is None or now - cut_off_at <= NEW_CONNECTIONS_S:
+            return cut_off_at is not None
+        del self._cut_off_at_by_address[address]
+        return False
+
+    def _count_upload(self, url: str, counted: Traffic, upload: _curl.Upload) -> None:
+        """Count how the body of a call was sent; note a broken connection."""
+        for traffic in (self.traffic, counted):
+            traffic.cut_off += upload.is_resend_refused
+            traffic.opened_connections += upload.opened_connections
+        if not upload.is_resend_refused:
+            return
+        call, now = call_name(url), self.clock.monotonic()
+        self._cut_off_at_by_address[_address(url)] = now
+        reported_at = self._cut_reported_at_by_call.get(call, float("-inf"))
+        if now >= reported_at + CUT_REPORT_INTERVAL_S:
+            self._cut_reported_at_by_call[call] = now
+            logs.emit(
+                events.CALL_CUT_OFF,
+                call=call,
+                address=_address(url),
+                cut_off=counted.cut_off,
+            )
 
 
 def _check_sendable(method: str, path: str, headers: dict[str, str]) -> None:
@@ -269,12 +313,28 @@
             )
 
 
+def _header_lines(headers: dict[str, str] | None) -> list[bytes]:
+    lines = [*_HEADER_LINES]
+    for name, value in (headers or {}).items():
+        lines.append(f"{name}: {value}".encode())
+    return lines
+
+
 def _encode(body: Any) -> bytes | None:
     if body is None or isinstance(body, bytes):
         return body
     return msgspec.json.encode(body)
 
 
+def _address(url: str) -> str:
+    """Return the host and port of a URL.
+
+    >>> _address("http://127.0.0.1:80/calls/start?part=0")
+    '127.0.0.1:80'
+    """
+    return url.partition("//")[2].partition("/")[0]
+
+
 def call_name(path: str) -> str:
     """Return the last segment of a path, without its query.
 
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -270,13 +270,6 @@
     "The settings file cannot be read; the last settings stay in use.",
     "Correct the file.",
 )
-PART_FAILED = events.declare(
-    1545,
-    "part-failed",
-    "ERROR",
-    "A component of the process ended unexpectedly; the process stops.",
-    "Report it as a fault of the program.",
-)
 LINES_DROPPED = events.declare(
     1546,
     "lines-dropped",
@@ -396,3 +389,31 @@
     "Calls to executors no longer wait.",
     "None.",
 )
+PEER_JOB_NOT_STORED = events.declare(
+    1563,
+    "peer-job-not-stored",
+    "INFO",
+    "It is unknown whether a job that another instance has passed on was stored.",
+    "See the attempt; call-refused of the job at the other instance has its outcome.",
+)
+CALLER_NOT_SERVED = events.declare(
+    1564,
+    "caller-not-served",
+    "INFO",
+    "Requests of callers are refused, as no configuration has been read yet.",
+    "Check the platform's store if it lasts; see list-read-failed.",
+)
+OWNER_LATE = events.declare(
+    1565,
+    "owner-late",
+    "WARNING",
+    "The owner's event loop is late: less urgent starts wait, polls are grouped.",
+    "Give the instance more processor time; see owner-state and OPERATIONS.md.",
+)
+OWNER_IN_TIME = events.declare(
+    1566,
+    "owner-in-time",
+    "INFO",
+    "The owner's event loop is in time again.",
+    "None.",
+)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,11 +1,19 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NoReturn
 
-from limpetstream import clock as clock_module, errors
-from limpetstream.shard import events, names, peer_messages, queries, shard_server
+from limpetstream import clock as clock_module, errors, recent_ids
+from limpetstream.shard import (
+    events,
+    names,
+    peer_messages,
+    queries,
+    shard_server,
+    state,
+    submission_attempts,
+)
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
@@ -67,46 +75,63 @@
         self._looked_up_at = float("-inf")
         self._store_down_since: float | None = None
         self._probe_at = float("-inf")
+        self._stored_jobs = recent_ids.RecentIds()
+        self._possibly_stored_jobs = recent_ids.RecentIds()
 
-    async def submit(self, submission: messages.Submission, *, wait_s: float) -> None:
+    async def submit(
+        self,
+        submission: messages.Submission,
+        *,
+        wait_s: float,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Store a job durably.
 
+        A caller that no longer waits may have cancelled the job elsewhere, so
+        nothing is stored for it.
+
         Args:
             submission: Job that was validated.
-            wait_s: Seconds that the caller waits.
+            wait_s: Seconds that the caller still waits.
+            is_wanted: Returns whether the caller still waits for the answer.
 
         Raises:
-            NotRun: The job was certainly not stored.
+            NotRun: The job was certainly not stored, by this request or an
+                earlier one at this instance.
             OutcomeUnknown: The job may have been stored.
         """
+        if submission.job_id in self._stored_jobs:
+            return  # The request has come before.
         shard = names.shard_of(submission.job_id, self._shard_count)
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        failed_tries, may_be_stored = 0, False
+        attempts, failed_tries = submission_attempts.Attempts(self._clock), 0
         timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
         while True:
+            if wait_s <= 0 or not is_wanted():
+                self._raise_failure(submission, attempts, "the caller has left")
             try:
                 await self._append(shard, submission, timeout_s)
                 self._store_down_since = None
                 break
             except errors.PlatformUnavailable as error:
-                may_be_stored = may_be_stored or not error.not_applied
+                attempts.note_store(error)
+                if attempts.may_be_stored:
+                    self._possibly_stored_jobs.add(submission.job_id)
                 failed_tries += 1
                 if self._store_down_since is None:
                     self._store_down_since = self._clock.monotonic()
-                reason = str(error)
             if failed_tries >= LOCAL_STORE_TRIES:
-                reply = await self._store_at_peer(shard, submission)
-                if reply.known:
+                if await self._store_at_peer(shard, submission, attempts):
                     self._store_down_since = None
                     break
-                may_be_stored = may_be_stored or reply.unknown
             if self._clock.monotonic() + retry_s >= give_up_at:
-                self._raise_failure(submission, may_be_stored, reason)
+                self._raise_failure(submission, attempts, attempts.reason)
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
             timeout_s = min(MAX_STORE_TIMEOUT_S, timeout_s * 2)
+        self._stored_jobs.add(submission.job_id)
         logs.emit(
             events.SUBMISSION_STORED,
             job=submission.job_id,
@@ -136,7 +161,7 @@
             return True
         self._raise_failure(
             submission,
-            False,
+            submission_attempts.Attempts(self._clock),
             "the store does not answer; a later request probes it again",
         )
 
@@ -156,7 +181,8 @@
         """Cancel a job durably; return False if it certainly does not exist.
 
         Raises:
-            NotRun: No owner could be asked in time.
+            NotRun: No owner has taken the cancel.
+            OutcomeUnknown: An owner may have taken it.
         """
         shard = names.shard_of(job_id, self._shard_count)
         reply = await self._ask_owner(
@@ -202,11 +228,11 @@
                     count=queries.count_waiting_jobs(shard, request.queue)
                 )
             if request.kind == "cancel":
-                return peer_messages.PeerReply(
-                    known=await queries.cancel(shard, request.job_id)
-                )
-            state = await queries.job_state(shard, request.job_id)
-            return peer_messages.PeerReply(known=state is not None, state=state or "")
+                return await _cancel(shard, request.job_id)
+            job_state = await queries.job_state(shard, request.job_id)
+            return peer_messages.PeerReply(
+                known=job_state is not None, state=job_state or ""
+            )
         except errors.LimpetstreamError as error:
             return peer_messages.PeerReply(refused=f"{type(error).__name__}: {error}")
 
@@ -218,6 +244,14 @@
         try:
             await self._append(request.shard, request.submission, STORE_TIMEOUT_S)
         except errors.PlatformUnavailable as error:
+            if not error.not_applied:
+                attempts = submission_attempts.Attempts(self._clock)
+                attempts.note_store(error)
+                logs.emit(
+                    events.PEER_JOB_NOT_STORED,
+                    job=request.submission.job_id,
+                    attempts=attempts.rows(),
+                )
             return peer_messages.PeerReply(
                 refused=str(error), unknown=not error.not_applied
             )
@@ -238,30 +272,57 @@
         )
 
     async def _store_at_peer(
-        self, shard: int, submission: messages.Submission
-    ) -> peer_messages.PeerReply:
-        """Ask another instance to store a job that this one cannot store."""
+        self,
+        shard: int,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+    ) -> bool:
+        """Ask another instance to store a job that this one cannot store.
+
+        Returns:
+            Whether the job is stored; if not, the attempt is noted.
+        """
         others = [member for member in self._members if member != self._member]
         if not others:
-            return peer_messages.PeerReply(refused="no other instance is known")
+            return False
+        member = random.choice(others)
         try:
-            return await self._peers.call(
-                random.choice(others),
+            reply = await self._peers.call(
+                member,
                 peer_messages.PeerRequest("store", shard, submission=submission),
                 timeout_s=PEER_TIMEOUT_S,
             )
         except errors.PeerUnreachable as error:
-            return peer_messages.PeerReply(refused=str(error), unknown=True)
+            attempts.note_unreachable(member, error)
+        else:
+            if reply.known:
+                return True
+            attempts.note_peer(member, reply)
+        if attempts.may_be_stored:
+            self._possibly_stored_jobs.add(submission.job_id)
+        return False
 
     def _raise_failure(
-        self, submission: messages.Submission, may_be_stored: bool, reason: str
+        self,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+        reason: str,
     ) -> NoReturn:
+        job_id = submission.job_id
+        # Another request for the job may have ended meanwhile.
+        earlier_request = not attempts.may_be_stored and (
+            job_id in self._possibly_stored_jobs or job_id in self._stored_jobs
+        )
+        may_be_stored = attempts.may_be_stored or earlier_request
         logs.emit(
             events.CALL_REFUSED,
             call="submit",
-            job=submission.job_id,
+            job=job_id,
             outcome="unknown" if may_be_stored else "not-run",
             reason=reason,
+            earlier_request=earlier_request,
+            attempts=attempts.rows(),
+            left_out=attempts.left_out,
         )
         if may_be_stored:
             raise errors.OutcomeUnknown(reason)
@@ -270,13 +331,20 @@
     async def _ask_owner(
         self, request: peer_messages.PeerRequest, wait_s: float
     ) -> peer_messages.PeerReply:
-        """Ask the owner of a shard; look it up again after each failure."""
+        """Ask the owner of a shard; look it up again after each failure.
+
+        Raises:
+            NotRun: No owner has answered, and the request had no effect.
+            OutcomeUnknown: No owner has answered; one may have carried it out.
+        """
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        retry_s = RETRY_S
+        retry_s, may_be_done = RETRY_S, False
         while True:
-            result = await self._try_owner(request)
-            if isinstance(result, peer_messages.PeerReply):
-                return result
+            for ask in (self.answer_peer, self._ask_known_owner):
+                reply = await ask(request)
+                if not reply.refused:
+                    return reply
+                may_be_done = may_be_done or reply.unknown
             if self._clock.monotonic() + retry_s >= give_up_at:
                 break
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
@@ -286,34 +354,32 @@
             call=request.kind,
             job=request.job_id,
             queue=request.queue,
-            outcome="not-run",
-            reason=result,
+            outcome="unknown" if may_be_done else "not-run",
+            reason=reply.refused,
         )
-        raise errors.NotRun("no-owner", result, retry_after_s=RETRY_AFTER_S)
+        if may_be_done:
+            raise errors.OutcomeUnknown(reply.refused)
+        raise errors.NotRun("no-owner", reply.refused, retry_after_s=RETRY_AFTER_S)
 
-    async def _try_owner(
+    async def _ask_known_owner(
         self, request: peer_messages.PeerRequest
-    ) -> peer_messages.PeerReply | str:
-        if request.shard in self._server.shard_by_number:
-            reply = await self.answer_peer(request)
-            if not reply.refused:
-                return reply
+    ) -> peer_messages.PeerReply:
         member = self._member_by_shard.get(request.shard)
         if member is None or member == self._member:
             await self._look_up_owners()
             member = self._member_by_shard.get(request.shard)
         if member is None:
-            return "no owner of the shard is known"
+            return peer_messages.PeerReply(refused="no owner of the shard is known")
         if member == self._member:
             member = self._owner_by_shard.get(request.shard, self._member)
         if member == self._member:
-            reply = await self.answer_peer(request)
-            return reply if not reply.refused else reply.refused
+            return await self.answer_peer(request)
         try:
             reply = await self._peers.call(member, request, timeout_s=PEER_TIMEOUT_S)
         except errors.PeerUnreachable as error:
             await self._look_up_owners()
-            return str(error)
+            changes_state = request.kind == "cancel"
+            return peer_messages.PeerReply(refused=str(error), unknown=changes_state)
         if not reply.refused:
             return reply
         names_other_owner = reply.owner not in ("", member, self._member)
@@ -325,7 +391,7 @@
             # Members with outdated hints may name each other endlessly.
             self._followed_hints.discard(request.shard)
             await self._look_up_owners()
-        return reply.refused
+        return reply
 
     async def _look_up_owners(self) -> None:
         now = self._clock.monotonic()
@@ -350,3 +416,15 @@
         if member_by_shard != self._member_by_shard:
             logs.emit(events.OWNER_LOOKED_UP, owners=member_by_shard)
         self._member_by_shard = member_by_shard
+
+
+async def _cancel(shard: state.Shard, job_id: str) -> peer_messages.PeerReply:
+    """Cancel a job at its owner; a failure may come after it took effect."""
+    try:
+        return peer_messages.PeerReply(known=await queries.cancel(shard, job_id))
+    except errors.LimpetstreamError as error:
+        job = shard.job_by_id.get(job_id)
+        return peer_messages.PeerReply(
+            refused=f"{type(error).__name__}: {error}",
+            unknown=job is not None and job.outcome == messages.CANCELLED,
+        )
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -15,6 +15,7 @@
     events,
     executor_records,
     lease_records,
+    owner_load,
     pacing,
     proof,
     state,
@@ -30,6 +31,7 @@
 # ``proof.VALIDITY_S`` from the sending of the poll.
 OUTAGE_POLL_WAIT_S = 0.5
 MIN_RESTART_S = 0.25  # An executor takes longer than this to restart.
+PAUSE_MARGIN_S = 0.03  # From the end of a pause until the poll is sent.
 # Time for the journal to make ends durable. After that, the next poll renews
 # the lease without acknowledging them.
 FLUSH_TIMEOUT_S = 0.4
@@ -94,17 +96,32 @@
         return  # It was removed in the meantime, and its runs were given up.
     executor.polled_at = sent_at
     executor.answered_at = shard.clock.monotonic()
-    status_reports.apply_report(shard, executor, reply, sent_at)
-    executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
-    _note_reply(shard, executor)
-    if proof.is_proven(shard):
-        pacing.adjust(shard, executor)
+    with owner_load.measured(shard.load, shard.clock, owner_load.REPLIES):
+        status_reports.apply_report(shard, executor, reply, sent_at)
+        executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
+        _note_reply(shard, executor)
+        if proof.is_proven(shard):
+            pacing.adjust(shard, executor)
     if executor.applied_end > executor.acked_end:
         await _acknowledge(shard, executor)
     if not executor.recorded:
         await _wait_for_record(shard)
+    await _pause(shard, executor)
+
+
+async def _pause(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Let more ends come with the next answer while the owner is slow.
+
+    A pause for the sake of the loop counts from the last answer, and the next
+    poll can still acknowledge the ends.
+    """
     pause_s = shard.send_window.poll_pause_s
-    if pause_s:  # More ends come with the next reply.
+    late = shard.send_window.lateness
+    if late.pause_s:
+        longest_s = MIN_RESTART_S - PAUSE_MARGIN_S - 2 * late.lag_s
+        since_s = shard.clock.monotonic() - executor.answered_at
+        pause_s = max(pause_s, min(late.pause_s, longest_s) - since_s)
+    if pause_s > 0:
         await shard.clock.sleep(pause_s)
 
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -10,7 +10,7 @@
 )
 from limpetstream.shard import events, jobs, pacing, proof, sessions, state, stops
 from limpetstream.telemetry import logs
-from limpetstream.workflow import state as workflow_state
+from limpetstream.workflow import eligibility, state as workflow_state
 
 START_TIMEOUT_S = 0.4  # Fifty times the round trip between data centres.
 START_TRIES = 3
@@ -45,9 +45,18 @@
         await _record_job(shard, run.task.job)
         async with executor.start_slots, shard.send_window.turn(size, rank):
             note_turn()
+            _resume_passes(shard)
             await _try_to_start(shard, executor, run)
 
 
+def _resume_passes(shard: state.Shard) -> None:
+    """Let a pass that was left out follow once the backlog has ended."""
+    window = shard.send_window
+    if window.is_pass_left_out and not window.has_backlog:
+        window.is_pass_left_out = False
+        shard.changed.set()
+
+
 async def _try_to_start(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
@@ -78,7 +87,7 @@
         except errors.PlatformUnavailable as error:
             _log_unanswered(executor, run, error)
             continue
-        executor.doubted_at = -math.inf
+        _note_answer(executor, reply)
         if not is_first_try and reply.outcome != executor_messages.STARTED:
             break  # The unanswered try may still take effect.
         _apply_reply(shard, executor, run, reply)
@@ -98,6 +107,14 @@
     stops.stop_run(shard, executor, run, "start in doubt")
 
 
+def _note_answer(
+    executor: tracking.Executor, reply: executor_messages.StartReply
+) -> None:
+    """End the doubt about an executor; an unwilling one may not be reached."""
+    if reply.outcome != executor_messages.UNWILLING:
+        executor.doubted_at = -math.inf
+
+
 def _obstacle(
     shard: state.Shard,
     executor: tracking.Executor,
@@ -110,6 +127,8 @@
         return "ownership not proven"
     if executor.silent_since is not None:
         return "the executor does not answer"
+    if not eligibility.has_current_entry(executor):
+        return "the executor's entry is of another incarnation"
     if not executor.recorded:
         return "the executor is not in the journal yet"
     if not executor.confirmed:
@@ -193,6 +212,9 @@
         data_centre=executor.listing.data_centre,
         token=shard.epoch,
         waited_ms=round((run.start_requested_at - run.task.ready_at) * 1000),
+        turn_ms=round((run.task.first_turn_at - run.task.ready_at) * 1000)
+        if run.task.first_turn_at >= run.task.ready_at
+        else None,
         placed_ms_ago=round((now - run.start_requested_at) * 1000),
         looked_ms_ago=round((now - executor.polled_at) * 1000),
         clock_read_ms_ago=round((now - executor.lease.read_after) * 1000),
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import functools
 import itertools
 import re
 import zlib
@@ -85,6 +86,11 @@
     )
 
 
+# Most entries are of tasks that are done.
+_DONE = TaskProgress(done=True)
+_DONE_CONTENT = {"done": True}
+
+
 def encode_submission(submission: messages.Submission) -> bytes:
     """Return the stored form of a submission, without default values."""
     value = _without_defaults(submission)
@@ -137,7 +143,7 @@
     value = _without_defaults(progress)
     if progress.task_by_place:
         value["task_by_place"] = {
-            place: _without_defaults(task)
+            place: _DONE_CONTENT if task is _DONE else _without_defaults(task)
             for place, task in progress.task_by_place.items()
         }
     return msgspec.json.encode(value)
@@ -181,7 +187,7 @@
 def _task_progress(task: state.Task) -> TaskProgress:
     """Return the progress of a task; of one that is done, only that."""
     if task.done:
-        return TaskProgress(done=True)
+        return _DONE
     return TaskProgress(
         False, sorted(task.failed_runs), task.ended_run, task.checkpoint
     )
@@ -249,17 +255,27 @@
 
 def _without_defaults(value: Any) -> dict[str, Any]:
     content_by_field = {}
-    for field in dataclasses.fields(value):
-        content = getattr(value, field.name)
-        if field.default_factory is not dataclasses.MISSING:
-            default: Any = field.default_factory()
-        else:
-            default = field.default
+    for name, default in _defaults(type(value)):
+        content = getattr(value, name)
         if content != default:
-            content_by_field[field.name] = content
+            content_by_field[name] = content
     return content_by_field
 
 
+@functools.cache
+def _defaults(type_: type) -> list[tuple[str, Any]]:
+    """Return the fields of a data class with their default values."""
+    return [
+        (
+            field.name,
+            field.default
+            if field.default_factory is dataclasses.MISSING
+            else field.default_factory(),
+        )
+        for field in dataclasses.fields(type_)
+    ]
+
+
 def _expand(raw: bytes) -> bytes:
     expander = zlib.decompressobj()
     try:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -29,6 +29,7 @@
 MEAN_SERIES_INTERVAL_S = 2.5  # Between the starts of two series of faults.
 MEAN_CUT_INTERVAL_S = 12.0  # The same for cuts.
 MEAN_LEAVE_INTERVAL_S = 8.0  # The same for many executors at once.
+MEAN_BREAK_INTERVAL_S = 12.0  # The same for broken connections to the store.
 MAX_FAULTS_IN_SERIES = 4
 # The longest lease of an executor (6 s) may end a run without disturbance; the
 # rule for lasting tasks holds from 6 s later, for waits of 3 s.
@@ -48,7 +49,7 @@
             soak itself stood still.
         jobs: Number of jobs that callers tried to submit.
         accepted: Number of jobs whose submission was acknowledged.
-        refused: Number of jobs of which no submission can have taken effect.
+        refused: Number of jobs whose every answer was a refusal.
         starts: Number of runs that executors started.
         room: What the executors had and what was reserved there, every few
             seconds and at the end.
@@ -66,7 +67,12 @@
 
 
 async def run(
-    seed: int, *, seconds: float, cuts: bool = True, leaves: bool = True
+    seed: int,
+    *,
+    seconds: float,
+    cuts: bool = True,
+    leaves: bool = True,
+    breaks: bool = True,
 ) -> Outcome:
     """Run one seed and return its result.
 
@@ -75,11 +81,14 @@
         seconds: How long jobs are submitted and faults are injected.
         cuts: Whether connections are also cut in one direction.
         leaves: Whether many executors also leave or restart at once.
+        breaks: Whether connections to the store also break after it has
+            stored a job, and callers give up after fewer refusals.
     """
     opened = _cluster.open_cluster(
         seed, instance_count=INSTANCES, executor_count=EXECUTORS
     )
     async with opened as cluster, _stalls.watch() as stall_watch:
+        cluster.is_patient = not breaks
         callers = _callers.Callers(cluster)
         checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
@@ -106,6 +115,8 @@
                     task_group.create_task(_inject_cuts(cluster, seconds, injected))
                 if leaves:
                     task_group.create_task(_inject_leaves(cluster, seconds, injected))
+                if breaks:
+                    task_group.create_task(_inject_breaks(cluster, seconds, injected))
             await asyncio.gather(
                 callers.wait_until_settled(stall_watch, limit_s=SETTLE_TIMEOUT_S),
                 asyncio.sleep(CALM_END_S),
@@ -123,7 +134,7 @@
             injected,
             len(jobs),
             sum(job.accepted for job in jobs),
-            sum(not job.accepted and not job.outcome_unknown for job in jobs),
+            sum(job.is_refused for job in jobs),
             cluster.breaches.starts,
             room,
             cluster.breaches.found + checker.found + cluster.findings,
@@ -172,6 +183,20 @@
     )
 
 
+async def _inject_breaks(
+    cluster: _cluster.Cluster, seconds: float, injected: list[str]
+) -> None:
+    """Inject series of broken connections to the store beside the others."""
+    await _inject_series_of(
+        _faults.BREAKS,
+        cluster,
+        seconds,
+        injected,
+        choices=cluster.break_choices,
+        mean_interval_s=MEAN_BREAK_INTERVAL_S,
+    )
+
+
 async def _inject_series_of(
     faults: tuple[_faults.Fault, ...],
     cluster: _cluster.Cluster,
@@ -211,7 +236,7 @@
 def _check_final_states(cluster: _cluster.Cluster, callers: _callers.Callers) -> None:
     """Add a finding for each job that is not in a permitted final state."""
     for job in callers.job_by_id.values():
-        if not job.accepted and not job.outcome_unknown:
+        if job.is_refused:
             if job.job_id in cluster.breaches.started_jobs:
                 cluster.findings.append(f"job {job.job_id} was refused but has run")
         elif job.final_state not in (None, "completed", "cancelled", "lost"):
