Let less urgent work go on beside urgent work at a late owner

One in each pass goes on now (test_less_urgent_tasks_go_on_beside_a_steady_urgent_load, red before). A call whose caller was cancelled while it waited for a handle is not sent any more.

test_less_urgent_tasks_are_deferred_while_the_loop_is_late tells the exact numbers of starts of both passes now, where it asked for none in the first.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -274,7 +274,10 @@
     def _process_queue(self) -> None:
         """Begin the calls that wait, as far as handles are free."""
         while self._free_list and self._queue:
-            handle, call = self._free_list.pop(), self._queue.popleft()
+            call = self._queue.popleft()
+            if call.response.done():
+                continue  # Its caller was cancelled while it waited.
+            handle = self._free_list.pop()
             try:
                 self._transfer_by_handle[handle].begin(handle, call)
             except Exception as error:
--- a/limpetstream/executors/lateness.py
+++ b/limpetstream/executors/lateness.py
@@ -18,7 +18,7 @@
 MAX_PAUSE_S = 0.2
 MIN_PAUSE_S = 0.025
 MAX_STARTS = 64
-MIN_STARTS = 3  # Less urgent work goes on, however late the loop is.
+MIN_STARTS = 3  # Less urgent work goes on while little is urgent.
 SHRINKAGE = 0.5
 GROWTH = 1.5
 
@@ -31,31 +31,32 @@
         lag_s: Longest time by which a timer was late in the last interval.
         pause_s: Time from an executor's answer to its next poll; 0 while the
             loop is in time.
-        starts: Number of starts of less urgent queues in one pass.
+        max_starts: Number of starts in one pass beyond which those of less
+            urgent queues are deferred, but for one.
         late_intervals: Number of intervals in a row with such limits.
     """
 
     lag_s: float = 0.0
     pause_s: float = 0.0
-    starts: float = MAX_STARTS
+    max_starts: float = MAX_STARTS
     late_intervals: int = 0
 
     @property
     def is_late(self) -> bool:
         """Whether work is grouped or deferred because the loop is late."""
-        return self.pause_s > 0 or self.starts < MAX_STARTS
+        return self.pause_s > 0 or self.max_starts < MAX_STARTS
 
     def note_lag(self, lag_s: float) -> None:
         """Shrink the limits at once if a timer was late."""
         if lag_s > MAX_LAG_S:
             self.pause_s = min(MAX_PAUSE_S, max(self.pause_s, lag_s) * 2)
             factor = max(SHRINKAGE, MAX_LAG_S / lag_s)
-            self.starts = max(MIN_STARTS, self.starts * factor)
+            self.max_starts = max(MIN_STARTS, self.max_starts * factor)
 
     def end_interval(self, lag_s: float) -> None:
         """Let the limits grow if no timer of an interval was late."""
         self.lag_s = lag_s
         if lag_s <= MAX_LAG_S:
             self.pause_s = self.pause_s / 2 if self.pause_s > MIN_PAUSE_S else 0.0
-            self.starts = min(MAX_STARTS, self.starts * GROWTH)
+            self.max_starts = min(MAX_STARTS, self.max_starts * GROWTH)
         self.late_intervals = self.late_intervals + 1 if self.is_late else 0
--- a/limpetstream/executors/tests/test_lateness.py
+++ b/limpetstream/executors/tests/test_lateness.py
@@ -22,7 +22,7 @@
         late.end_interval(IN_TIME_S)
     assert not late.is_late
     assert late.pause_s == 0.0
-    assert late.starts == lateness.MAX_STARTS
+    assert late.max_starts == lateness.MAX_STARTS
 
 
 def test_the_first_late_timer_limits_polls_and_starts():
@@ -30,14 +30,14 @@
     late = lateness.Lateness()
     late.note_lag(LATE_S)
     assert late.pause_s == lateness.MAX_PAUSE_S
-    assert late.starts == lateness.MAX_STARTS / 2
+    assert late.max_starts == lateness.MAX_STARTS / 2
 
 
 def test_the_limits_stay_within_their_bounds():
     """Guards against work that stands still because the loop is late."""
     late = make_late()
     assert late.pause_s == lateness.MAX_PAUSE_S
-    assert late.starts == lateness.MIN_STARTS
+    assert late.max_starts == lateness.MIN_STARTS
 
 
 def test_the_limits_end_once_the_loop_is_in_time():
--- a/limpetstream/shard/owner_load.py
+++ b/limpetstream/shard/owner_load.py
@@ -91,7 +91,7 @@
     if task.first_turn_at >= task.ready_at:
         return
     task.first_turn_at = now
-    waited_s = now - max(task.ready_at, task.not_before)
+    waited_s = task.first_turn_wait_s = now - max(task.ready_at, task.not_before)
     turns = load.turns_by_priority.setdefault(priority, Turns())
     turns.count += 1
     turns.late += waited_s > LATE_TURN_S
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -65,6 +65,8 @@
         turns_began_at: Monotonic time after the tasks were sorted.
         checks: Work done so far.
         placed: Number of tasks that were placed.
+        less_urgent_placed: Number of those among them that a late event loop
+            may defer.
         unplaceable: Shapes of best-effort tasks for which no executor was
             found, with their image, whether they last, and the stage of their
             wait.
@@ -85,6 +87,7 @@
     turns_began_at: float = 0.0
     checks: int = 0
     placed: int = 0
+    less_urgent_placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
     use_by_service: dict[str, best_effort.ServiceUse] = dataclasses.field(
         default_factory=dict
@@ -175,9 +178,9 @@
     )
     may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
     has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
-    queues = shard.view.configuration.queues if shard.view.configuration else []
-    urgent_priority = min((queue.priority for queue in queues), default=0)
-    return _Pass(now, executors, has_doubt, may_preempt_long_running, urgent_priority)
+    return _Pass(
+        now, executors, has_doubt, may_preempt_long_running, _urgent_priority(shard)
+    )
 
 
 def _is_at_bound(shard: state.Shard, this_pass: _Pass) -> bool:
@@ -199,16 +202,38 @@
     """Return whether a less urgent task waits because the event loop is late.
 
     Each start delays the turns, starts and ends of urgent work that follow.
+    One in each pass goes on, however much urgent work there is.
     """
     late = shard.send_window.lateness
     return (
         late.is_late
-        and this_pass.placed >= late.starts
-        and not task.step.long_running
+        and this_pass.placed >= late.max_starts
+        and this_pass.less_urgent_placed > 0
+        and _is_less_urgent(shard, task, this_pass)
+    )
+
+
+def _is_less_urgent(
+    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
+) -> bool:
+    """Return whether a task may be deferred; lasting ones may not."""
+    return (
+        not task.step.long_running
         and shard.priority_of(task.job) > this_pass.urgent_priority
     )
 
 
+def _urgent_priority(shard: state.Shard) -> int:
+    """Return the priority of the most urgent queues that have had runs here.
+
+    A queue that nobody uses must not make all others less urgent.
+    """
+    configuration = shard.view.configuration
+    queues = configuration.queues if configuration else []
+    used = [queue for queue in queues if queue.name in shard.run_s_by_queue]
+    return min((queue.priority for queue in used or queues), default=0)
+
+
 def _may_have_turn(
     shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
 ) -> bool:
@@ -248,6 +273,8 @@
         placed = _place_or_preempt(shard, task, context, this_pass)
     this_pass.checks += context.work
     this_pass.placed += len(placed)
+    if _is_less_urgent(shard, task, this_pass):
+        this_pass.less_urgent_placed += len(placed)
     for each in placed:
         shard.waiting_tasks.discard(each)
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -296,7 +296,7 @@
         shard=shard.number,
         lag_ms=round(late.lag_s * 1000),
         pause_ms=round(late.pause_s * 1000),
-        starts=round(late.starts),
+        starts=round(late.max_starts),
         waiting=len(shard.waiting_tasks),
     )
 
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -212,7 +212,7 @@
         data_centre=executor.listing.data_centre,
         token=shard.epoch,
         waited_ms=round((run.start_requested_at - run.task.ready_at) * 1000),
-        turn_ms=round((run.task.first_turn_at - run.task.ready_at) * 1000)
+        turn_ms=round(run.task.first_turn_wait_s * 1000)
         if run.task.first_turn_at >= run.task.ready_at
         else None,
         placed_ms_ago=round((now - run.start_requested_at) * 1000),
--- a/limpetstream/shard/tests/test_owner_load.py
+++ b/limpetstream/shard/tests/test_owner_load.py
@@ -69,7 +69,7 @@
     scheduling.run_pass(shard)
     assert fits.run is not None
     assert too_large.run is None
-    assert too_large.first_turn_at - too_large.ready_at == pytest.approx(0.8)
+    assert too_large.first_turn_wait_s == pytest.approx(0.8)
     (row,) = report(shard, found)["turns"]
     assert (row["turns"], row["late"], row["longest_ms"]) == (2, 2, 800)
 
@@ -122,3 +122,18 @@
     metrics.observe(events.OWNER_STATE, {"processor_percent": 80.0})
     line = 'limpetstream_event_percent{event="owner-state",field="processor_percent"}'
     assert f"{line} 80.0\n" in metrics.render().decode()
+
+
+def test_a_pause_is_no_wait_for_the_owner():
+    """Guards against retries for which a busy owner is blamed."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=2)
+    (task,) = builders.make_tasks(shard, builders.SHORT, queue="desk")
+    jobs.enqueue(shard, task, 1.0)
+    loop._virtual.now += 1.2
+    shard.ownership_proven_at = loop.time()
+    for executor in shard.executor_by_id.values():
+        executor.polled_at = loop.time()
+    scheduling.run_pass(shard)
+    assert task.run is not None
+    assert task.first_turn_wait_s == pytest.approx(0.2)
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -381,11 +381,50 @@
     make_late(shard)
     scheduling.run_pass(shard)
     assert all(task.run is not None for task in desk)
-    assert not any(task.run is not None for task in batch)
+    assert count_started(batch) == 1
     assert shard.changed.is_set()
     scheduling.run_pass(shard)
-    started = [task for task in batch if task.run is not None]
-    assert len(started) == lateness.MIN_STARTS
+    assert count_started(batch) == 1 + lateness.MIN_STARTS
+
+
+def count_started(tasks):
+    return sum(task.run is not None for task in tasks)
+
+
+def test_less_urgent_tasks_go_on_beside_a_steady_urgent_load():
+    """Guards against best-effort work that never starts at a late owner."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=40)
+    tiny = builders.copy_step(
+        builders.SHORT, cpu_millicores=100, memory_mb=10, count=60
+    )
+    batch = builders.make_tasks(shard, tiny, queue="batch")
+    shard.waiting_tasks.extend(batch)
+    make_late(shard)
+    few = builders.copy_step(tiny, count=lateness.MIN_STARTS + 1)
+    for _ in range(10):
+        shard.waiting_tasks.extend(builders.make_tasks(shard, few, queue="desk"))
+        scheduling.run_pass(shard)
+        advance(shard, loop, 0.1)
+    assert count_started(batch) == 10
+
+
+def test_a_queue_without_work_makes_no_other_less_urgent():
+    """Guards against desk work that waits for a queue that nobody uses."""
+    loop = virtual_time.Loop()
+    shard = builders.make_shard(loop, executors=8)
+    configuration = shard.view.configuration
+    unused = dataclasses.replace(configuration.queues[0], name="unused", priority=-1)
+    shard.view.configuration = dataclasses.replace(
+        configuration, queues=[*configuration.queues, unused]
+    )
+    shard.run_s_by_queue = {"desk": 1.0, "batch": 1.0}
+    small = builders.copy_step(builders.SHORT, cpu_millicores=500, count=20)
+    desk = builders.make_tasks(shard, small, queue="desk")
+    shard.waiting_tasks.extend(desk)
+    make_late(shard)
+    scheduling.run_pass(shard)
+    assert count_started(desk) == len(desk)
 
 
 def test_a_pass_on_a_slow_processor_is_bounded_in_time(monkeypatch):
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -109,6 +109,8 @@
             which an executor was looked for.
         first_turn_at: Monotonic time of its first turn in a scheduling pass
             since ``ready_at``; an earlier time if it had none.
+        first_turn_wait_s: Seconds that it waited for that turn, without its
+            pause.
     """
 
     job: "Job"
@@ -129,6 +131,7 @@
     moved_at: float = -math.inf
     tried_in_round: int = -1
     first_turn_at: float = -math.inf
+    first_turn_wait_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
