Read answers that came in time although the event loop is late

After a turn of the event loop that took longer than a call's time limit, the call failed and was repeated although its answer was there: libcurl ends calls whose limit has passed before it reads their sockets. Appends, joins and requests between instances have limits of 0.25 to 0.5 s that do not grow with the lag, so a busy owner repeated work because it was busy.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -22,6 +22,9 @@
     pycurl.POLL_OUT: select.EPOLLOUT,
     pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
 }
+# libcurl ends calls whose limit has passed before it reads their sockets. After
+# a turn of the event loop that took long, it would drop answers that are there.
+LIMIT_MARGIN_S = 1.0
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
 
@@ -147,6 +150,7 @@
         "_max_body_size",
         "call",
         "is_too_large",
+        "limit",
         "method",
         "new_connection",
         "size",
@@ -156,6 +160,7 @@
         self._max_body_size = max_body_size
         self.method = ""
         self.new_connection = False
+        self.limit: asyncio.TimerHandle | None = None
         self.call: Call | None = None
         self._chunks: list[bytes] = []
         self.size = 0
@@ -191,7 +196,8 @@
         # libcurl takes 0 for its default or for no limit.
         connect_ms = max(1, int(1000 * call.connect_timeout_s))
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(1000 * call.timeout_s)))
+        limit_s = call.timeout_s + LIMIT_MARGIN_S
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(1000 * limit_s)))
         self.call = call
 
     def end(self) -> tuple[Call, bytes]:
@@ -199,6 +205,9 @@
         call, body = self.call, b"".join(self._chunks)
         assert call is not None
         self.call = None
+        if self.limit is not None:
+            self.limit.cancel()
+            self.limit = None
         self._chunks = []
         self.size = 0
         self.is_too_large = False
@@ -278,16 +287,35 @@
             if call.response.done():
                 continue  # Its caller was cancelled while it waited.
             handle = self._free_list.pop()
+            transfer = self._transfer_by_handle[handle]
             try:
-                self._transfer_by_handle[handle].begin(handle, call)
+                transfer.begin(handle, call)
             except Exception as error:
                 self._free_list.append(handle)
                 if not call.response.done():
                     call.response.set_exception(error)
             else:
+                # The event loop calls it after what has become readable.
+                transfer.limit = self._loop.call_later(
+                    call.timeout_s, self._expire, handle
+                )
                 self._multi.add_handle(handle)
                 self._set_timeout(0)
 
+    def _expire(self, handle: pycurl.Curl) -> None:
+        """End a call that has no answer within its time limit."""
+        transfer = self._transfer_by_handle.get(handle)
+        if transfer is None or transfer.call is None:
+            return
+        elapsed_ms = round(1000 * transfer.call.timeout_s)
+        self._finish(
+            handle,
+            pycurl.E_OPERATION_TIMEDOUT,
+            f"Operation timed out after {elapsed_ms} milliseconds"
+            f" with {transfer.size} bytes received",
+        )
+        self._process_queue()
+
     def _finish(
         self,
         curl: pycurl.Curl,
