--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -22,8 +22,8 @@
     pycurl.POLL_OUT: select.EPOLLOUT,
     pycurl.POLL_INOUT: select.EPOLLIN | select.EPOLLOUT,
 }
-# libcurl ends calls whose limit has passed before it reads their sockets. After
-# a turn of the event loop that took long, it would drop answers that are there.
+# libcurl ends calls whose limit has passed before it reads their sockets. It
+# would drop answers that are there after a long turn of the event loop.
 LIMIT_MARGIN_S = 1.0
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
