--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -25,6 +25,7 @@
 # libcurl ends calls whose limit has passed before it reads their sockets. It
 # would drop answers that are there after a long turn of the event loop.
 LIMIT_MARGIN_S = 1.0
+_METHODS_WITH_BODY = frozenset({"PATCH", "POST", "PUT"})  # Even an empty one.
 _RECEIVED = re.compile(r"with (\d+) (?:out of \d+ )?bytes received")
 
 
@@ -118,7 +119,7 @@
     """One call to send.
 
     Args:
-        method: GET or POST.
+        method: HTTP method.
         url: Address.
         header_lines: Headers; a line without a value leaves a header out.
         upload: Body of the call, which a GET does not have.
@@ -148,18 +149,18 @@
     __slots__ = (
         "_chunks",
         "_max_body_size",
+        "_method",
+        "_new_connection",
         "call",
         "is_too_large",
         "limit",
-        "method",
-        "new_connection",
         "size",
     )
 
     def __init__(self, max_body_size: int) -> None:
         self._max_body_size = max_body_size
-        self.method = ""
-        self.new_connection = False
+        self._method: tuple[str, bool] | None = None
+        self._new_connection = False
         self.limit: asyncio.TimerHandle | None = None
         self.call: Call | None = None
         self._chunks: list[bytes] = []
@@ -178,19 +179,19 @@
 
     def begin(self, handle: pycurl.Curl, call: Call) -> None:
         """Set the options in which calls differ."""
-        if call.method not in ("GET", "POST"):
-            raise ValueError(f"unknown method {call.method}")
         if call.method == "GET" and call.upload.has_body:
             raise ValueError("a GET has no body")
-        if call.method != self.method:
-            option = pycurl.POST if call.method == "POST" else pycurl.HTTPGET
-            handle.setopt(option, 1)
-            self.method = call.method
-        if call.new_connection != self.new_connection:
+        sends_body = call.upload.has_body or call.method in _METHODS_WITH_BODY
+        if (call.method, sends_body) != self._method:
+            _set_method(handle, call.method, sends_body=sends_body)
+            self._method = call.method, sends_body
+        if call.new_connection != self._new_connection:
             handle.setopt(pycurl.FRESH_CONNECT, int(call.new_connection))
-            self.new_connection = call.new_connection
+            self._new_connection = call.new_connection
         if call.method == "POST":
             handle.setopt(pycurl.POSTFIELDSIZE, call.upload.size)
+        elif sends_body:
+            handle.setopt(pycurl.INFILESIZE, call.upload.size)
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.HTTPHEADER, call.header_lines)
         # libcurl takes 0 for its default or for no limit.
@@ -231,6 +232,22 @@
         return len(chunk)
 
 
+def _set_method(handle: pycurl.Curl, method: str, *, sends_body: bool) -> None:
+    """Have the calls of a handle use a method, until it is set again."""
+    if method == "POST":
+        handle.setopt(pycurl.POST, 1)
+    elif sends_body:
+        handle.setopt(pycurl.UPLOAD, 1)
+    elif method == "HEAD":
+        handle.setopt(pycurl.NOBODY, 1)
+    else:
+        handle.setopt(pycurl.HTTPGET, 1)
+    if method in ("GET", "HEAD", "POST", "PUT"):
+        handle.unsetopt(pycurl.CUSTOMREQUEST)
+    else:
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+
+
 class Client(curl_httpclient.CurlAsyncHTTPClient):
     """Sends calls on libcurl handles whose common options are set once.
 
