--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -13,7 +13,7 @@
 import msgspec
 from tornado import httpclient
 
-from limpetstream import _curl, clock, errors
+from limpetstream import _curl, _curl_client, clock, errors
 from limpetstream.platform import events
 from limpetstream.telemetry import logs
 
@@ -118,7 +118,7 @@
         self._cut_reported_at_by_call: dict[str, float] = {}
         self._cut_off_at_by_address: dict[str, float] = {}
         self._max_clients = max_clients
-        self._curl = _curl.Client(
+        self._curl = _curl_client.Client(
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
         )
         _curl.set_max_connections(self._curl, max_clients * OPEN_CONNECTIONS_FACTOR)
@@ -163,7 +163,7 @@
         encoded = _encode(body)
         upload = _curl.Upload(encoded)
         url = self.base_url + path
-        call = _curl.Call(
+        call = _curl_client.Call(
             method,
             url,
             _header_lines(headers),
