--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -19,7 +19,7 @@
 ROUNDS = 20
 CALLS_PER_ROUND = 400
 CONCURRENT = 8
-BODY = b'{"fencing_token":12,"ack_cursor":3456,"deadline_ms":1796550000000}'
+BODY = b'{"token":12,"acknowledged_end":34567,"deadline_ms":1796550000000}'
 HEADERS = {"X-Expected-Instance": "i-124b27e3"}
 STATUS = b'{"clock_ms":1796550000000,"running":[],"ended":[],"born":1}'
 ANSWER = (
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -160,19 +160,9 @@
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
-        encoded = _encode(body)
-        upload = _curl.Upload(encoded)
         url = self.base_url + path
-        call = _curl_client.Call(
-            method,
-            url,
-            _header_lines(headers),
-            upload,
-            min(self._connect_timeout_s, timeout_s),
-            timeout_s,
-            asyncio.get_running_loop().create_future(),
-            new_connection=self._needs_new_connection(url, sent_at),
-        )
+        upload = _curl.Upload(_encode(body))
+        call = self._make_call(method, url, upload, timeout_s, headers)
         counted = self._count_sent(path, len(path) + upload.size)
         _curl.ensure_free_handle(self._curl, self._max_clients)
         try:
@@ -263,6 +253,25 @@
         self.traffic.failures += 1
         counted.failures += 1
 
+    def _make_call(
+        self,
+        method: str,
+        url: str,
+        upload: _curl.Upload,
+        timeout_s: float,
+        headers: dict[str, str] | None,
+    ) -> _curl_client.Call:
+        return _curl_client.Call(
+            method,
+            url,
+            _header_lines(headers),
+            upload,
+            min(self._connect_timeout_s, timeout_s),
+            timeout_s,
+            asyncio.get_running_loop().create_future(),
+            new_connection=self._needs_new_connection(url, self.clock.monotonic()),
+        )
+
     def _needs_new_connection(self, url: str, now: float) -> bool:
         """Whether the open connections to the address of a call may be closed.
 
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -111,20 +111,11 @@
         while True:
             if wait_s <= 0 or not is_wanted():
                 self._raise_failure(submission, attempts, "the caller has left")
-            try:
-                await self._append(shard, submission, timeout_s)
-                self._store_down_since = None
+            if await self._store_here(shard, submission, timeout_s, attempts):
                 break
-            except errors.PlatformUnavailable as error:
-                attempts.note_store(error)
-                if attempts.may_be_stored:
-                    self._possibly_stored_jobs.add(submission.job_id)
-                failed_tries += 1
-                if self._store_down_since is None:
-                    self._store_down_since = self._clock.monotonic()
+            failed_tries += 1
             if failed_tries >= LOCAL_STORE_TRIES:
                 if await self._store_at_peer(shard, submission, attempts):
-                    self._store_down_since = None
                     break
             if self._clock.monotonic() + retry_s >= give_up_at:
                 self._raise_failure(submission, attempts, attempts.reason)
@@ -141,6 +132,30 @@
             took_ms=self._clock.wall_ms() - submission.accepted_ms,
         )
 
+    async def _store_here(
+        self,
+        shard: int,
+        submission: messages.Submission,
+        timeout_s: float,
+        attempts: submission_attempts.Attempts,
+    ) -> bool:
+        """Append a job to the store.
+
+        Returns:
+            Whether the job is stored; if not, the attempt is noted.
+        """
+        try:
+            await self._append(shard, submission, timeout_s)
+        except errors.PlatformUnavailable as error:
+            attempts.note_store(error)
+            if attempts.may_be_stored:
+                self._possibly_stored_jobs.add(submission.job_id)
+            if self._store_down_since is None:
+                self._store_down_since = self._clock.monotonic()
+            return False
+        self._store_down_since = None
+        return True
+
     def _refuse_if_store_down(self, submission: messages.Submission) -> bool:
         """Refuse a job at once while the store is known to be down.
 
@@ -296,6 +311,7 @@
             attempts.note_unreachable(member, error)
         else:
             if reply.known:
+                self._store_down_since = None
                 return True
             attempts.note_peer(member, reply)
         if attempts.may_be_stored:
