Take back the deferring of starts at a late owner

Each late pass started three tasks of less urgent queues, and a pass over the waiting tasks costs so much beside its turns that the owner started far less than its processor allows.

The limit on starts, the longer pauses after passes and their tests are removed; the grouping of polls and the bound on the time of a pass stay.

--- a/limpetstream/executors/lateness.py
+++ b/limpetstream/executors/lateness.py
@@ -1,10 +1,7 @@
 """Adapts an owner's work to the time by which its event loop is late.
 
-An owner whose processor is the limit serves everything late. What can be
-grouped or can wait then makes room for the rest: each executor is polled less
-often, so that more ends share an answer, and fewer starts of less urgent
-queues are decided at once. The limits shrink by a factor and grow slowly, as
-those of ``sending``.
+An owner whose processor is the limit serves everything late. Each executor is
+then polled less often, so that more ends share an answer.
 """
 
 import dataclasses
@@ -17,10 +14,6 @@
 # older than the shortest restart (``shard.sessions.MIN_RESTART_S``).
 MAX_PAUSE_S = 0.2
 MIN_PAUSE_S = 0.025
-MAX_STARTS = 64
-MIN_STARTS = 3  # Less urgent work goes on while little is urgent.
-SHRINKAGE = 0.5
-GROWTH = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,32 +24,26 @@
         lag_s: Longest time by which a timer was late in the last interval.
         pause_s: Time from an executor's answer to its next poll; 0 while the
             loop is in time.
-        max_starts: Number of starts in one pass beyond which those of less
-            urgent queues are deferred, but for one.
-        late_intervals: Number of intervals in a row with such limits.
+        late_intervals: Number of intervals in a row with such a pause.
     """
 
     lag_s: float = 0.0
     pause_s: float = 0.0
-    max_starts: float = MAX_STARTS
     late_intervals: int = 0
 
     @property
     def is_late(self) -> bool:
-        """Whether work is grouped or deferred because the loop is late."""
-        return self.pause_s > 0 or self.max_starts < MAX_STARTS
+        """Whether polls are grouped because the loop is late."""
+        return self.pause_s > 0
 
     def note_lag(self, lag_s: float) -> None:
-        """Shrink the limits at once if a timer was late."""
+        """Lengthen the pause at once if a timer was late."""
         if lag_s > MAX_LAG_S:
             self.pause_s = min(MAX_PAUSE_S, max(self.pause_s, lag_s) * 2)
-            factor = max(SHRINKAGE, MAX_LAG_S / lag_s)
-            self.max_starts = max(MIN_STARTS, self.max_starts * factor)
 
     def end_interval(self, lag_s: float) -> None:
-        """Let the limits grow if no timer of an interval was late."""
+        """Shorten the pause if no timer of an interval was late."""
         self.lag_s = lag_s
         if lag_s <= MAX_LAG_S:
             self.pause_s = self.pause_s / 2 if self.pause_s > MIN_PAUSE_S else 0.0
-            self.max_starts = min(MAX_STARTS, self.max_starts * GROWTH)
         self.late_intervals = self.late_intervals + 1 if self.is_late else 0
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -407,7 +407,7 @@
     1565,
     "owner-late",
     "WARNING",
-    "The owner's event loop is late: less urgent starts wait, polls are grouped.",
+    "The owner's event loop is late, so polls of executors are grouped.",
     "Give the instance more processor time; see owner-state and OPERATIONS.md.",
 )
 OWNER_IN_TIME = events.declare(
--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -62,7 +62,6 @@
             reporter.sum_of_delays_s * 1000 / max(1, reporter.delay_count)
         ),
         poll_pause_ms=round(shard.send_window.lateness.pause_s * 1000),
-        starts_per_pass=round(shard.send_window.lateness.max_starts),
         processor_percent=owner_load.percent(
             shard.clock.processor() - shard.load.processor_began_s, elapsed_s
         ),
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -28,7 +28,6 @@
 
 PASS_INTERVAL_S = 0.004  # Events that come close together share a pass.
 MAX_PAUSE_S = 0.1  # After a pass; the process may have been frozen in it.
-LATE_PAUSE_FACTOR = 3.0  # Times what a pass takes apart from its turns.
 IDLE_PASS_INTERVAL_S = 0.05  # While only time has passed.
 MAX_STATUS_AGE_S = 2.5  # A start needs a poll newer than this; see design.md.
 BEST_EFFORT_RETRY_S = 0.2  # Comparing all executors for such tasks is expensive.
@@ -61,12 +60,9 @@
             answer.
         may_preempt_long_running: Whether a long-running run may be stopped
             for a short task.
-        urgent_priority: Priority of the most urgent queues.
         turns_began_at: Monotonic time after the tasks were sorted.
         checks: Work done so far.
         placed: Number of tasks that were placed.
-        less_urgent_placed: Number of those among them that a late event loop
-            may defer.
         unplaceable: Shapes of best-effort tasks for which no executor was
             found, with their image, whether they last, and the stage of their
             wait.
@@ -83,11 +79,9 @@
     executors: list[tracking.Executor]
     has_doubt: bool
     may_preempt_long_running: bool
-    urgent_priority: int
     turns_began_at: float = 0.0
     checks: int = 0
     placed: int = 0
-    less_urgent_placed: int = 0
     unplaceable: set[tuple[object, ...]] = dataclasses.field(default_factory=set)
     use_by_service: dict[str, best_effort.ServiceUse] = dataclasses.field(
         default_factory=dict
@@ -111,8 +105,6 @@
         with owner_load.measured(shard.load, shard.clock, owner_load.PASSES):
             run_pass(shard)
         took_s = shard.clock.monotonic() - started_at
-        if shard.send_window.lateness.is_late:
-            took_s = max(took_s, LATE_PAUSE_FACTOR * shard.searches.overhead_s)
         await shard.clock.sleep(max(PASS_INTERVAL_S, min(took_s, MAX_PAUSE_S)))
 
 
@@ -145,7 +137,6 @@
     due = [task for task in shard.waiting_tasks if task.not_before <= now]
     in_order = turn_order.sort(shard, due, now)
     this_pass.turns_began_at = shard.clock.monotonic()
-    shard.searches.overhead_s = this_pass.turns_began_at - now
     for task in in_order:
         if task.job.outcome or task.done or task.run is not None:
             shard.waiting_tasks.discard(task)
@@ -154,8 +145,6 @@
         elif _is_at_bound(shard, this_pass):
             this_pass.is_finished = False
             break
-        elif _is_deferred(shard, task, this_pass):
-            this_pass.has_skipped = True
         elif _may_have_turn(shard, task, this_pass):
             _give_turn(shard, task, this_pass)
         else:
@@ -178,9 +167,7 @@
     )
     may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
     has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
-    return _Pass(
-        now, executors, has_doubt, may_preempt_long_running, _urgent_priority(shard)
-    )
+    return _Pass(now, executors, has_doubt, may_preempt_long_running)
 
 
 def _is_at_bound(shard: state.Shard, this_pass: _Pass) -> bool:
@@ -196,44 +183,6 @@
     return shard.clock.monotonic() - this_pass.turns_began_at
 
 
-def _is_deferred(
-    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
-) -> bool:
-    """Return whether a less urgent task waits because the event loop is late.
-
-    Each start delays the turns, starts and ends of urgent work that follow.
-    One in each pass goes on, however much urgent work there is.
-    """
-    late = shard.send_window.lateness
-    return (
-        late.is_late
-        and this_pass.placed >= late.max_starts
-        and this_pass.less_urgent_placed > 0
-        and _is_less_urgent(shard, task, this_pass)
-    )
-
-
-def _is_less_urgent(
-    shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
-) -> bool:
-    """Return whether a task may be deferred; lasting ones may not."""
-    return (
-        not task.step.long_running
-        and shard.priority_of(task.job) > this_pass.urgent_priority
-    )
-
-
-def _urgent_priority(shard: state.Shard) -> int:
-    """Return the priority of the most urgent queues that have had runs here.
-
-    A queue that nobody uses must not make all others less urgent.
-    """
-    configuration = shard.view.configuration
-    queues = configuration.queues if configuration else []
-    used = [queue for queue in queues if queue.name in shard.run_s_by_queue]
-    return min((queue.priority for queue in used or queues), default=0)
-
-
 def _may_have_turn(
     shard: state.Shard, task: workflow_state.Task, this_pass: _Pass
 ) -> bool:
@@ -273,8 +222,6 @@
         placed = _place_or_preempt(shard, task, context, this_pass)
     this_pass.checks += context.work
     this_pass.placed += len(placed)
-    if _is_less_urgent(shard, task, this_pass):
-        this_pass.less_urgent_placed += len(placed)
     for each in placed:
         shard.waiting_tasks.discard(each)
 
--- a/limpetstream/shard/searches.py
+++ b/limpetstream/shard/searches.py
@@ -69,7 +69,6 @@
         pass_count: Passes since the last log line about bounded passes.
         bounded_count: Those among them that reached their bound.
         logged_at: Time of that line.
-        overhead_s: Seconds that the last pass took before its first turn.
     """
 
     failure_by_key: dict[Hashable, Failure] = dataclasses.field(default_factory=dict)
@@ -86,7 +85,6 @@
     pass_count: int = 0
     bounded_count: int = 0
     logged_at: float = float("-inf")
-    overhead_s: float = 0.0
 
     @property
     def position(self) -> int:
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -289,14 +289,13 @@
 
 
 def _report_lateness(shard: state.Shard, is_late: bool) -> None:
-    """Log that the owner defers work because it is late, or no longer does."""
+    """Log that the owner groups polls as it is late, or no longer does."""
     late = shard.send_window.lateness
     logs.emit(
         events.OWNER_LATE if is_late else events.OWNER_IN_TIME,
         shard=shard.number,
         lag_ms=round(late.lag_s * 1000),
         pause_ms=round(late.pause_s * 1000),
-        starts=round(late.max_starts),
         waiting=len(shard.waiting_tasks),
     )
 
