--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -13,7 +13,7 @@
 import msgspec
 from tornado import httpclient
 
-from limpetstream import _curl, clock, errors
+from limpetstream import _curl, _curl_client, clock, errors
 from limpetstream.platform import events
 from limpetstream.telemetry import logs
 
@@ -118,7 +118,7 @@
         self._cut_reported_at_by_call: dict[str, float] = {}
         self._cut_off_at_by_address: dict[str, float] = {}
         self._max_clients = max_clients
-        self._curl = _curl.Client(
+        self._curl = _curl_client.Client(
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
         )
         _curl.set_max_connections(self._curl, max_clients * OPEN_CONNECTIONS_FACTOR)
@@ -160,19 +160,9 @@
         """
         sent_at = self.clock.monotonic()
         _check_sendable(method, path, headers or {})
-        encoded = _encode(body)
-        upload = _curl.Upload(encoded)
         url = self.base_url + path
-        call = _curl.Call(
-            method,
-            url,
-            _header_lines(headers),
-            upload,
-            min(self._connect_timeout_s, timeout_s),
-            timeout_s,
-            asyncio.get_running_loop().create_future(),
-            new_connection=self._needs_new_connection(url, sent_at),
-        )
+        upload = _curl.Upload(_encode(body))
+        call = self._make_call(method, url, upload, timeout_s, headers)
         counted = self._count_sent(path, len(path) + upload.size)
         _curl.ensure_free_handle(self._curl, self._max_clients)
         try:
@@ -263,6 +253,25 @@
         self.traffic.failures += 1
         counted.failures += 1
 
+    def _make_call(
+        self,
+        method: str,
+        url: str,
+        upload: _curl.Upload,
+        timeout_s: float,
+        headers: dict[str, str] | None,
+    ) -> _curl_client.Call:
+        return _curl_client.Call(
+            method,
+            url,
+            _header_lines(headers),
+            upload,
+            min(self._connect_timeout_s, timeout_s),
+            timeout_s,
+            asyncio.get_running_loop().create_future(),
+            new_connection=self._needs_new_connection(url, self.clock.monotonic()),
+        )
+
     def _needs_new_connection(self, url: str, now: float) -> bool:
         """Whether the open connections to the address of a call may be closed.
 
