Answer what the sockets hold before a server closes

Cause: a server counted a request only once its task had begun, and closed its connections without reading what their sockets held. A caller on a kept connection whose request had arrived by then got no answer, although the instance lived.

Change: requests are counted as they are received. A server that closes first reads and answers what has come, until nothing has come for 50 ms, for at most 0.3 s; its answers say that the connection closes.

--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -15,6 +15,11 @@
 
 MAX_BODY_BYTES = 1_048_576  # Four times the default limit of a caller's body.
 IDLE_TIMEOUT_S = 120.0
+# A server that closes first reads what its sockets hold. It ends once nothing
+# was received for the first time, and in any case after the second.
+QUIET_S = 0.05
+MAX_READ_OUT_S = 0.3
+READ_OUT_INTERVAL_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,10 +46,12 @@
     Args:
         in_flight: Number of requests that were received and have no response
             yet.
+        received: Number of requests that were received.
         closing: Whether connections are closed after their next response.
     """
 
     in_flight: int = 0
+    received: int = 0
     closing: bool = False
 
 
@@ -75,13 +82,15 @@
         address: Host and port to listen on, such as ``127.0.0.1:8080``.
         answer: Returns the response to one request.
 
+    Requests that lie in the sockets when the context is left are answered,
+    too, if ``answer`` returns soon.
+
     Yields:
         State of the server.
     """
     state = ServerState()
 
     async def respond(request: httputil.HTTPServerRequest) -> None:
-        state.in_flight += 1
         try:
             response = await _answer_or_log(request, answer)
             await _write(request, response, state.closing)
@@ -91,6 +100,9 @@
     tasks: set[asyncio.Task[None]] = set()
 
     def receive(request: httputil.HTTPServerRequest) -> None:
+        # Counted before the task runs, so that a stop does not overlook it.
+        state.in_flight += 1
+        state.received += 1
         task = asyncio.create_task(respond(request))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
@@ -103,10 +115,25 @@
     try:
         yield state
     finally:
+        state.closing = True
+        await _read_out(state)
         server.stop()
         await server.close_all_connections()
 
 
+async def _read_out(state: ServerState) -> None:
+    """Answer what the sockets hold and what was received meanwhile."""
+    loop = asyncio.get_running_loop()
+    received, quiet_since = state.received, loop.time()
+    ends_at = quiet_since + MAX_READ_OUT_S
+    while loop.time() < ends_at:
+        await asyncio.sleep(READ_OUT_INTERVAL_S)
+        if state.in_flight or state.received != received:
+            received, quiet_since = state.received, loop.time()
+        elif loop.time() - quiet_since >= QUIET_S:
+            return
+
+
 async def _answer_or_log(
     request: httputil.HTTPServerRequest, answer: Responder
 ) -> Response:
