Answer waiting requests before a stopped instance closes

Cause: a request waits for an owner or the store for up to 0.7 of its caller's time, and knew nothing of a stop.

A stop bounds submissions, cancels, queries of state and count, and what peers ask. Whatever is cut off there is told as it is known: "not run" only if nothing was under way that changes state, otherwise unknown.

--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,10 +1,14 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
+import asyncio
+import contextlib
+import dataclasses
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from typing import NoReturn
 
 from limpetstream import clock as clock_module, errors, recent_ids
+from limpetstream.border import closing as closing_module
 from limpetstream.shard import (
     events,
     names,
@@ -31,6 +35,20 @@
 PROBE_WAIT_S = 0.6  # Longest wait of a request that probes the store.
 RETRY_BUDGET_SHARE = 0.7  # Part of the caller's time limit spent on tries.
 RETRY_AFTER_S = 1.0  # A new owner takes over in about a second.
+CLOSING = "the instance is closing"  # Reason of a refusal during a stop.
+
+
+@dataclasses.dataclass(slots=True)
+class _Asked:
+    """What came of asking owners for one request.
+
+    Args:
+        may_be_done: Whether an owner may have carried the request out.
+        reason: Why the newest try failed.
+    """
+
+    may_be_done: bool = False
+    reason: str = "no owner was asked"
 
 
 class JobApi:
@@ -47,6 +65,8 @@
         member: Name of this instance in the group.
         shard_count: Number of shards in use.
         clock: Source of time.
+        closing: Bounds the time of requests once a stop has begun; None if
+            the instance is never stopped.
     """
 
     def __init__(
@@ -60,6 +80,7 @@
         member: str,
         shard_count: int,
         clock: clock_module.Clock,
+        closing: closing_module.Closing | None = None,
     ) -> None:
         self._store = store
         self._peers = peers
@@ -69,6 +90,7 @@
         self._member = member
         self._shard_count = shard_count
         self._clock = clock
+        self._closing = closing or closing_module.Closing(clock)
         self._member_by_shard: dict[int, str] = {}
         self._followed_hints: set[int] = set()
         self._members: list[str] = []
@@ -102,35 +124,54 @@
         """
         if submission.job_id in self._stored_jobs:
             return  # The request has come before.
+        attempts = submission_attempts.Attempts(self._clock)
+        try:
+            async with self._closing.bounded():
+                tries = await self._store_job(submission, wait_s, is_wanted, attempts)
+        except TimeoutError:
+            self._raise_failure(submission, attempts, CLOSING)
+        self._stored_jobs.add(submission.job_id)
+        logs.emit(
+            events.SUBMISSION_STORED,
+            job=submission.job_id,
+            queue=submission.queue,
+            steps=len(submission.steps),
+            tries=tries,
+            took_ms=self._clock.wall_ms() - submission.accepted_ms,
+        )
+
+    async def _store_job(
+        self,
+        submission: messages.Submission,
+        wait_s: float,
+        is_wanted: Callable[[], bool],
+        attempts: submission_attempts.Attempts,
+    ) -> int:
+        """Try to store a job until it is stored; return the number of tries.
+
+        Raises:
+            NotRun: As ``submit``.
+            OutcomeUnknown: As ``submit``.
+        """
         shard = names.shard_of(submission.job_id, self._shard_count)
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        attempts, failed_tries = submission_attempts.Attempts(self._clock), 0
-        timeout_s, retry_s = STORE_TIMEOUT_S, RETRY_S
+        timeout_s, retry_s, failed_tries = STORE_TIMEOUT_S, RETRY_S, 0
         while True:
             if wait_s <= 0 or not is_wanted():
                 self._raise_failure(submission, attempts, "the caller has left")
             if await self._store_here(shard, submission, timeout_s, attempts):
-                break
+                return failed_tries + 1
             failed_tries += 1
             if failed_tries >= LOCAL_STORE_TRIES:
                 if await self._store_at_peer(shard, submission, attempts):
-                    break
+                    return failed_tries + 1
             if self._clock.monotonic() + retry_s >= give_up_at:
                 self._raise_failure(submission, attempts, attempts.reason)
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
             timeout_s = min(MAX_STORE_TIMEOUT_S, timeout_s * 2)
-        self._stored_jobs.add(submission.job_id)
-        logs.emit(
-            events.SUBMISSION_STORED,
-            job=submission.job_id,
-            queue=submission.queue,
-            steps=len(submission.steps),
-            tries=failed_tries + 1,
-            took_ms=self._clock.wall_ms() - submission.accepted_ms,
-        )
 
     async def _store_here(
         self,
@@ -145,7 +186,8 @@
             Whether the job is stored; if not, the attempt is noted.
         """
         try:
-            await self._append(shard, submission, timeout_s)
+            with self._noting_cut(submission, attempts, submission_attempts.STORE):
+                await self._append(shard, submission, timeout_s)
         except errors.PlatformUnavailable as error:
             attempts.note_store(error)
             if attempts.may_be_stored:
@@ -223,6 +265,20 @@
         self, request: peer_messages.PeerRequest
     ) -> peer_messages.PeerReply:
         """Answer a request of another instance or of this one."""
+        is_begun = False
+        try:
+            async with self._closing.bounded():
+                is_begun = True
+                return await self._answer_peer(request)
+        except TimeoutError:
+            changes_state = request.kind in ("cancel", "store")
+            return peer_messages.PeerReply(
+                refused=CLOSING, unknown=is_begun and changes_state
+            )
+
+    async def _answer_peer(
+        self, request: peer_messages.PeerRequest
+    ) -> peer_messages.PeerReply:
         if request.kind == "store":
             return await self._answer_store(request)
         if request.kind == "serves":
@@ -302,11 +358,12 @@
             return False
         member = random.choice(others)
         try:
-            reply = await self._peers.call(
-                member,
-                peer_messages.PeerRequest("store", shard, submission=submission),
-                timeout_s=PEER_TIMEOUT_S,
-            )
+            with self._noting_cut(submission, attempts, member):
+                reply = await self._peers.call(
+                    member,
+                    peer_messages.PeerRequest("store", shard, submission=submission),
+                    timeout_s=PEER_TIMEOUT_S,
+                )
         except errors.PeerUnreachable as error:
             attempts.note_unreachable(member, error)
         else:
@@ -318,6 +375,21 @@
             self._possibly_stored_jobs.add(submission.job_id)
         return False
 
+    @contextlib.contextmanager
+    def _noting_cut(
+        self,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+        via: str,
+    ) -> Iterator[None]:
+        """Note that an attempt that is cut off may have stored the job."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            attempts.note_cut(via)
+            self._possibly_stored_jobs.add(submission.job_id)
+            raise
+
     def _raise_failure(
         self,
         submission: messages.Submission,
@@ -353,29 +425,48 @@
             NotRun: No owner has answered, and the request had no effect.
             OutcomeUnknown: No owner has answered; one may have carried it out.
         """
+        asked = _Asked()
+        try:
+            async with self._closing.bounded():
+                reply = await self._ask_repeatedly(request, wait_s, asked)
+        except TimeoutError:
+            reply, asked.reason = None, f"{CLOSING}; {asked.reason}"
+        if reply is not None:
+            return reply
+        logs.emit(
+            events.CALL_REFUSED,
+            call=request.kind,
+            job=request.job_id,
+            queue=request.queue,
+            outcome="unknown" if asked.may_be_done else "not-run",
+            reason=asked.reason,
+        )
+        if asked.may_be_done:
+            raise errors.OutcomeUnknown(asked.reason)
+        raise errors.NotRun("no-owner", asked.reason, retry_after_s=RETRY_AFTER_S)
+
+    async def _ask_repeatedly(
+        self, request: peer_messages.PeerRequest, wait_s: float, asked: _Asked
+    ) -> peer_messages.PeerReply | None:
+        """Ask until an owner answers; return None once the time is over."""
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
-        retry_s, may_be_done = RETRY_S, False
+        retry_s = RETRY_S
         while True:
             for ask in (self.answer_peer, self._ask_known_owner):
-                reply = await ask(request)
+                try:
+                    reply = await ask(request)
+                except asyncio.CancelledError:
+                    # What was sent to an owner may have arrived there.
+                    asked.may_be_done |= request.kind == "cancel"
+                    raise
                 if not reply.refused:
                     return reply
-                may_be_done = may_be_done or reply.unknown
+                asked.may_be_done |= reply.unknown
+                asked.reason = reply.refused
             if self._clock.monotonic() + retry_s >= give_up_at:
-                break
+                return None
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
-        logs.emit(
-            events.CALL_REFUSED,
-            call=request.kind,
-            job=request.job_id,
-            queue=request.queue,
-            outcome="unknown" if may_be_done else "not-run",
-            reason=reply.refused,
-        )
-        if may_be_done:
-            raise errors.OutcomeUnknown(reply.refused)
-        raise errors.NotRun("no-owner", reply.refused, retry_after_s=RETRY_AFTER_S)
 
     async def _ask_known_owner(
         self, request: peer_messages.PeerRequest
--- a/limpetstream/shard/submission_attempts.py
+++ b/limpetstream/shard/submission_attempts.py
@@ -72,6 +72,10 @@
         """Note that another instance did not answer."""
         self._note(member, not error.not_applied, str(error), error.delivery)
 
+    def note_cut(self, via: str) -> None:
+        """Note an attempt that was cut off before it had ended."""
+        self._note(via, True, "cut off")
+
     def rows(self) -> list[dict[str, Any]]:
         """Return the attempts in the order of their first ends, for the log.
 
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -208,7 +208,7 @@
         "released-claimed",
         IN_A_ROW,
         f"{SHARD}.job_api",
-        "JobApi.answer_peer",
+        "JobApi._answer_peer",
         "request.shard not in self._claimed_shards",
         "request.shard not in self._server.shard_by_number",
         "shard/tests/test_ended_owners.py::"
