Take cancels at once after owners that have ended in order

Cause: a new owner waits until no earlier one can have a valid proof, 2 s after earlier proofs have ended, also where the owner before has released the shard and said so (`PeerReply.released`), as that says nothing of the owners before it.

Change: of which owners it is known that they have stopped for good is told between instances (`stopped_below`), with the question for the epoch. An owner whose predecessor has ended, and before it all others, waits for nobody.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -417,3 +417,10 @@
     "The owner's event loop is in time again.",
     "None.",
 )
+EARLIER_OWNERS_STOPPED = events.declare(
+    1567,
+    "earlier-owners-stopped",
+    "INFO",
+    "No earlier owner acts or answers any more, so cancels are taken.",
+    "If it comes late, see previous_ended: whether the owner before told its end.",
+)
--- a/limpetstream/shard/instance_votes.py
+++ b/limpetstream/shard/instance_votes.py
@@ -48,6 +48,7 @@
         had_ended = shard.earlier_proofs_ended_at is not None
         if members:
             await asyncio.gather(*[_ask_member(shard, member) for member in members])
+        proof.have_earlier_owners_stopped(shard)  # Notes it, for later owners.
         if had_ended or shard.earlier_proofs_ended_at is None:
             await shard.clock.sleep(ASK_INTERVAL_S)
 
@@ -90,12 +91,14 @@
             shard.number,
             epoch=shard.epoch,
             proof_ends=shard.proof_ends.tell(sent_at),
+            stopped_below=shard.proof_ends.stopped_below,
         )
         try:
             reply = await quorum.peers.call(member, request, timeout_s=ASK_TIMEOUT_S)
         except errors.PeerUnreachable:
             return
     shard.proof_ends.note_told(reply.proof_ends, shard.clock.monotonic())
+    shard.proof_ends.note_stopped(reply.stopped_below)
     if informs:
         quorum.informed.add(member)
     if not reply.member:
--- a/limpetstream/shard/journal.py
+++ b/limpetstream/shard/journal.py
@@ -59,6 +59,7 @@
         self._put_count = 0
         self._durable_count = 0
         self._wake = asyncio.Event()
+        self._ended_by: Exception | None = None
         self._timeout_s = INITIAL_TIMEOUT_S
 
     def put(self, key: str, encode: Encode) -> None:
@@ -88,6 +89,8 @@
         """
         if self._durable_count == self._put_count:
             return
+        if self._ended_by is not None:
+            raise self._ended_by
         future = asyncio.get_running_loop().create_future()
         self._waiting.append((self._put_count, future))
         await future
@@ -110,6 +113,7 @@
 
     def fail_waiters(self, error: Exception) -> None:
         """Fail all waits: what is queued will not become durable."""
+        self._ended_by = error
         waiting, self._waiting = self._waiting, []
         for _, future in waiting:
             if not future.done():
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -21,6 +21,8 @@
         epoch: For ``epoch``, the epoch with which the sender owns the shard.
         proof_ends: For ``epoch``, since when owners of low epochs get no
             proof, as the sender knows.
+        stopped_below: For ``epoch``, owners of lower epochs have stopped, as
+            the sender knows; 0 in versions that do not tell.
     """
 
     kind: str
@@ -32,6 +34,7 @@
     proof_ends: list[proof_ends_module.ProofEnd] = dataclasses.field(
         default_factory=list
     )
+    stopped_below: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +57,7 @@
             shard, so that nothing is sent any more under the epochs that it
             has owned it with; false in versions that do not tell.
         proof_ends: For ``epoch``, as in the request, as the member knows.
+        stopped_below: For ``epoch``, as in the request, as the member knows.
     """
 
     known: bool = False
@@ -68,6 +72,7 @@
     proof_ends: list[proof_ends_module.ProofEnd] = dataclasses.field(
         default_factory=list
     )
+    stopped_below: int = 0
 
 
 class Peers(Protocol):
--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -12,7 +12,6 @@
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
-FIRST_EPOCH = 1
 VALIDITY_S = 2.0  # A new owner waits as long for the proof of an earlier one.
 # An append is queued once the newest one is this old, so that the proof of an
 # idle owner does not expire while the store answers.
@@ -40,6 +39,8 @@
     either, no earlier owner gets both majorities. It can then compute when the
     leases on the executors that it cannot reach have expired.
     """
+    if shard.ended:
+        return False
     shard.ownership_proven_at = max(
         shard.ownership_proven_at, shard.journal.confirmed_at
     )
@@ -60,15 +61,43 @@
     """Return whether no earlier owner may act or answer for the shard now.
 
     Its last proof is valid for ``VALIDITY_S`` after earlier proofs have ended.
-    The first owner of a shard has no earlier one.
+    The owner before may have ended sooner; then those before it count, of
+    which it or another instance has told that they have stopped. The first
+    owner of a shard has no earlier one.
     """
-    if shard.epoch == FIRST_EPOCH:
+    if shard.proof_ends.stopped_below >= shard.epoch:
         return True
+    if not (_have_earlier_proofs_expired(shard) or _has_chain_of_owners_ended(shard)):
+        return False
+    shard.proof_ends.note_stopped(shard.epoch)
+    shard.instance_quorum.informed.clear()  # They are told this as well.
+    logs.emit(
+        events.EARLIER_OWNERS_STOPPED,
+        shard=shard.number,
+        epoch=shard.epoch,
+        previous_ended=math.isfinite(shard.previous_ended_at),
+        after_ms=round((shard.clock.monotonic() - shard.claimed_at) * 1000),
+    )
+    return True
+
+
+def _have_earlier_proofs_expired(shard: state.Shard) -> bool:
     if shard.earlier_proofs_ended_at is None:
         return False
     return shard.clock.monotonic() - shard.earlier_proofs_ended_at > VALIDITY_S
 
 
+def _has_chain_of_owners_ended(shard: state.Shard) -> bool:
+    """Return whether the owner before has ended, and all before it.
+
+    No owner has claimed the shard between the one before and this one. The
+    epoch of an unknown one is 0.
+    """
+    if not math.isfinite(shard.previous_ended_at) or not shard.previous_epoch:
+        return False
+    return shard.proof_ends.stopped_below >= shard.previous_epoch
+
+
 def may_tell_open(shard: state.Shard, job: workflow_state.Job) -> bool:
     """Return whether this instance may tell that a job is not final.
 
--- a/limpetstream/shard/proof_ends.py
+++ b/limpetstream/shard/proof_ends.py
@@ -1,5 +1,7 @@
 """Holds since when it is known that owners of low epochs get no new proof.
 
+It also holds of which owners it is known that they have stopped for good.
+
 A new owner finds out that no earlier owner can prove its ownership any more,
 and tells the other instances. Each keeps the time on its own clock. The owner
 after it can then tell for how long that has been so, although the one that
@@ -9,6 +11,7 @@
 import dataclasses
 import math
 
+FIRST_EPOCH = 1
 MAX_EPOCHS = 8  # Each change of owner needs one, and leases end within seconds.
 
 
@@ -32,9 +35,13 @@
     Args:
         ended_at_by_epoch: Monotonic time in seconds after which no owner of a
             lower epoch has got a proof, by epoch.
+        stopped_below: Owners of lower epochs have stopped: they neither act
+            nor answer for the shard any more. That stays true, so it is told
+            without an age.
     """
 
     ended_at_by_epoch: dict[int, float] = dataclasses.field(default_factory=dict)
+    stopped_below: int = FIRST_EPOCH
 
     def note(self, epoch: int, ended_at: float) -> None:
         """Note that owners of lower epochs get no proof after a time."""
@@ -43,6 +50,10 @@
         while len(self.ended_at_by_epoch) > MAX_EPOCHS:
             del self.ended_at_by_epoch[min(self.ended_at_by_epoch)]
 
+    def note_stopped(self, epoch: int) -> None:
+        """Note that owners of lower epochs have stopped."""
+        self.stopped_below = max(self.stopped_below, epoch)
+
     def note_told(self, told: list[ProofEnd], now: float) -> None:
         """Note what another instance has told in a message received now.
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -153,8 +153,12 @@
         ends = self._proof_ends_of(request.shard)
         now = self._clock.monotonic()
         ends.note_told(request.proof_ends, now)
+        ends.note_stopped(request.stopped_below)
         return peer_messages.PeerReply(
-            epoch=epoch, member=self._member, proof_ends=ends.tell(now)
+            epoch=epoch,
+            member=self._member,
+            proof_ends=ends.tell(now),
+            stopped_below=ends.stopped_below,
         )
 
     def _note_epoch(self, number: int, epoch: int) -> int:
@@ -173,6 +177,7 @@
             yield
         finally:
             del self.shard_by_number[shard.number]
+            shard.ended = True
             shard.journal.fail_waiters(errors.NotOwner(f"shard {shard.number}"))
 
     def _make_shard(
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -107,6 +107,8 @@
         claim_proven_at: Time until which no other instance had claimed the
             shard after this one.
         recovered: Whether jobs and executors have been loaded.
+        ended: Whether the ownership has ended. What a request still holds of
+            the shard proves nothing then.
         instance_quorum: Instances that vote on an owner that acts without
             appends.
         earlier_proofs_ended_at: Time at which half of the inherited executors
@@ -193,6 +195,7 @@
     claim_proven_at: float = 0.0
     load_began_at: float | None = None
     recovered: bool = False
+    ended: bool = False
     instance_quorum: quorum_module.Quorum = dataclasses.field(
         default_factory=quorum_module.Quorum
     )
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -84,11 +84,14 @@
     ``name_by_member`` names the process that answers in place of another one,
     ``epoch_by_member`` holds later epochs that instances know,
     ``unreachable`` the instances that do not answer, and ``released`` those
-    that have released the shard.
+    that have released the shard. ``stopped_below`` is what all tell of owners
+    that have stopped, and ``told_stopped_below`` what they were told.
     """
 
     def __init__(self):
         self.asked = []
+        self.stopped_below = 0
+        self.told_stopped_below = []
         self.released = set()
         self.epoch_by_member = {}
         self.name_by_member = {}
@@ -96,6 +99,7 @@
 
     async def call(self, member, request, *, timeout_s):
         self.asked.append(member)
+        self.told_stopped_below.append(request.stopped_below)
         await asyncio.sleep(0.004)
         if member in self.unreachable:
             await asyncio.sleep(timeout_s)
@@ -104,6 +108,7 @@
             epoch=max(request.epoch, self.epoch_by_member.get(member, 0)),
             member=self.name_by_member.get(member, member),
             released=member in self.released,
+            stopped_below=self.stopped_below,
         )
 
 
--- a/limpetstream/shard/tests/removals_of_store.py
+++ b/limpetstream/shard/tests/removals_of_store.py
@@ -214,7 +214,7 @@
         "cancel-wait",
         CANCEL,
         f"{SHARD}.proof",
-        "have_earlier_owners_stopped",
+        "_have_earlier_proofs_expired",
         "> VALIDITY_S",
         "> VALIDITY_S / 2",
         "shard/tests/test_claims.py::"
@@ -224,7 +224,7 @@
         "cancel-not-ended",
         CANCEL,
         f"{SHARD}.proof",
-        "have_earlier_owners_stopped",
+        "_have_earlier_proofs_expired",
         "    if shard.earlier_proofs_ended_at is None:\n        return False\n",
         "    if shard.earlier_proofs_ended_at is None:\n        return True\n",
         "shard/tests/test_instance_votes.py::"
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -10,6 +10,7 @@
 AFTER_CLAIM = "a lease that no record names yet"
 OLDER = "executors that are older than the claim"
 ENDED = "an owner whose process has ended"
+STOPPED = "owners that have stopped"
 
 SETTLED = "a first answer settles earlier runs after an append"
 MOVED = "an executor that has started again at another address"
@@ -204,6 +205,45 @@
         "shard/tests/test_ended_owners.py::"
         "test_leases_of_the_owners_before_are_waited_for[18.0-20.0]",
     ),
+    removed_checks.Removal(
+        "stopped-previous",
+        STOPPED,
+        f"{SHARD}.proof",
+        "_has_chain_of_owners_ended",
+        "not math.isfinite(shard.previous_ended_at) or ",
+        "",
+        "shard/tests/test_ended_owners.py::"
+        "test_cancels_wait_for_no_owner_that_has_released_the_shard",
+    ),
+    removed_checks.Removal(
+        "stopped-before-previous",
+        STOPPED,
+        f"{SHARD}.proof",
+        "_has_chain_of_owners_ended",
+        "shard.proof_ends.stopped_below >= shard.previous_epoch",
+        "True",
+        "shard/tests/test_ended_owners.py::"
+        "test_owners_before_one_that_has_ended_may_still_act[5]",
+    ),
+    removed_checks.Removal(
+        "stopped-unknown",
+        STOPPED,
+        f"{SHARD}.proof",
+        "_has_chain_of_owners_ended",
+        " or not shard.previous_epoch",
+        "",
+        "shard/tests/test_ended_owners.py::test_an_unknown_owner_before_may_still_act",
+    ),
+    removed_checks.Removal(
+        "ended-proof",
+        STOPPED,
+        f"{SHARD}.proof",
+        "is_proven",
+        "if shard.ended:",
+        "if False:",
+        "shard/tests/test_ended_owners.py::"
+        "test_a_request_that_outlives_the_ownership_tells_nothing",
+    ),
     removed_checks.Removal(
         "released-claimed",
         IN_A_ROW,
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from limpetstream import errors
 from limpetstream.shard import (
     executor_records,
     instance_quorum,
@@ -14,6 +15,7 @@
     names,
     ownership,
     peer_messages,
+    proof,
     sessions,
 )
 from limpetstream.shard.tests import builders, schedules
@@ -218,3 +220,98 @@
 
     cluster = schedules.run_scenario(scenario)
     assert not cluster.breaches.found
+
+
+def has_stopped(scene):
+    """Return whether all earlier owners have stopped."""
+    return proof.have_earlier_owners_stopped(scene.shard)
+
+
+def test_cancels_wait_for_no_owner_that_has_released_the_shard(scene):
+    """Guards against cancels that are refused after a planned stop."""
+    scene.shard.proof_ends.note_stopped(6)
+    assert not has_stopped(scene)
+    scene.peers.released = {"m6"}
+    ask(scene)
+    assert has_stopped(scene)
+    assert scene.shard.proof_ends.stopped_below == 7
+
+
+@pytest.mark.parametrize("stopped_below", [1, 5])
+def test_owners_before_one_that_has_ended_may_still_act(scene, stopped_below):
+    """Guards against a cancel that an owner of before does not know."""
+    scene.shard.proof_ends.note_stopped(stopped_below)
+    scene.peers.released = {"m6"}
+    ask(scene)
+    assert not has_stopped(scene)
+
+
+def test_an_unknown_owner_before_may_still_act(scene):
+    """Guards against a cancel beside an owner whose claim cannot be read."""
+    scene.shard.previous_epoch = 0
+    scene.peers.released = {"m6"}
+    ask(scene)
+    assert not has_stopped(scene)
+
+
+def test_instances_tell_each_other_that_owners_have_stopped(scene):
+    """Guards against a wait for owners that a short-lived one has seen end."""
+    scene.peers.stopped_below = 6
+    scene.peers.released = {"m6"}
+    ask(scene)
+    assert has_stopped(scene)
+    assert scene.peers.told_stopped_below[-1] == 7
+
+
+def test_a_request_that_outlives_the_ownership_tells_nothing(scene):
+    """Guards against a state that is told after the next owner began to act.
+
+    A request may still read the submissions as the shard is handed over.
+    """
+    scene.shard.journal.put(names.PROOF_KEY, lambda: None)
+    scene.advance(0.1)
+    assert proof.is_proven(scene.shard)
+    scene.shard.ended = True
+    assert not proof.is_proven(scene.shard)
+    assert not proof.may_tell_missing(scene.shard)
+
+
+def test_a_wait_for_a_journal_that_has_ended_fails(scene):
+    """Guards against a cancel that waits for ever after a hand-over."""
+    scene.shard.journal.fail_waiters(errors.NotOwner("shard 0"))
+    scene.shard.journal.put(names.PROOF_KEY, lambda: None)
+    with pytest.raises(errors.NotOwner):
+        scene.loop.run_until_complete(scene.shard.journal.wait_until_durable())
+
+
+@pytest.mark.parametrize("changes", [1, 4])
+def test_jobs_are_cancelled_soon_after_a_shard_was_handed_over(changes):
+    """Guards against cancels that are refused for 2 s after a planned stop.
+
+    Nothing else has failed, so an answer takes no longer than a claim. The
+    time counts from the leaving of the last of some owners in a row.
+    """
+
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        for number in range(changes + 1):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(4)
+        step = builders.copy_step(builders.SHORT, count=2, long_running=True)
+        assert await cluster.submit(schedules.job_id(0), [step], seconds=0.0)
+        await asyncio.sleep(4)
+        for _ in range(changes):
+            owner = cluster.owner_member()
+            instance = cluster.instance_by_member[owner]
+            left_at = loop.time()
+            await instance.ownership.leave()
+            while cluster.owner_member() is None:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.3)  # The new owner asks the one before.
+        assert await instance.job_api.cancel(schedules.job_id(0), wait_s=3.0)
+        assert loop.time() - left_at < 1.5
+        await asyncio.sleep(2)
+        assert not any(e.run_by_task for e in cluster.executor_by_id.values())
+
+    cluster = schedules.run_scenario(scenario)
+    assert not cluster.breaches.found
