--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -19,6 +19,7 @@
     state,
     stops,
     stored_estimates,
+    unknown_cancels,
     wait_reports,
 )
 from limpetstream.store import messages as store_messages
@@ -60,6 +61,7 @@
         if now >= next_cleanup_at:
             next_cleanup_at = now + CLEANUP_INTERVAL_S
             stored_estimates.save(shard)
+            unknown_cancels.forget_old(shard)
             await _drop_final_jobs(shard, dropped_submissions)
         slept_at = shard.clock.monotonic()
         await shard.clock.sleep(HOUSEKEEPING_INTERVAL_S)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -45,10 +45,12 @@
     Args:
         may_be_done: Whether an owner may have carried the request out.
         reason: Why the newest try failed.
+        retry_after_s: Seconds after which the caller may come back.
     """
 
     may_be_done: bool = False
     reason: str = "no owner was asked"
+    retry_after_s: float = RETRY_AFTER_S
 
 
 class JobApi:
@@ -443,7 +445,7 @@
         )
         if asked.may_be_done:
             raise errors.OutcomeUnknown(asked.reason)
-        raise errors.NotRun("no-owner", asked.reason, retry_after_s=RETRY_AFTER_S)
+        raise errors.NotRun("no-owner", asked.reason, retry_after_s=asked.retry_after_s)
 
     async def _ask_repeatedly(
         self, request: peer_messages.PeerRequest, wait_s: float, asked: _Asked
@@ -463,6 +465,9 @@
                     return reply
                 asked.may_be_done |= reply.unknown
                 asked.reason = reply.refused
+                if reply.retry_after_s:
+                    asked.retry_after_s = reply.retry_after_s
+                    return None
             if self._clock.monotonic() + retry_s >= give_up_at:
                 return None
             await self._clock.sleep(retry_s * random.uniform(0.5, 1.0))
@@ -533,5 +538,6 @@
         job = shard.job_by_id.get(job_id)
         return peer_messages.PeerReply(
             refused=f"{type(error).__name__}: {error}",
+            retry_after_s=getattr(error, "retry_after_s", 0.0),
             unknown=job is not None and job.outcome == messages.CANCELLED,
         )
--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -5,9 +5,6 @@
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records, state as workflow_state
 
-# An instance may be suspended for seconds with a request of the job unread; a
-# submission without an answer may be stored seconds later, too.
-CANCEL_MEMORY_S = 30.0
 RETRY_PAUSE_S = 0.05  # Limits the rate of a task that fails at once.
 # Factor for an executor's failure count after each run that ended as done.
 FAILURES_DECAY = 0.9
@@ -236,26 +233,6 @@
         shard.spawn(publish_outcome(shard, job))
 
 
-def note_unknown_cancelled(shard: state.Shard, job_id: str) -> None:
-    """Note the cancelling of a job that is not stored yet."""
-    now = shard.clock.monotonic()
-    cancelled_at = shard.cancelled_at_by_unknown_job
-    for known in [key for key, at in cancelled_at.items() if _is_forgotten(at, now)]:
-        del cancelled_at[known]
-    cancelled_at[job_id] = now
-
-
-def finish_if_cancelled(shard: state.Shard, job: workflow_state.Job) -> None:
-    """Cancel a job that was stored just after its cancelling."""
-    at = shard.cancelled_at_by_unknown_job.pop(job.submission.job_id, None)
-    if at is not None and not _is_forgotten(at, shard.clock.monotonic()):
-        finish(shard, job, messages.CANCELLED)
-
-
-def _is_forgotten(cancelled_at: float, now: float) -> bool:
-    return now - cancelled_at > CANCEL_MEMORY_S
-
-
 def note_inherited_outcome(shard: state.Shard, job: workflow_state.Job) -> None:
     """Note a final state that the journal holds.
 
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -47,6 +47,9 @@
         state: State of the job.
         count: Number of waiting jobs.
         refused: Reason why the request failed; empty if it succeeded.
+        retry_after_s: For a request that the owner refuses and would go on
+            refusing, seconds after which the caller may come back; 0 if it
+            may be tried again at once.
         unknown: Whether a failed ``store`` or ``cancel`` may take effect.
         owner: Name of the member that owns the shard, if another member is
             believed to.
@@ -64,6 +67,7 @@
     state: str = ""
     count: int = 0
     refused: str = ""
+    retry_after_s: float = 0.0
     unknown: bool = False
     owner: str = ""
     epoch: int = 0
--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from limpetstream import errors
-from limpetstream.shard import events, jobs, proof, state
+from limpetstream.shard import events, jobs, proof, state, unknown_cancels
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, state as workflow_state
 
@@ -42,9 +42,8 @@
 async def cancel(shard: state.Shard, job_id: str) -> bool:
     """Cancel a job durably; return False if it certainly does not exist.
 
-    A job that is not stored yet is cancelled if it is stored within
-    ``jobs.CANCEL_MEMORY_S``: its request may be under way at an instance that
-    was suspended.
+    A job that is not stored yet is cancelled as it arrives, also at a later
+    owner, so its cancel is made durable as well (``unknown_cancels``).
 
     A job that is already final is unchanged. Until earlier owners have
     stopped, one of them could still start its tasks and tell that it is open,
@@ -55,6 +54,7 @@
             does not know yet that earlier owners have stopped.
         PlatformUnavailable: The submissions cannot be read.
         WriterFenced: Another owner has taken over.
+        NotRun: Too many cancels of jobs that are not stored are kept.
     """
     _require_recovered(shard)
     job = shard.job_by_id.get(job_id)
@@ -62,7 +62,9 @@
         await _read_all_submissions(shard)
         job = shard.job_by_id.get(job_id)
     if job is None:
-        jobs.note_unknown_cancelled(shard, job_id)
+        unknown_cancels.note(shard, job_id)
+        await shard.journal.wait_until_durable()
+        logs.emit(events.CANCEL_STORED, job=job_id, outcome="", known=False)
         return False
     if not job.visible_outcome:
         _require_no_earlier_owner(shard, job)
@@ -70,7 +72,7 @@
     if not job.outcome:
         jobs.finish(shard, job, messages.CANCELLED)
     await shard.journal.wait_until_durable()
-    logs.emit(events.CANCEL_STORED, job=job_id, outcome=job.outcome)
+    logs.emit(events.CANCEL_STORED, job=job_id, outcome=job.outcome, known=True)
     return True
 
 
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -15,6 +15,7 @@
     ownership,
     state,
     stored_estimates,
+    unknown_cancels,
     unreadable,
 )
 from limpetstream.store import follower, messages as store_messages
@@ -107,7 +108,10 @@
             _fail(shard, submission)
         elif progress is None:
             jobs.add_job(shard, submission)
-            jobs.finish_if_cancelled(shard, shard.job_by_id[entry.key])
+            unknown_cancels.apply(shard, shard.job_by_id[entry.key])
+        elif progress.unsubmitted:
+            jobs.add_job(shard, submission)
+            jobs.finish(shard, shard.job_by_id[entry.key], messages.CANCELLED)
         else:
             _resume(shard, submission, progress)
 
@@ -115,8 +119,14 @@
 def restore_final_jobs(
     shard: state.Shard, progress_by_id: dict[str, records.Progress]
 ) -> None:
-    """Restore the final states of jobs whose submission was dropped."""
+    """Restore the final states of jobs whose submission was dropped.
+
+    Cancels of jobs that are not stored yet are kept, too.
+    """
     for job_id, progress in progress_by_id.items():
+        if progress.unsubmitted:
+            unknown_cancels.restore(shard, job_id)
+            continue
         if not progress.outcome:
             logs.emit(
                 events.ENTRY_UNREADABLE,
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -143,8 +143,8 @@
         inherited_early_job_ids: Ids of those among them of which an earlier
             owner may have told a state that this one does not know.
         unreadable_job_ids: Ids of jobs whose stored progress cannot be read.
-        cancelled_at_by_unknown_job: Time of the cancelling of jobs that were
-            not stored then, by job id.
+        cancelled_at_by_unknown_job: Time of the newest cancelling of jobs
+            that were not stored then, oldest first, by job id.
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
         settling: Whether earlier runs are settled once an append is confirmed.
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -71,6 +71,8 @@
         finished: Ranges of occurrences whose tasks are all done.
         done_by_step: Ranges of the indexes of tasks that are done, by
             ``OCCURRENCE.STEP``.
+        unsubmitted: Whether the job was cancelled before it was stored, so
+            that nothing else of it is known.
     """
 
     outcome: str = ""
@@ -84,6 +86,7 @@
     done_by_step: dict[str, list[tuple[int, int]]] = dataclasses.field(
         default_factory=dict
     )
+    unsubmitted: bool = False
 
 
 # Most entries are of tasks that are done.
@@ -139,6 +142,17 @@
     return zlib.compress(content, level=1)
 
 
+def encode_cancel_of_unknown(cancelled_ms: int) -> bytes:
+    """Return the stored form of the cancel of a job that is not stored.
+
+    Versions that do not know it take the job for a cancelled one.
+
+    Args:
+        cancelled_ms: Unix milliseconds of the cancel.
+    """
+    return _encode_content(Progress(messages.CANCELLED, cancelled_ms, unsubmitted=True))
+
+
 def _encode_content(progress: Progress) -> bytes:
     value = _without_defaults(progress)
     if progress.task_by_place:
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -8,7 +8,7 @@
 
 from limpetstream import clock
 from limpetstream.border import simple_server, stalls
-from limpetstream.shard import jobs, queries, recovery
+from limpetstream.shard import queries, recovery, unknown_cancels
 from limpetstream.shard.tests import builders as shard_builders
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, records
@@ -111,7 +111,7 @@
 def test_a_cancelling_does_not_outlive_its_time(scene):
     """Guards against ids of unknown jobs that are kept for ever."""
     assert not cancel(scene, JOB_ID)
-    scene.advance(jobs.CANCEL_MEMORY_S + 1.0)
+    scene.advance(unknown_cancels.MEMORY_S + 1.0)
     assert not cancel(scene, "5c0e7a21d94b36f9")
     assert len(scene.shard.cancelled_at_by_unknown_job) == 1
     assert not load(scene, JOB_ID).outcome
