Store no job for a caller that has left during a suspension

Cause: the cancel of a job that is not stored is kept for 30 s, on the ground that no submission is under way for longer. Three ways were longer: an instance that was suspended between two tries went on with an append; one that had a peer's `store` unread stored the job after its sender had given up; and a caller's own time limit had no bound.

Measured: without the check before each try test_a_job_is_not_stored_after_a_suspension_between_two_tries stores the job; with it all tests of tests/test_late_requests.py pass (8).

--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -33,6 +33,7 @@
 STORE_DOWN_AFTER_S = 0.8
 PROBE_INTERVAL_S = 0.5
 PROBE_WAIT_S = 0.6  # Longest wait of a request that probes the store.
+MAX_TRIES_S = 10.0  # Longest time for which a job is tried to be stored.
 RETRY_BUDGET_SHARE = 0.7  # Part of the caller's time limit spent on tries.
 RETRY_AFTER_S = 1.0  # A new owner takes over in about a second.
 CLOSING = "the instance is closing"  # Reason of a refusal during a stop.
@@ -158,10 +159,13 @@
         shard = names.shard_of(submission.job_id, self._shard_count)
         if self._refuse_if_store_down(submission):
             wait_s = min(wait_s, PROBE_WAIT_S)
-        give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
+        tries_s = min(MAX_TRIES_S, wait_s * RETRY_BUDGET_SHARE)
+        give_up_at = self._clock.monotonic() + tries_s
         timeout_s, retry_s, failed_tries = STORE_TIMEOUT_S, RETRY_S, 0
         while True:
-            if wait_s <= 0 or not is_wanted():
+            # A process may be suspended at any place for longer than its wait.
+            is_late = self._clock.monotonic() > give_up_at
+            if wait_s <= 0 or is_late or not is_wanted():
                 self._raise_failure(submission, attempts, "the caller has left")
             if await self._store_here(shard, submission, timeout_s, attempts):
                 return failed_tries + 1
@@ -264,9 +268,17 @@
         return count
 
     async def answer_peer(
-        self, request: peer_messages.PeerRequest
+        self, request: peer_messages.PeerRequest, *, is_wanted: bool = True
     ) -> peer_messages.PeerReply:
-        """Answer a request of another instance or of this one."""
+        """Answer a request of another instance or of this one.
+
+        Args:
+            request: The request.
+            is_wanted: Whether the sender still waits. Nothing is stored
+                otherwise: the job may have been cancelled meanwhile.
+        """
+        if request.kind == "store" and not is_wanted:
+            return peer_messages.PeerReply(refused="the sender has left")
         is_begun = False
         try:
             async with self._closing.bounded():
--- a/limpetstream/shard/peering.py
+++ b/limpetstream/shard/peering.py
@@ -41,9 +41,16 @@
             ) from error
 
 
-async def answer_request(api: job_api.JobApi, body: bytes) -> bytes:
+async def answer_request(
+    api: job_api.JobApi, body: bytes, *, is_wanted: bool = True
+) -> bytes:
     """Decode and answer the body of a request; return the body of the reply.
 
+    Args:
+        api: Operations of this instance.
+        body: Body of the request.
+        is_wanted: Whether the sender still waits for the reply.
+
     Raises:
         Rejected: The body is not a request.
     """
@@ -51,4 +58,4 @@
         request = msgspec.json.decode(body, type=peer_messages.PeerRequest)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise errors.Rejected(400, "invalid-request", str(error)) from error
-    return msgspec.json.encode(await api.answer_peer(request))
+    return msgspec.json.encode(await api.answer_peer(request, is_wanted=is_wanted))
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -8,7 +8,7 @@
 
 from limpetstream import clock
 from limpetstream.border import simple_server, stalls
-from limpetstream.shard import queries, recovery, unknown_cancels
+from limpetstream.shard import peer_messages, queries, recovery, unknown_cancels
 from limpetstream.shard.tests import builders as shard_builders
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import messages, records
@@ -115,3 +115,48 @@
     assert not cancel(scene, "5c0e7a21d94b36f9")
     assert len(scene.shard.cancelled_at_by_unknown_job) == 1
     assert not load(scene, JOB_ID).outcome
+
+
+def test_a_job_is_not_stored_after_a_suspension_between_two_tries():
+    """Guards against an append long after the caller's time limit.
+
+    The connection of the caller may still look open then.
+    """
+
+    async def run():
+        async with builders.open_system() as system:
+            system.store.status = 503
+            now = types.SimpleNamespace(offset_s=0.0)
+            loop = asyncio.get_running_loop()
+
+            async def sleep(seconds):
+                system.store.status = 200
+                now.offset_s += 40.0  # The machine is suspended.
+
+            system.api._clock = clock.Clock(
+                monotonic=lambda: loop.time() + now.offset_s, sleep=sleep
+            )
+            assert await builders.submit(system, wait_s=3.0) == "refused"
+            assert not system.stored
+
+    asyncio.run(run())
+
+
+def test_an_instance_stores_no_job_for_one_that_has_left():
+    """Guards against a job that a suspended instance stores for another.
+
+    The other one gave up meanwhile, and the caller has cancelled the job.
+    """
+
+    async def run():
+        async with builders.open_system() as system:
+            submission = messages.Submission(
+                JOB_ID, "r-1", "service", "", [messages.Step(1)]
+            )
+            request = peer_messages.PeerRequest("store", 0, submission=submission)
+            reply = await system.api.answer_peer(request, is_wanted=False)
+            assert reply.refused and not reply.unknown and not system.stored
+            reply = await system.api.answer_peer(request)
+            assert reply.known and len(system.stored) == 1
+
+    asyncio.run(run())
