Start nothing more of a job whose cancel is refused

Cause: an owner that may not acknowledge a cancel yet noted nothing of it, and its refusal said "not run". To note a cancel and to tell that it is done are two things.

Callers are told so only once earlier owners have stopped, as before; until then the outcome is "unknown", as the cancel takes effect.

--- a/limpetstream/shard/queries.py
+++ b/limpetstream/shard/queries.py
@@ -47,11 +47,13 @@
 
     A job that is already final is unchanged. Until earlier owners have
     stopped, one of them could still start its tasks and tell that it is open,
-    also if it has failed here.
+    also if it has failed here. The cancel is not told to be done then, but
+    this owner and later ones start nothing more of the job.
 
     Raises:
         NotOwner: This instance may not be the owner, is still loading, or
-            does not know yet that earlier owners have stopped.
+            does not know yet that earlier owners have stopped. The outcome of
+            the job tells whether the cancel takes effect.
         PlatformUnavailable: The submissions cannot be read.
         WriterFenced: Another owner has taken over.
         NotRun: Too many cancels of jobs that are not stored are kept.
@@ -66,11 +68,11 @@
         await shard.journal.wait_until_durable()
         logs.emit(events.CANCEL_STORED, job=job_id, outcome="", known=False)
         return False
+    if not job.outcome:
+        jobs.finish(shard, job, messages.CANCELLED)
     if not job.visible_outcome:
         _require_no_earlier_owner(shard, job)
         jobs.release_early_outcomes(shard)
-    if not job.outcome:
-        jobs.finish(shard, job, messages.CANCELLED)
     await shard.journal.wait_until_durable()
     logs.emit(events.CANCEL_STORED, job=job_id, outcome=job.outcome, known=True)
     return True
