Delete the records of executors that leave, once they are empty

Cause: a new owner starts no task that an earlier one may have started before each recorded executor has replied or its leases have expired. An executor that has left in order was still recorded, so that took some 6 s, and the next owner came first and began anew.

Change: the owner deletes the record of an executor that has announced that it leaves once it has answered under the owner's token, an append has followed, and nothing runs there or is being started. It is written again if the executor stays, or if a run is found there.

--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -82,6 +82,8 @@
     if has_moved:
         executor_records.note_moved(shard, executor)
     _note_draining(shard, executor)
+    if executor.reached:
+        executor_records.update(shard, executor)
 
 
 def _suitability(listing: messages.Listing) -> tuple[object, ...]:
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -137,6 +137,8 @@
     replies from a majority of it, so new executors do not vote: the next owner
     could reach half of all without ending that majority.
     """
+    if is_emptied(executor):
+        return
     executor_id = executor.listing.executor_id
     votes = shard.earlier_proofs_ended_at is not None
     begins_to_vote = votes and executor_id in shard.nonvoting_executors
@@ -247,6 +249,32 @@
         await write(shard, current)
 
 
+def is_emptied(executor: tracking.Executor) -> bool:
+    """Return whether an executor that will leave runs nothing any more.
+
+    It has answered under this owner's token, so it takes no starts of earlier
+    owners, and this one starts nothing on an executor that will leave. Without
+    a record, the next owner does not wait for it once it has left.
+    """
+    return (
+        executor.listing.state == messages.DRAINING
+        and executor.reached
+        and executor.confirmed
+        and not executor.run_by_task
+        and not executor.unknown_runs
+    )
+
+
+def update(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Delete or write a record if that is due after a reply of its executor."""
+    record_state = shard.record_state_by_id.get(executor.listing.executor_id)
+    if is_emptied(executor):
+        if record_state == state.KEPT:
+            shard.spawn(delete(shard, executor))
+    elif record_state is None:
+        shard.spawn(write(shard, executor))
+
+
 def majority_polled_at(shard: state.Shard) -> float:
     """Return the latest time by which a majority was polled successfully.
 
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -104,7 +104,8 @@
             pacing.adjust(shard, executor)
     if executor.applied_end > executor.acked_end:
         await _acknowledge(shard, executor)
-    if not executor.recorded:
+    executor_records.update(shard, executor)
+    if not executor.recorded and not executor_records.is_emptied(executor):
         await _wait_for_record(shard)
     await _pause(shard, executor)
 
