--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -424,3 +424,10 @@
     "No earlier owner acts or answers any more, so cancels are taken.",
     "If it comes late, see previous_ended: whether the owner before told its end.",
 )
+RELEASE_NOT_STORED = events.declare(
+    1568,
+    "release-not-stored",
+    "INFO",
+    "The journal may not tell that this owner has released the shard.",
+    "None; the next owner asks this instance, or waits for 2 s.",
+)
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -266,7 +266,7 @@
 
 
 def update(shard: state.Shard, executor: tracking.Executor) -> None:
-    """Delete or write a record if that is due after a reply of its executor."""
+    """Delete or write the record of an executor if its state asks for it."""
     record_state = shard.record_state_by_id.get(executor.listing.executor_id)
     if is_emptied(executor):
         if record_state == state.KEPT:
--- a/limpetstream/shard/journal.py
+++ b/limpetstream/shard/journal.py
@@ -52,6 +52,7 @@
         self._epoch = epoch
         self._clock = clock
         self._sequence = 1
+        self._is_appending = False
         self._encode_by_key: dict[str, Encode] = {}
         # In the order of the keys' first puts since they were last appended.
         self._first_put_by_key: dict[str, int] = {}
@@ -111,6 +112,33 @@
             self.fail_waiters(error)
             raise
 
+    async def append_last(self, entry: messages.Entry, *, timeout_s: float) -> None:
+        """Append one more entry after ``run`` has been cancelled.
+
+        Whether the append that was under way then has taken effect is not
+        known; the store tells by the sequence number that it expects.
+
+        Raises:
+            PlatformUnavailable: It may have been appended.
+            SequenceConflict: It was not appended.
+            WriterFenced: Another owner has taken over.
+        """
+        sequence = self._sequence + self._is_appending
+        for is_last_try in (False, True):
+            try:
+                await self._store.append(
+                    names.PROGRESS_TOPIC,
+                    self._partition,
+                    [entry],
+                    writer=messages.Writer(names.WRITER, self._epoch, sequence),
+                    timeout_s=timeout_s,
+                )
+                return
+            except errors.SequenceConflict as error:
+                if is_last_try:
+                    raise
+                sequence = error.expected
+
     def fail_waiters(self, error: Exception) -> None:
         """Fail all waits: what is queued will not become durable."""
         self._ended_by = error
@@ -152,6 +180,7 @@
         writer = messages.Writer(names.WRITER, self._epoch, self._sequence)
         backoff_s = INITIAL_BACKOFF_S
         first_started_at = self._clock.monotonic()
+        self._is_appending = True
         while True:
             started_at = self._clock.monotonic()
             try:
@@ -185,6 +214,7 @@
 
     def _note_success(self, started_at: float, count: int) -> None:
         self._sequence += 1
+        self._is_appending = False
         self.append_count += 1
         now = self._clock.monotonic()
         if now - started_at <= FAST_APPEND_S:
--- a/limpetstream/shard/lease_records.py
+++ b/limpetstream/shard/lease_records.py
@@ -52,12 +52,25 @@
     from its first try on leases are extended only where both claims hold.
     """
     shard.lease_records_complete = _are_complete(shard)
+    return msgspec.json.encode(_claim_record(shard))
+
+
+def encode_release(shard: state.Shard) -> bytes:
+    """Encode the claim once more as this owner has released the shard."""
+    record = _claim_record(shard)
+    record.released = True
+    return msgspec.json.encode(record)
+
+
+def _claim_record(shard: state.Shard) -> ownership.OwnerRecord:
     recorded_from = shard.leases_recorded_from if shard.lease_records_complete else None
     quorum = shard.instance_quorum
-    return msgspec.json.encode(
-        ownership.OwnerRecord(
-            shard.epoch, quorum.member, quorum.binds_earlier_owners, recorded_from
-        )
+    return ownership.OwnerRecord(
+        shard.epoch,
+        quorum.member,
+        quorum.binds_earlier_owners,
+        recorded_from,
+        shard.proof_ends.stopped_below,
     )
 
 
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -59,6 +59,9 @@
             that the journal held at the claim, by key.
         previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
         previous_member: Name of that owner; empty if it is unknown.
+        previous_released: Whether that owner has said in the journal that it
+            has released the shard.
+        stopped_below: Owners of lower epochs have stopped, as that owner knew.
     """
 
     epoch: int
@@ -68,6 +71,8 @@
     offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
     previous_epoch: int = 0
     previous_member: str = ""
+    previous_released: bool = False
+    stopped_below: int = 0
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
@@ -88,12 +93,18 @@
             this one has recorded each executor under its epoch on which it has
             extended a lease, and records others before it extends one; None if
             this one does not, as at first (``shard/lease_records``).
+        stopped_below: Owners of lower epochs have stopped, as this one knows;
+            0 in versions that do not tell.
+        released: Whether this owner has released the shard and sends nothing
+            any more under its epoch.
     """
 
     epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_EPOCH)]
     member: str
     instances_vote: bool = False
     leases_recorded_from: int | None = None
+    stopped_below: int = 0
+    released: bool = False
 
 
 class Ownership:
@@ -509,6 +520,8 @@
         offset_by_voter(before),
         previous.epoch if previous else 0,
         previous.member if previous else "",
+        previous.released if previous else False,
+        previous.stopped_below if previous else 0,
     )
 
 
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -32,6 +32,7 @@
 from limpetstream.telemetry import logs
 from limpetstream.workflow import records
 
+RELEASE_TIMEOUT_S = 0.25  # As long as the first try of a journal's append.
 SUBMISSIONS_WAIT_S = 5.0  # Bounds how long a dead connection goes unnoticed.
 LISTING_PAUSE_S = 0.4  # Executors write every 1.5 s; one read returns several.
 
@@ -97,16 +98,25 @@
                 far as can be told while the store does not answer.
         """
         try:
-            async with asyncio.TaskGroup() as group:
-                shard = self._make_shard(number, claim, group.create_task)
-                async with self._registered(shard):
-                    await self._load_and_serve(shard)
+            await self._serve(number, claim)
         except* (errors.WriterFenced, errors.TokenOutdated) as caught:
             raise _first_error(caught) from None
         except* Exception as caught:
             # The text of a group names none of its errors.
             raise _first_error(caught) from caught
 
+    async def _serve(self, number: int, claim: ownership.Claim) -> None:
+        shard: state.Shard | None = None
+        try:
+            async with asyncio.TaskGroup() as group:
+                shard = self._make_shard(number, claim, group.create_task)
+                async with self._registered(shard):
+                    await self._load_and_serve(shard)
+        except asyncio.CancelledError:
+            if shard is not None:
+                await _note_release(shard)
+            raise
+
     def stalled_s(self, number: int) -> float:
         """Return for how long the store has kept a shard from being served.
 
@@ -213,6 +223,9 @@
             previous_member=claim.previous_member,
             lease_records_complete=False,
         )
+        shard.proof_ends.note_stopped(claim.stopped_below)
+        if claim.previous_released:
+            shard.previous_ended_at = shard.claimed_at
         shard.executor_client = fences.CheckingClient(
             measuring.MeasuringClient(
                 self._executor_client, shard.send_window, self._clock
@@ -279,6 +292,28 @@
         )
 
 
+async def _note_release(shard: state.Shard) -> None:
+    """Tell the next owner in the journal that this one has stopped.
+
+    Nothing is sent any more under its epoch. The next owner reads the claim
+    before its own, so it need not ask this instance, which may have ended.
+    """
+    entry = store_messages.Entry(names.OWNER_KEY, lease_records.encode_release(shard))
+    try:
+        await shard.journal.append_last(entry, timeout_s=RELEASE_TIMEOUT_S)
+    except (
+        errors.PlatformUnavailable,
+        errors.SequenceConflict,
+        errors.WriterFenced,
+    ) as error:
+        logs.emit(
+            events.RELEASE_NOT_STORED,
+            shard=shard.number,
+            epoch=shard.epoch,
+            error=str(error),
+        )
+
+
 def _report_link(shard: state.Shard, is_full: bool) -> None:
     """Log that calls to executors wait for the link, or no longer do."""
     window = shard.send_window
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -20,6 +20,7 @@
 )
 from limpetstream.shard.tests import builders, schedules
 from limpetstream.store import messages as store_messages
+from standins import shard_cluster
 
 LEASE_S = 4.0 / 0.98 + 0.15
 
@@ -315,3 +316,82 @@
 
     cluster = schedules.run_scenario(scenario)
     assert not cluster.breaches.found
+
+
+async def leave_in_a_row(cluster, changes, *, served_s):
+    """Let owners leave soon after they have loaded the shard.
+
+    Returns:
+        The last owner, and when the one before it has left.
+    """
+    for _ in range(changes):
+        owner = cluster.owner_member()
+        left_at = asyncio.get_running_loop().time()
+        await cluster.instance_by_member[owner].ownership.leave()
+        await cluster.kill(owner)  # It answers no question any more.
+        while cluster.owner_member() is None:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(served_s)
+    return cluster.instance_by_member[cluster.owner_member()], left_at
+
+
+@pytest.mark.parametrize("changes", [1, 5])
+@pytest.mark.parametrize("served_s", [0.0, 0.3])
+def test_the_journal_tells_that_owners_have_stopped(changes, served_s):
+    """Guards against cancels that wait for owners whose processes are gone.
+
+    A rolling restart stops owners faster than the next ones can ask them.
+    """
+
+    async def scenario(cluster):
+        for number in range(changes + 1):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(4)
+        step = builders.copy_step(builders.SHORT, count=2, long_running=True)
+        assert await cluster.submit(schedules.job_id(0), [step], seconds=0.0)
+        await asyncio.sleep(4)
+        instance, left_at = await leave_in_a_row(cluster, changes, served_s=served_s)
+        assert await instance.job_api.cancel(schedules.job_id(0), wait_s=3.0)
+        assert asyncio.get_running_loop().time() - left_at < 1.5
+
+    assert not schedules.run_scenario(scenario).breaches.found
+
+
+def test_an_owner_that_was_killed_has_released_nothing():
+    """Guards against a cancel beside an owner that may still act."""
+
+    async def scenario(cluster):
+        for number in range(3):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(6)
+        await cluster.kill(cluster.owner_member())
+        while cluster.owner_member() is None:
+            await asyncio.sleep(0.01)
+        shard = shard_cluster.shard_zero(
+            cluster.instance_by_member[cluster.owner_member()]
+        )
+        assert shard.previous_epoch and shard.previous_ended_at == math.inf
+        assert not proof.have_earlier_owners_stopped(shard)
+
+    schedules.run_scenario(scenario)
+
+
+@pytest.mark.parametrize("took_effect", [False, True])
+def test_the_last_append_follows_one_that_was_under_way(scene, took_effect):
+    """Guards against a release that the store takes for an earlier append."""
+    journal, client = scene.shard.journal, scene.store_client
+    journal.put("first", lambda: b"0")
+    scene.advance(0.1)
+    journal.put("key", lambda: b"1")
+    client.faults.cut = True
+    scene.advance(0.1)
+    client.faults.cut = False
+    if took_effect:
+        writer = store_messages.Writer(names.WRITER, 7, journal._sequence)
+        scene.store.append(names.PROGRESS_TOPIC, 0, [], writer, None)
+    entry = store_messages.Entry("last", b"2")
+    # The tasks of the shard have been cancelled by then.
+    for task in scene._tasks:
+        task.cancel()
+    scene.loop.run_until_complete(journal.append_last(entry, timeout_s=0.25))
+    assert "last" in scene.store.newest(names.PROGRESS_TOPIC, 0)
