Bound the connections to one executor

Cause: each call within 1.2 s after a broken connection opens one, which then stays open, and each burst of calls opens as many as it has calls. Nothing bounded them by address, and an executor takes 64 over all instances.

--- a/limpetstream/_curl.py
+++ b/limpetstream/_curl.py
@@ -125,6 +125,17 @@
     client._multi.setopt(pycurl.M_MAXCONNECTS, count)
 
 
+def set_max_connections_per_address(
+    client: curl_httpclient.CurlAsyncHTTPClient, count: int
+) -> None:
+    """Open no more than ``count`` connections to one host and port.
+
+    If all are in use, further calls wait, within their time limits. If one is
+    idle and a call needs a new one, libcurl closes the idle one.
+    """
+    client._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, count)
+
+
 def ensure_free_handle(
     client: curl_httpclient.CurlAsyncHTTPClient, max_handles: int
 ) -> None:
--- a/limpetstream/platform/http.py
+++ b/limpetstream/platform/http.py
@@ -99,6 +99,11 @@
         clock: Time source of the times in answers.
         connect_timeout_s: Time limit for opening a connection.
         max_clients: Maximum number of calls in flight; further calls wait.
+        max_connections_per_address: Maximum number of connections to one host
+            and port, idle ones included; 0 for no limit. Further calls wait,
+            within their time limits.
+        counters_of: Client whose traffic counters are used, too; None for new
+            counters.
     """
 
     def __init__(
@@ -108,11 +113,15 @@
         clock: clock.Clock,
         connect_timeout_s: float = 0.5,
         max_clients: int = MAX_CONCURRENT_CALLS,
+        max_connections_per_address: int = 0,
+        counters_of: "Client | None" = None,
     ) -> None:
         self.base_url = base_url.rstrip("/")
         self.clock = clock
-        self.traffic = Traffic()
-        self.traffic_by_call: dict[str, Traffic] = {}
+        self.traffic = counters_of.traffic if counters_of else Traffic()
+        self.traffic_by_call: dict[str, Traffic] = (
+            counters_of.traffic_by_call if counters_of else {}
+        )
         self._connect_timeout_s = connect_timeout_s
         self._reported_at = float("-inf")
         self._cut_reported_at_by_call: dict[str, float] = {}
@@ -122,6 +131,10 @@
             force_instance=True, max_clients=min(INITIAL_HANDLES, max_clients)
         )
         _curl.set_max_connections(self._curl, max_clients * OPEN_CONNECTIONS_FACTOR)
+        if max_connections_per_address:
+            _curl.set_max_connections_per_address(
+                self._curl, max_connections_per_address
+            )
 
     def close(self) -> None:
         """Close all connections; calls in flight never return.
--- a/tests/breaking_servers.py
+++ b/tests/breaking_servers.py
@@ -25,6 +25,7 @@
         listens_after_break: Whether connections are accepted after that.
         paths: Paths of all calls that arrived, without their queries.
         port: Port that the server listens on.
+        most_open: Most connections that were open at a time.
     """
 
     def __init__(self, respond: Callable[[str, bytes], object]) -> None:
@@ -35,6 +36,8 @@
         self.listens_after_break = True
         self.paths: list[str] = []
         self.port = 0
+        self.most_open = 0
+        self._open = 0
         self._respond = respond
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -60,6 +63,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.append(writer)
+        self._open += 1
+        self.most_open = max(self.most_open, self._open)
+        try:
+            await self._answer_calls(reader, writer)
+        finally:
+            self._open -= 1
+
+    async def _answer_calls(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 path, body = await _read_request(reader)
