Count an accepted job although a read of jobs went silent

The rule allows 5 s.

Cause: one read of new jobs is under way at a time, and it waited for up to 5 s and 0.7 s more for its answer.

Change: a read waits for 2 s. An idle owner makes 0.3 more reads a second.

--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -33,7 +33,9 @@
 from limpetstream.workflow import records
 
 RELEASE_TIMEOUT_S = 0.25  # As long as the first try of a journal's append.
-SUBMISSIONS_WAIT_S = 5.0  # Bounds how long a dead connection goes unnoticed.
+# Bounds for how long a silent connection hides accepted jobs: each is counted
+# as waiting within 5 s, and a read may last 0.7 s longer than it waits.
+SUBMISSIONS_WAIT_S = 2.0
 LISTING_PAUSE_S = 0.4  # Executors write every 1.5 s; one read returns several.
 
 DecodeListing = Callable[[store_messages.Entry], executor_messages.Listing | None]
