--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -116,16 +116,21 @@
         yield state
     finally:
         state.closing = True
-        await _read_out(state)
+        await read_out(state)
         server.stop()
         await server.close_all_connections()
 
 
-async def _read_out(state: ServerState) -> None:
-    """Answer what the sockets hold and what was received meanwhile."""
+async def read_out(state: ServerState, *, max_s: float = MAX_READ_OUT_S) -> None:
+    """Let a server answer what its sockets hold before it closes.
+
+    Args:
+        state: State of the server, which counts its requests.
+        max_s: Longest time in seconds.
+    """
     loop = asyncio.get_running_loop()
     received, quiet_since = state.received, loop.time()
-    ends_at = quiet_since + MAX_READ_OUT_S
+    ends_at = quiet_since + max_s
     while loop.time() < ends_at:
         await asyncio.sleep(READ_OUT_INTERVAL_S)
         if state.in_flight or state.received != received:
--- a/limpetstream/entry/servers.py
+++ b/limpetstream/entry/servers.py
@@ -8,20 +8,49 @@
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
+from tornado import httputil
 
 from limpetstream import clock
-from limpetstream.border import handler
+from limpetstream.border import handler, simple_server
 from limpetstream.entry import lifecycle as lifecycles, tls as certificates
 from limpetstream.settings import schema
 
+# Requests that were read when a server closes are answered within this time.
+# Those that take longer, such as watches, end with their connections.
+MAX_ANSWER_S = 2.0
+
 
 class LimitedServer(tornado.httpserver.HTTPServer):
-    """HTTP server that closes new connections above a limit immediately."""
+    """HTTP server that closes new connections above a limit immediately.
+
+    Attributes:
+        load: Counts the requests that were received and not answered yet.
+    """
 
     def initialize(self, *args: Any, connections: int = 0, **kwargs: Any) -> None:
         """Store the connection limit; 0 means no limit."""
         super().initialize(*args, **kwargs)
         self._max_connections = connections
+        self.load = simple_server.ServerState()
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Count a request once it has been read whole."""
+        delegate = super().start_request(server_conn, request_conn)
+        finish = delegate.finish
+
+        def count_and_finish() -> None:
+            self.load.in_flight += 1
+            self.load.received += 1
+            finish()
+
+        delegate.finish = count_and_finish
+        return delegate
+
+    def note_answer(self, handler: tornado.web.RequestHandler) -> None:
+        """Count an answer; the application calls this as its log function."""
+        self.load.in_flight -= 1
 
     def handle_stream(self, stream: Any, address: Any) -> None:
         """Serve a connection, or close it if the limit is reached."""
@@ -75,7 +104,7 @@
     application = tornado.web.Application(
         routes,
         default_handler_class=handler.NotFoundHandler,
-        log_function=lambda _: None,
+        log_function=lambda request_handler: server.note_answer(request_handler),
     )
     server = LimitedServer(application, ssl_options=context, **arguments)
     server.add_sockets(sockets)
@@ -83,5 +112,6 @@
         async with lifecycles.run_in_background(clock, reload_task_by_name):
             yield server
     finally:
+        await simple_server.read_out(server.load, max_s=MAX_ANSWER_S)
         server.stop()
         await server.close_all_connections()
