--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -1,5 +1,6 @@
 """Tests of the entry program for the users' platform, run as a process."""
 
+import asyncio
 import os
 import signal
 import subprocess
@@ -8,6 +9,7 @@
 
 from adapter import process_settings
 from standins import processes
+from tests import stop_builders
 
 TIMEOUT_S = 20.0
 
@@ -71,3 +73,21 @@
         except OSError:
             time.sleep(0.02)  # The process has not opened the pipe yet.
     raise AssertionError("the process did not open its settings file in time")
+
+
+def test_a_second_stop_does_not_end_a_process_like_a_crash(tmp_path):
+    """Guards against an exit status that looks like a crash.
+
+    The event loop restored the default action of SIGTERM as it closed, while
+    the process was still ending.
+    """
+
+    async def run():
+        async with stop_builders.running(tmp_path, grace_s=6.0) as instance:
+            process = instance.process
+            while process.exit_status is None:
+                process.terminate()
+                await asyncio.sleep(0.002)
+            return process.exit_status
+
+    assert asyncio.run(run()) == 0
