Search planned stops, and cancels before jobs are stored

Change: `stop_draws` adds stops of owners and others, alone and in turn, with the times of a process, and jobs whose append takes effect 1 to 6 s late after their caller has cancelled them. A stopped instance that has a caller's request under way when it closes is a breach. `bench overlapping_schedules` plays it.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -1,7 +1,8 @@
 """Plays random schedules of overlapping faults against several instances.
 
-Each seed is played with plain jobs, with every kind of task, and with these
-and connections that break. The number of schedules and of processes can be set
+Each seed is played with plain jobs, with every kind of task, with these and
+connections that break, and with planned stops and jobs that are cancelled
+before they are stored. The number of schedules and of processes can be set
 by the environment variables ``SCHEDULES`` and ``PROCESSES``.
 """
 
@@ -13,7 +14,14 @@
 import loguru
 
 from bench import result
-from search import draws, kind_draws, plays, rare_draws, transport_draws
+from search import (
+    draws,
+    kind_draws,
+    plays,
+    rare_draws,
+    stop_draws,
+    transport_draws,
+)
 
 SCHEDULES = 2000
 PROCESSES = 3  # Leaves cores for other work; a schedule takes 0.3 s on one core.
@@ -35,6 +43,7 @@
             ("plain", play),
             ("all kinds", play_kinds),
             ("broken connections", play_transport),
+            ("planned stops", play_stops),
         ):
             outcomes = list(pool.map(function, seeds, chunksize=10))
             breaches_by_seed = {
@@ -81,6 +90,13 @@
     return plays.play(transport_draws.draw(seed))
 
 
+def play_stops(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed with planned stops and late jobs."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(stop_draws.draw(seed))
+
+
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -201,6 +201,22 @@
             self.spawn(self.cluster.kill(member))
             self.later(0.5, lambda: self._start_after(member))
 
+    def stop(self, member: str) -> None:
+        """Stop an instance in order, and start another one.
+
+        The last one stays, as callers need one.
+        """
+        alive = self.cluster.instance_by_member.keys() - self._killed
+        if member in alive and len(alive) > 1:
+            self._killed.add(member)
+            self.note_change()
+            self.spawn(self._stop(member))
+
+    async def _stop(self, member: str) -> None:
+        await self.cluster.stop(member)
+        self.note_change()
+        self.later(0.5, lambda: self._start_after(member))
+
     def _start_after(self, member: str) -> None:
         """Start an instance in place of one that was killed."""
         name = self.start()
--- a/search/plays.py
+++ b/search/plays.py
@@ -13,8 +13,10 @@
 from typing import Any
 
 from limpetstream import errors
+from limpetstream.shard import names
+from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
-from limpetstream.workflow import messages
+from limpetstream.workflow import messages, records
 from search import (
     executor_faults,
     fault_world,
@@ -22,6 +24,7 @@
     rare_faults,
     schedules,
     standing_tasks,
+    stop_faults,
     transport_faults,
 )
 from standins import shard_cluster, step_executors, virtual_time
@@ -36,6 +39,7 @@
     | executor_faults.FAULTS
     | rare_faults.FAULTS
     | transport_faults.FAULTS
+    | stop_faults.FAULTS
 )
 
 
@@ -224,6 +228,14 @@
 
     began_at = world.now()
     await asyncio.sleep(job.at)
+    if job.stored_after_s is not None:
+        submission = cluster.make_submission(
+            job_id, job.steps, seconds=run_time, queue=job.queue
+        )
+        world.later(job.stored_after_s, lambda: _store(world, submission))
+        if await _cancel(world, job_id):
+            checks.cancelled_at[job_id] = world.now()
+        return
     is_accepted = await cluster.submit(
         job_id,
         job.steps,
@@ -242,6 +254,14 @@
             checks.cancelled_at[job_id] = world.now()
 
 
+def _store(world: fault_world.World, submission: messages.Submission) -> None:
+    """Store a job, as an append without an answer that takes effect late."""
+    entry = store_messages.Entry(
+        submission.job_id, records.encode_submission(submission)
+    )
+    world.cluster.store.append(names.SUBMISSIONS_TOPIC, 0, [entry], None, None)
+
+
 async def _cancel(world: fault_world.World, job_id: str) -> bool:
     """Cancel a job at random instances until one confirms; eight tries."""
     cluster = world.cluster
--- a/search/schedules.py
+++ b/search/schedules.py
@@ -45,6 +45,9 @@
         queue: Queue to which it is submitted.
         max_refusals: Refusals after which its caller gives it up, unless an
             attempt had no answer.
+        stored_after_s: Seconds after which its append, which has no answer,
+            takes effect; its caller cancels the job at once. None for a job
+            that is submitted as usual.
     """
 
     at: float
@@ -55,6 +58,7 @@
         default_factory=lambda: shard_cluster.QUEUE
     )
     max_refusals: int = MAX_ATTEMPTS
+    stored_after_s: float | None = None
 
     def lasts(self) -> bool:
         """Return whether its tasks run until it is cancelled."""
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from limpetstream import clock as clock_module, errors
+from limpetstream.border import closing as closing_module
 from limpetstream.executors import messages as executor_messages
 from limpetstream.shard import (
     job_api,
@@ -35,6 +36,12 @@
 QUEUE = messages.Queue("desk", "host", "/desk/", "service", 0, 3, 2.0, 1000.0)
 BATCH = messages.Queue("batch", "host", "/batch/", "service", 2, 3, 2.0, 1000.0)
 CAPACITY = executor_messages.Capacity(16_000, 64_000, 0)
+# The times of a planned stop of a process: see ``platform/adapter/process``.
+GRACE_S = 6.0
+ANSWER_MARGIN_S = 1.0
+CLOSE_MARGIN_S = 0.6
+LEAVE_DELAY_S = 2.5
+DRAIN_CHECK_INTERVAL_S = 0.02
 
 
 def decode_listing(entry: store_messages.Entry) -> executor_messages.Listing | None:
@@ -75,6 +82,30 @@
         return call
 
 
+class _CountedApi:
+    """Proxy of the operations of callers that counts those under way."""
+
+    _COUNTED = ("submit", "job_state", "cancel", "count_waiting_jobs")
+
+    def __init__(self, inner: job_api.JobApi) -> None:
+        self.calls = 0
+        self._inner = inner
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._inner, name)
+        if name not in self._COUNTED:
+            return method
+
+        async def call(*args: object, **kwargs: object) -> object:
+            self.calls += 1
+            try:
+                return await method(*args, **kwargs)
+            finally:
+                self.calls -= 1
+
+        return call
+
+
 @dataclasses.dataclass(slots=True)
 class Instance:
     """One instance with its fault switches.
@@ -87,15 +118,17 @@
         job_api: Operations of callers at this instance.
         ownership: Claims and serves its shards.
         task: Task that runs the instance.
+        closing: Bounds the operations of callers in a planned stop.
     """
 
     member: str
     store: keyed_store.Client
     executor_client: step_executor_client.ExecutorClient
     gate: FreezeGate
-    job_api: job_api.JobApi
+    job_api: Any
     ownership: ownership.Ownership
     task: asyncio.Task[None]
+    closing: closing_module.Closing
 
 
 class ShardCluster:
@@ -232,6 +265,7 @@
             is_served_by=server.is_served_by,
             stalled_s=server.stalled_s,
         )
+        closing = closing_module.Closing(clock)
         api = job_api.JobApi(
             store=_FreezableClient(store, gate),
             peers=_PeerClient(self, member),
@@ -241,10 +275,18 @@
             member=member,
             shard_count=self._shards,
             clock=clock,
+            closing=closing,
         )
         task = asyncio.create_task(shard_ownership.run())
         instance = Instance(
-            member, store, executor_client, gate, api, shard_ownership, task
+            member,
+            store,
+            executor_client,
+            gate,
+            _CountedApi(api),
+            shard_ownership,
+            task,
+            closing,
         )
         self.instance_by_member[member] = instance
         return instance
@@ -258,6 +300,32 @@
         instance.task.cancel()
         await asyncio.gather(instance.task, return_exceptions=True)
 
+    async def stop(self, member: str) -> None:
+        """End an instance in order, as its process does after a signal.
+
+        A caller whose request is cut off there is a breach, unless the
+        instance was frozen meanwhile.
+        """
+        instance = self.instance_by_member[member]
+        loop = asyncio.get_running_loop()
+        kill_at = loop.time() + GRACE_S
+        instance.closing.begin(
+            self.clock.monotonic() + kill_at - ANSWER_MARGIN_S - loop.time()
+        )
+        close_from = loop.time() + LEAVE_DELAY_S
+        await instance.ownership.leave()
+        was_frozen = False
+        while loop.time() < close_from or (
+            instance.job_api.calls and loop.time() < kill_at - CLOSE_MARGIN_S
+        ):
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+            was_frozen = was_frozen or not instance.gate.open.is_set()
+        if self.instance_by_member.get(member) is not instance:
+            return  # It was killed meanwhile.
+        if instance.job_api.calls and not was_frozen:
+            self.breaches.record(f"LOST: {instance.job_api.calls} requests cut off")
+        await self.kill(member)
+
     async def freeze(self, member: str, seconds: float) -> None:
         """Freeze an instance for a number of seconds."""
         instance = self.instance_by_member[member]
@@ -298,22 +366,18 @@
         except TimeoutError:
             raise errors.PeerUnreachable(member) from None
 
-    async def submit(
+    def make_submission(
         self,
         job_id: str,
         steps: list[messages.Step],
         *,
-        seconds: float,
+        seconds: Any,
         queue: messages.Queue = QUEUE,
-        max_refusals: int = 8,
-    ) -> bool:
-        """Submit at random instances until one accepts; eight attempts.
-
-        A caller that only got refusals gives up after ``max_refusals``.
-        """
+    ) -> messages.Submission:
+        """Return a submission; the executors know the sizes of its tasks."""
         self.size_by_spec[job_id] = (steps[0].cpu_millicores, seconds)
         self.steps_by_spec[job_id] = steps
-        submission = messages.Submission(
+        return messages.Submission(
             job_id,
             queue.name,
             queue.service,
@@ -322,6 +386,21 @@
             queue.max_attempts,
             self.clock.wall_ms(),
         )
+
+    async def submit(
+        self,
+        job_id: str,
+        steps: list[messages.Step],
+        *,
+        seconds: float,
+        queue: messages.Queue = QUEUE,
+        max_refusals: int = 8,
+    ) -> bool:
+        """Submit at random instances until one accepts; eight attempts.
+
+        A caller that only got refusals gives up after ``max_refusals``.
+        """
+        submission = self.make_submission(job_id, steps, seconds=seconds, queue=queue)
         refusals, attempts = 0, 0
         while attempts < 8 and not refusals == attempts == max_refusals:
             member = self.random.choice(list(self.instance_by_member))
