Let the soak use kept connections at stops, and cancel late jobs

Cause: the soak stopped instances without a caller on a kept connection, and cancelled only jobs that had been accepted, so it saw neither fault of the review.

Change: beside each stop, requests go out over connections that were open before; one that was read and cut off is a finding. One caller in twelve leaves and cancels its job, whose append takes effect seconds later.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from emulator import deployment
+from limpetstream.shard import names
 from limpetstream.workflow import messages
 from soak import _cluster, _connections, _executors, _sizes, _stalls
 
@@ -18,6 +19,9 @@
 MAX_SETTLE_WAIT_S = 120.0
 POLL_INTERVAL_S = 0.2
 CANCEL_SHARE = 0.1  # Share of the accepted jobs that are cancelled.
+# Share of the callers that leave after a short time and cancel their jobs.
+ABANDON_SHARE = 0.08
+PATIENCE_S = (0.02, 1.0)  # Shortest and longest of these times.
 REFUSAL_STATUSES = frozenset({429, 503})  # The job never runs.
 
 
@@ -183,7 +187,11 @@
         ]
         job = Job(job_id, count * step_count, long_running)
         self.job_by_id[job_id] = job
-        await self._submit(job, deployment.job_body(job_id, steps))
+        body = deployment.job_body(job_id, steps)
+        if self._cluster.abandon_choices.random() < ABANDON_SHARE:
+            await self._abandon(job, body)
+            return
+        await self._submit(job, body)
         if job.accepted and generator.random() < CANCEL_SHARE:
             await asyncio.sleep(generator.uniform(0.0, 3.0))
             await self._cancel(job)
@@ -217,6 +225,22 @@
                 return
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
 
+    async def _abandon(self, job: Job, body: bytes) -> None:
+        """Hand a job in, leave without its answer, and cancel the job.
+
+        Its appends take effect seconds later. It must not run then.
+        """
+        patience_s = self._cluster.abandon_choices.uniform(*PATIENCE_S)
+        for instance in self._cluster.instance_by_name.values():
+            instance.client.faults.delayed_keys.add(
+                (names.SUBMISSIONS_TOPIC, job.job_id)
+            )
+        answer = await self._call("POST", job, body, timeout_s=patience_s)
+        job.accepted = answer.status == 200
+        job.outcome_unknown = not job.accepted
+        job.accepted_at = asyncio.get_running_loop().time()
+        await self._cancel(job)
+
     async def _cancel(self, job: Job) -> None:
         """Cancel a job; any status but 200 and 410 is retried.
 
@@ -225,7 +249,7 @@
         job.cancel_requested = True
         for _ in range(MAX_ATTEMPTS):
             status = (await self._call("DELETE", job)).status
-            if status == 410:
+            if status == 410 and job.accepted:
                 self._add_finding(
                     job, "was accepted but is reported unknown on cancellation"
                 )
@@ -251,7 +275,12 @@
                 job.final_state = state
 
     async def _call(
-        self, method: str, job: Job, body: bytes | None = None
+        self,
+        method: str,
+        job: Job,
+        body: bytes | None = None,
+        *,
+        timeout_s: float = TIMEOUT_S,
     ) -> _connections.Answer:
         """Call a random instance."""
         instance = self._random.choice(list(self._cluster.instance_by_name.values()))
@@ -261,7 +290,7 @@
             f"{deployment.PREFIX}{job.job_id}",
             body,
             headers=deployment.headers(DEADLINE_MS),
-            timeout_s=TIMEOUT_S,
+            timeout_s=timeout_s,
         )
 
     def _add_finding(self, job: Job, text: str) -> None:
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -86,6 +86,8 @@
         self.replacement_choices = random.Random(f"replacements {seed}")
         self.break_choices = random.Random(f"breaks {seed}")
         self.patience_choices = random.Random(f"patience {seed}")
+        self.kept_choices = random.Random(f"kept {seed}")
+        self.abandon_choices = random.Random(f"abandons {seed}")
         self.gate = _breaks.StoreGate()
         self.is_patient = True  # Whether callers make all their attempts.
         self.network = _cuts.Network()
--- a/soak/_connections.py
+++ b/soak/_connections.py
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Connection:
+class Connection:
     """An open connection.
 
     Args:
@@ -47,12 +47,27 @@
         is_ended = self.reader.at_eof() or self.reader.exception() is not None
         return not is_ended and not self.writer.is_closing()
 
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        """Send one request; return the status and the body of its answer.
+
+        Raises:
+            OSError, EOFError: No complete answer came.
+        """
+        self.writer.write(_encode(method, path, body, headers))
+        return await _read_answer(self)
+
 
 class Client:
     """Sends each request once and keeps connections open for later ones."""
 
     def __init__(self) -> None:
-        self._idle_by_port: collections.defaultdict[int, list[_Connection]] = (
+        self._idle_by_port: collections.defaultdict[int, list[Connection]] = (
             collections.defaultdict(list)
         )
 
@@ -87,15 +102,15 @@
         try:
             async with asyncio.timeout(timeout_s), self._connection(port) as connection:
                 answer.was_sent = True
-                connection.writer.write(_encode(method, path, body, headers))
-                status, received = await _read_answer(connection)
-                answer.status, answer.body = status, received
+                answer.status, answer.body = await connection.call(
+                    method, path, headers, body
+                )
         except (OSError, EOFError, TimeoutError):
             pass  # The answer tells it.
         return answer
 
     @contextlib.asynccontextmanager
-    async def _connection(self, port: int) -> AsyncIterator[_Connection]:
+    async def _connection(self, port: int) -> AsyncIterator[Connection]:
         """Yield a connection, which is closed if the call has no answer."""
         idle = self._idle_by_port[port]
         connection = None
@@ -106,7 +121,7 @@
             else:
                 candidate.writer.close()
         if connection is None:
-            connection = _Connection(*await asyncio.open_connection(HOST, port))
+            connection = Connection(*await asyncio.open_connection(HOST, port))
         try:
             yield connection
         except BaseException:
@@ -125,7 +140,7 @@
     return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
 
 
-async def _read_answer(connection: _Connection) -> tuple[int, bytes]:
+async def _read_answer(connection: Connection) -> tuple[int, bytes]:
     """Return status and body of a complete answer.
 
     Raises:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,7 +11,7 @@
 
 from tornado import httputil
 
-from soak import _breaks, _cluster
+from soak import _breaks, _cluster, _kept_requests
 from standins import link
 
 Fault = Callable[[_cluster.Cluster], Awaitable[None]]
@@ -36,12 +36,18 @@
 
 
 async def terminate(cluster: _cluster.Cluster) -> None:
-    """Stop an instance with SIGTERM; it restarts after 0.2 to 2 s."""
+    """Stop an instance with SIGTERM; it restarts after 0.2 to 2 s.
+
+    Callers keep connections to it open and use them until they are closed.
+    """
     instance = _reserve_instance(cluster)
     if instance is None:
         return
     await _wait_for_signal_handlers(instance)
-    await cluster.stop(instance)
+    async with _kept_requests.sending(
+        instance.ip, cluster.kept_choices, cluster.findings, instance.name
+    ):
+        await cluster.stop(instance)
     await restart(cluster, instance, cluster.fault_choices)
 
 
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -182,6 +182,8 @@
             answer.
         delayed_share: Share of the appends that take effect seconds later,
             without an answer.
+        delayed_keys: Topics with keys whose appends take effect seconds later,
+            without an answer.
         delay_s: Additional delay of every answer. A call with a shorter time
             limit takes effect and has no answer.
         transfer_s: Time from the first to the last byte of an answer with
@@ -192,6 +194,7 @@
     refuse: bool = False
     lost_answer_share: float = 0.0
     delayed_share: float = 0.0
+    delayed_keys: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     delay_s: float = 0.0
     transfer_s: float = 0.0
 
@@ -227,7 +230,10 @@
         _check_sizes(entries)
         is_late = await self._reach_store(timeout_s)
         draw = self.store.random.random()
-        if draw < self.faults.delayed_share:
+        is_delayed = any(
+            (topic, entry.key) in self.faults.delayed_keys for entry in entries
+        )
+        if is_delayed or draw < self.faults.delayed_share:
             self._append_later(topic, partition, entries, writer, at)
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("append delayed, no answer in time")
