--- a/limpetstream/shard/tests/removals_of_places.py
+++ b/limpetstream/shard/tests/removals_of_places.py
@@ -153,6 +153,16 @@
         "        pass",
         f"{TESTS}/test_waits_end.py::"
         "test_an_executor_back_while_its_record_is_deleted_is_recorded",
+        also=("wait-recorded-update",),
+    ),
+    removed_checks.Removal(
+        "wait-recorded-update",
+        "not in the journal yet",
+        f"{SHARD}.executor_records",
+        "update",
+        "        shard.spawn(write(shard, executor))",
+        "        pass",
+        "",
     ),
     removed_checks.Removal(
         "wait-listed",
--- a/limpetstream/shard/tests/removals_of_store.py
+++ b/limpetstream/shard/tests/removals_of_store.py
@@ -196,10 +196,48 @@
         CANCEL,
         f"{SHARD}.queries",
         "cancel",
-        "    await shard.journal.wait_until_durable()\n",
-        "",
+        "    await shard.journal.wait_until_durable()\n    logs.emit(",
+        "    logs.emit(",
         "shard/tests/test_claims.py::test_a_cancel_is_answered_once_it_is_durable",
     ),
+    removed_checks.Removal(
+        "cancel-unknown-durable",
+        CANCEL,
+        f"{SHARD}.queries",
+        "cancel",
+        "        await shard.journal.wait_until_durable()\n        logs.emit(",
+        "        logs.emit(",
+        "shard/tests/test_unknown_cancels.py::"
+        "test_a_cancel_of_an_unknown_job_is_answered_once_it_is_durable",
+    ),
+    removed_checks.Removal(
+        "cancel-noted",
+        CANCEL,
+        f"{SHARD}.queries",
+        "cancel",
+        "    if not job.outcome:\n"
+        "        jobs.finish(shard, job, messages.CANCELLED)\n"
+        "    if not job.visible_outcome:\n"
+        "        _require_no_earlier_owner(shard, job)\n"
+        "        jobs.release_early_outcomes(shard)\n",
+        "    if not job.visible_outcome:\n"
+        "        _require_no_earlier_owner(shard, job)\n"
+        "        jobs.release_early_outcomes(shard)\n"
+        "    if not job.outcome:\n"
+        "        jobs.finish(shard, job, messages.CANCELLED)\n",
+        "shard/tests/test_refused_cancels.py::"
+        "test_no_later_owner_starts_a_job_whose_cancel_was_not_acknowledged[1]",
+    ),
+    removed_checks.Removal(
+        "cancel-unknown-kept",
+        CANCEL,
+        f"{SHARD}.recovery",
+        "restore_final_jobs",
+        "unknown_cancels.restore(shard, job_id)",
+        "pass",
+        "shard/tests/test_unknown_cancels.py::"
+        "test_a_job_that_arrives_after_its_cancel_never_runs[kill-False]",
+    ),
     removed_checks.Removal(
         "cancel-earlier-owners",
         CANCEL,
--- a/tests/test_requests_during_a_stop.py
+++ b/tests/test_requests_during_a_stop.py
@@ -9,6 +9,9 @@
 
 from adapter import store
 from emulator import deployment
+from limpetstream.border import closing
+from limpetstream.shard import peer_messages, queries
+from limpetstream.shard.tests import builders as shard_builders
 from tests import stop_builders as builders
 
 NOT_RUN, UNKNOWN = 503, 504
@@ -86,3 +89,62 @@
             return await replies
 
     assert [reply.status for reply in asyncio.run(run())] == [UNKNOWN, UNKNOWN]
+
+
+def test_a_silent_store_does_not_delay_the_close(tmp_path):
+    """Guards against a kill while the group is still being left."""
+    grace_s = 3.0
+    silent = frozenset({store.LEAVE_PATH, store.OWNERS_PATH, store.APPEND_PATH})
+
+    async def run():
+        async with builders.running(
+            tmp_path, grace_s=grace_s, silent=silent
+        ) as instance:
+            connection = await instance.connect()
+            reply = asyncio.create_task(call_after(instance, connection, "state", 1.0))
+            assert await instance.stop(grace_s)
+            return await reply
+
+    assert asyncio.run(run()).status == NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_unknown"), [("cancel", True), ("state", False), ("waiting", False)]
+)
+def test_what_other_instances_ask_is_answered_at_the_close(kind, is_unknown):
+    """Guards against a request that its sender has to tell as unknown.
+
+    The owner waits for the store as it closes. Only a cancel may have taken
+    effect; nothing is begun afterwards, so that is certain.
+    """
+    scene = shard_builders.JournaledShard()
+    try:
+        api = shard_builders.make_job_api(scene)
+        api._closing = closing.Closing(scene.shard.clock)
+
+        async def wait_for_store(shard, *arguments):
+            await asyncio.sleep(60.0)
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            request = peer_messages.PeerRequest(
+                kind, 0, job_id=builders.JOB_ID, queue="desk"
+            )
+            asked = asyncio.create_task(api.answer_peer(request))
+            await asyncio.sleep(0.5)
+            api._closing.begin(scene.shard.clock.monotonic() + 1.0)
+            cut, cut_at = await asked, loop.time()
+            await asyncio.sleep(1.6 - loop.time())
+            return cut, cut_at, await api.answer_peer(request), loop.time()
+
+        with pytest.MonkeyPatch.context() as patch:
+            for name in ("cancel", "job_state"):
+                patch.setattr(queries, name, wait_for_store)
+            cut, cut_at, later, later_at = scene.loop.run_until_complete(run())
+    finally:
+        scene.close()
+    if kind != "waiting":  # A count is told from memory.
+        assert cut.refused and cut.unknown == is_unknown
+        assert cut_at == pytest.approx(1.5, abs=0.1)
+    assert later.refused and not later.unknown
+    assert later_at == pytest.approx(1.6, abs=0.01)
