Tell a cancel as unknown that a hand-over cuts off

If the shard was handed over in between, it was refused as "not run", although its append may take effect.

Change: the owner tells that such a cancel may take effect.

Measured: the new test of test_unknown_cancels.py got NotRun before, and OutcomeUnknown now (24 pass).

--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -548,8 +548,9 @@
         return peer_messages.PeerReply(known=await queries.cancel(shard, job_id))
     except errors.LimpetstreamError as error:
         job = shard.job_by_id.get(job_id)
+        is_noted = job_id in shard.cancelled_at_by_unknown_job
         return peer_messages.PeerReply(
             refused=f"{type(error).__name__}: {error}",
             retry_after_s=getattr(error, "retry_after_s", 0.0),
-            unknown=job is not None and job.outcome == messages.CANCELLED,
+            unknown=is_noted or (job is not None and job.outcome == messages.CANCELLED),
         )
--- a/limpetstream/shard/tests/test_unknown_cancels.py
+++ b/limpetstream/shard/tests/test_unknown_cancels.py
@@ -190,6 +190,19 @@
     assert journaled(scene) == [JOB_ID]
 
 
+def test_a_cancel_that_a_hand_over_cuts_off_is_not_refused(scene):
+    """Guards against "not run" of a cancel whose append may take effect."""
+    scene.store_client.faults.cut = True
+    scene.shard.journal.confirmed_at = scene.shard.clock.monotonic()
+    api = builders.make_job_api(scene)
+    calling = scene.loop.create_task(api.cancel(JOB_ID, wait_s=1.0))
+    scene.advance(0.2)
+    scene.shard.journal.fail_waiters(errors.NotOwner("shard 0"))
+    api._server.shard_by_number = {}
+    with pytest.raises(errors.OutcomeUnknown):
+        scene.loop.run_until_complete(calling)
+
+
 def test_cancels_of_ids_that_never_existed_are_bounded(scene):
     """Guards against a journal that callers can fill.
 
