--- a/limpetstream/shard/unknown_cancels.py
+++ b/limpetstream/shard/unknown_cancels.py
@@ -31,9 +31,9 @@
     """
     forget_old(shard)
     cancelled_at = shard.cancelled_at_by_unknown_job
-    is_stored = cancelled_at.pop(job_id, None) is not None
+    is_kept = cancelled_at.pop(job_id, None) is not None
     now = shard.clock.monotonic()
-    if not is_stored and len(cancelled_at) >= MAX_CANCELS:
+    if not is_kept and len(cancelled_at) >= MAX_CANCELS:
         oldest_at = next(iter(cancelled_at.values()))
         raise errors.NotRun(
             "too-many-cancels",
@@ -41,7 +41,7 @@
             retry_after_s=max(1.0, oldest_at + MEMORY_S - now),
         )
     cancelled_at[job_id] = now  # The newest is the last one.
-    if not is_stored:
+    if not is_kept:
         stored = records.encode_cancel_of_unknown(shard.clock.wall_ms())
         shard.journal.put(job_id, lambda: stored)
 
