Note at the claim that earlier owners have stopped

Change: it is concluded with the claim.

Measured: the new test of test_ended_owners.py failed before, 34 pass now.

--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -228,6 +228,8 @@
         shard.proof_ends.note_stopped(claim.stopped_below)
         if claim.previous_released:
             shard.previous_ended_at = shard.claimed_at
+            # Notes it now, as this owner may end before it has asked anybody.
+            proof.have_earlier_owners_stopped(shard)
         shard.executor_client = fences.CheckingClient(
             measuring.MeasuringClient(
                 self._executor_client, shard.send_window, self._clock
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -357,6 +357,36 @@
     assert not schedules.run_scenario(scenario).breaches.found
 
 
+def test_an_owner_that_leaves_at_its_claim_passes_on_what_it_has_read():
+    """Guards against a wait of 2 s after an owner that never served.
+
+    In a rolling restart the signal may come as the claim does.
+    """
+
+    async def scenario(cluster):
+        for number in range(4):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(4)
+        for _ in range(3):
+            owner = await wait_for_claim(cluster)
+            await cluster.instance_by_member[owner].ownership.leave()
+        owner = await wait_for_claim(cluster)
+        shard = shard_cluster.shard_zero(cluster.instance_by_member[owner])
+        assert shard.epoch == 4
+        assert proof.have_earlier_owners_stopped(shard)
+
+    schedules.run_scenario(scenario)
+
+
+async def wait_for_claim(cluster):
+    """Return the owner as soon as it has claimed the shard."""
+    while True:
+        for member, instance in cluster.instance_by_member.items():
+            if shard_cluster.shard_zero(instance) is not None:
+                return member
+        await asyncio.sleep(0.001)
+
+
 def test_an_owner_that_was_killed_has_released_nothing():
     """Guards against a cancel beside an owner that may still act."""
 
