--- a/soak/tests/test_callers.py
+++ b/soak/tests/test_callers.py
@@ -18,7 +18,10 @@
 def draw_jobs(seed, max_lasting_millicores):
     """Return what the callers of a seed draw: cluster and all jobs."""
     cluster = types.SimpleNamespace(
-        caller_choices=random.Random(seed), size_by_spec={}, lasting_millicores=0
+        caller_choices=random.Random(seed),
+        abandon_choices=random.Random(f"abandons {seed}"),
+        size_by_spec={},
+        lasting_millicores=0,
     )
     callers = _callers.Callers(cluster)
     callers._lasting_left = max_lasting_millicores
@@ -26,7 +29,7 @@
     async def submit(job, body):
         """Leave the job without an answer."""
 
-    callers._submit = submit
+    callers._submit = callers._abandon = submit
 
     async def run():
         for _ in range(JOBS):
