Let runs of the soak's test of kept requests overlap, and end cleanly

And its connections were left open as the loop closed, so that their destructors raised; where that met a parser of Python 3.11, pytest ended with "AST constructor recursion depth mismatch" after the tests had passed.

Change: the address is that of the process, as elsewhere in the suite, and the server closes each connection also if the test ends first.

--- a/soak/tests/test_kept_requests.py
+++ b/soak/tests/test_kept_requests.py
@@ -1,6 +1,7 @@
 """Tests of the requests that callers send to an instance during its stop."""
 
 import asyncio
+import os
 import random
 
 import pytest
@@ -8,7 +9,8 @@
 from emulator import deployment
 from soak import _kept_requests
 
-IP = "127.3.1.9"
+# Of this process, as two runs of the suite may overlap.
+IP = f"127.{16 + os.getpid() % 200}.{os.getpid() // 200 % 250}.3"
 ANSWER = b"HTTP/1.1 503 -\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -17,12 +19,14 @@
     findings = []
 
     async def handle(reader, writer):
-        if reads:
-            await reader.readuntil(b"\r\n\r\n")
-        if answers:
-            writer.write(ANSWER)
-        await asyncio.sleep(closes_after_s)
-        writer.close()
+        try:
+            if reads:
+                await reader.readuntil(b"\r\n\r\n")
+            if answers:
+                writer.write(ANSWER)
+            await asyncio.sleep(closes_after_s)
+        finally:
+            writer.close()  # Also as the test ends.
 
     async def run():
         server = await asyncio.start_server(handle, IP, deployment.CALLER_PORT)
