Judge runs that go on after a cancel, in search and soak

Cause: UNASKED has two halves, and our instruments saw only the first, a task that starts late.

Change: standins/cancelled_runs.py holds the second half. A run of a cancelled job has to be gone after 3 s and the longest stop without a disturbance; joins, leaves in order and closed data centres are none. A cancel that has waited 4 s for its answer while store and links were undisturbed counts as acknowledged, also for the check of late starts. Search: cancel_draws cancels most jobs, also lasting ones, and carries starts and stops out late.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -1,9 +1,10 @@
 """Plays random schedules of overlapping faults against several instances.
 
 Each seed is played with plain jobs, with every kind of task, with these and
-connections that break, and with planned stops and jobs that are cancelled
-before they are stored. The number of schedules and of processes can be set
-by the environment variables ``SCHEDULES`` and ``PROCESSES``.
+connections that break, with planned stops and jobs that are cancelled before
+they are stored, and with cancels of most jobs. The number of schedules and of
+processes can be set by the environment variables ``SCHEDULES`` and
+``PROCESSES``.
 """
 
 import concurrent.futures
@@ -15,6 +16,7 @@
 
 from bench import result
 from search import (
+    cancel_draws,
     draws,
     kind_draws,
     plays,
@@ -44,6 +46,7 @@
             ("all kinds", play_kinds),
             ("broken connections", play_transport),
             ("planned stops", play_stops),
+            ("cancels", play_cancels),
         ):
             outcomes = list(pool.map(function, seeds, chunksize=10))
             breaches_by_seed = {
@@ -97,6 +100,13 @@
     return plays.play(stop_draws.draw(seed))
 
 
+def play_cancels(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed in which most jobs are cancelled."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(cancel_draws.draw(seed))
+
+
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
--- a/search/executor_faults.py
+++ b/search/executor_faults.py
@@ -42,7 +42,7 @@
         state=messages.DRAINING,
         remaining_ms=int(remaining_s * 1000),
     )
-    world.hold(remaining_s, ("leaving", executor_id))
+    world.hold(remaining_s, (fault_world.LEAVING, executor_id))
     world.list_again(executor)
 
 
--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -47,6 +47,8 @@
 END_ACKNOWLEDGED = "END_ACKNOWLEDGED"
 APPEND_CONFIRMED = "APPEND_CONFIRMED"
 
+# Kind of the keys that are held while executors leave in order.
+LEAVING = "leaving"
 # Label of the executors that have accelerators.
 LARGE = "large"
 ACCELERATORS = 4
@@ -87,6 +89,10 @@
         self._proofs_ended: tuple[int, float] = (0, 0.0)
         self._loop = asyncio.get_running_loop()
         self.last_change_at = 0.0
+        # The last change that is no planned work on executors, and the last
+        # one of the store, of links or of executors that is none.
+        self.last_disturbance_at = 0.0
+        self.last_unsteady_at = 0.0
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
@@ -105,17 +111,18 @@
 
     def hold(self, seconds: float, *keys: Hashable) -> None:
         """Put faults into force for some seconds."""
+        is_planned = all(key[0] == LEAVING for key in keys)
         for key in keys:
             self._held[key] += 1
             self._apply(key)
-        self.note_change()
+        self.note_change(is_planned=is_planned)
         self.note(f"hold {keys} for {seconds:.3f} s")
 
         def release() -> None:
             for key in keys:
                 self._held[key] -= 1
                 self._apply(key)
-            self.note_change()
+            self.note_change(is_planned=is_planned)
 
         self.later(seconds, release)
 
@@ -123,9 +130,21 @@
         """Return whether no fault is in force."""
         return not any(self._held.values())
 
-    def note_change(self) -> None:
-        """Note that something is disturbed or changes now."""
+    def note_change(
+        self, *, is_planned: bool = False, is_instance: bool = False
+    ) -> None:
+        """Note that something is disturbed or changes now.
+
+        Args:
+            is_planned: Whether it is planned work on executors, which excuses
+                no run of a cancelled job.
+            is_instance: Whether an instance ends or starts, and nothing else.
+        """
         self.last_change_at = self.now()
+        if not is_planned:
+            self.last_disturbance_at = self.now()
+            if not is_instance:
+                self.last_unsteady_at = self.now()
         for executor in self.cluster.executor_by_id.values():
             executor.wake()
 
@@ -133,6 +152,25 @@
         """Return since when nothing is disturbed; infinity during a fault."""
         return self.last_change_at if self.is_quiet() else math.inf
 
+    def undisturbed_since(self) -> float:
+        """Return since when only planned work on executors was done.
+
+        Returns:
+            Loop time in seconds; infinity while a fault is in force.
+        """
+        return math.inf if self._is_disturbed() else self.last_disturbance_at
+
+    def steady_since(self) -> float:
+        """Return since when store, links and executors are undisturbed.
+
+        Returns:
+            Loop time in seconds; infinity while a fault is in force.
+        """
+        return math.inf if self._is_disturbed() else self.last_unsteady_at
+
+    def _is_disturbed(self) -> bool:
+        return any(count for key, count in self._held.items() if key[0] != LEAVING)
+
     def _apply(self, key: Any) -> None:
         is_held = self._held[key] > 0
         kind, name, *rest = (*key, "")
@@ -145,6 +183,10 @@
             if name in self.cluster.executor_by_id:
                 share = 0.5 if is_held else 0.0
                 self.cluster.executor_by_id[name].delayed_share = share
+        elif kind == "late stops":
+            if name in self.cluster.executor_by_id:
+                share = 0.5 if is_held else 0.0
+                self.cluster.executor_by_id[name].delayed_stop_share = share
         elif kind == "fails":
             if name in self.cluster.executor_by_id:
                 self.cluster.executor_by_id[name].fail_all = is_held
@@ -186,7 +228,7 @@
         context.run(_member.set, member)
         context.run(self.cluster.start, member, reserve=reserve)
         self._hook(self.cluster.instance_by_member[member])
-        self.note_change()
+        self.note_change(is_instance=True)
         return member
 
     def kill(self, member: str) -> None:
@@ -197,7 +239,7 @@
         alive = self.cluster.instance_by_member.keys() - self._killed
         if member in alive and len(alive) > 1:
             self._killed.add(member)
-            self.note_change()
+            self.note_change(is_instance=True)
             self.spawn(self.cluster.kill(member))
             self.later(0.5, lambda: self._start_after(member))
 
@@ -209,12 +251,12 @@
         alive = self.cluster.instance_by_member.keys() - self._killed
         if member in alive and len(alive) > 1:
             self._killed.add(member)
-            self.note_change()
+            self.note_change(is_instance=True)
             self.spawn(self._stop(member))
 
     async def _stop(self, member: str) -> None:
         await self.cluster.stop(member)
-        self.note_change()
+        self.note_change(is_instance=True)
         self.later(0.5, lambda: self._start_after(member))
 
     def _start_after(self, member: str) -> None:
@@ -263,7 +305,7 @@
         """Publish the entry of an executor that has not left."""
         executor_id = executor.listing.executor_id
         if self.cluster.executor_by_id.get(executor_id) is executor:
-            self.note_change()
+            self.note_change(is_planned=executor.listing.state == messages.DRAINING)
             self.note(f"list {executor.listing}")
             self.cluster.list_executor(executor)
 
@@ -278,7 +320,7 @@
                 shard_cluster.CAPACITY, accelerators=ACCELERATORS if is_large else 0
             ),
         )
-        self.note_change()
+        self.note_change(is_planned=True)
         self.note(f"join {executor.listing}")
 
     def remove(
@@ -298,16 +340,17 @@
             is_followed: Whether another one joins once the entry is gone.
         """
         executor = self.cluster.executor_by_id.pop(executor_id)
+        is_announced = executor.listing.state == messages.DRAINING
         executor.cut = True
         executor.restart()  # Its runs have ended, and nothing is known of them.
-        self.note_change()
+        self.note_change(is_planned=is_announced)
         self.note(f"remove {executor_id}")
         if is_replaced:
             self._replaced_ids.add(executor_id)
 
         def replace() -> None:
             self.cluster.unlist_executor(executor_id)
-            self.note_change()
+            self.note_change(is_planned=is_announced)
             if is_followed:
                 self.join()
 
@@ -326,7 +369,7 @@
 
     def _apply_data_centres(self) -> None:
         self.cluster.view.closed_data_centres = frozenset(self.closed_data_centres)
-        self.note_change()
+        self.note_change(is_planned=True)
         self.note(f"closed data centres: {sorted(self.closed_data_centres)}")
 
     def owners(self) -> list[str]:
--- a/search/plays.py
+++ b/search/plays.py
@@ -18,6 +18,7 @@
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
 from search import (
+    cancel_faults,
     executor_faults,
     fault_world,
     overlapping_faults,
@@ -27,7 +28,7 @@
     stop_faults,
     transport_faults,
 )
-from standins import shard_cluster, step_executors, virtual_time
+from standins import cancelled_runs, shard_cluster, step_executors, virtual_time
 
 LIMIT_S = 180.0  # Virtual seconds of a schedule; one that hangs fails.
 SETTLE_S = 60.0  # Time after the last fault in which every job has to end.
@@ -40,6 +41,7 @@
     | rare_faults.FAULTS
     | transport_faults.FAULTS
     | stop_faults.FAULTS
+    | cancel_faults.FAULTS
 )
 
 
@@ -171,12 +173,21 @@
 async def _watch(
     world: fault_world.World, standing: standing_tasks.StandingTasks, checks: Checks
 ) -> None:
-    """Look for tasks that stand still until the play has ended."""
+    """Look for tasks that stand still, and for runs that should not go on."""
+    cancelled = cancelled_runs.CancelledRuns(
+        checks, max_stop_s=step_executors.STOP_DURATION_S
+    )
     while True:
         await asyncio.sleep(LOOK_S)
         for advance in list(checks.advance_by_executor.values()):
             advance()
         standing.look(world.now(), world.calm_since())
+        cancelled.look(
+            world.cluster.executor_by_id.values(),
+            world.now(),
+            undisturbed_since=world.undisturbed_since(),
+            steady_since=world.steady_since(),
+        )
 
 
 def _arm(world: fault_world.World, fault: schedules.Fault) -> None:
@@ -233,8 +244,7 @@
             job_id, job.steps, seconds=run_time, queue=job.queue
         )
         world.later(job.stored_after_s, lambda: _store(world, submission))
-        if await _cancel(world, job_id):
-            checks.cancelled_at[job_id] = world.now()
+        await _cancel(world, job_id)
         return
     is_accepted = await cluster.submit(
         job_id,
@@ -250,8 +260,7 @@
     if job.cancelled_at is not None:
         await asyncio.sleep(max(0.0, began_at + job.cancelled_at - world.now()))
         standing.forget(job_id)
-        if await _cancel(world, job_id):
-            checks.cancelled_at[job_id] = world.now()
+        await _cancel(world, job_id)
 
 
 def _store(world: fault_world.World, submission: messages.Submission) -> None:
@@ -262,18 +271,20 @@
     world.cluster.store.append(names.SUBMISSIONS_TOPIC, 0, [entry], None, None)
 
 
-async def _cancel(world: fault_world.World, job_id: str) -> bool:
+async def _cancel(world: fault_world.World, job_id: str) -> None:
     """Cancel a job at random instances until one confirms; eight tries."""
     cluster = world.cluster
+    cluster.breaches.cancel_asked_at[job_id] = world.now()
     for _ in range(8):
         member = cluster.random.choice(list(cluster.instance_by_member))
         api = cluster.instance_by_member[member].job_api
         try:
             await api.cancel(job_id, wait_s=2.0)
-            return True
         except (errors.NotRun, errors.OutcomeUnknown):
             await asyncio.sleep(0.5)
-    return False
+        else:
+            cluster.breaches.cancelled_at.setdefault(job_id, world.now())
+            return
 
 
 async def _check_jobs(
@@ -286,7 +297,7 @@
     limit_at = world.last_change_at + SETTLE_S
     for job_id, job in accepted.items():
         left_s = max(1.0, limit_at - world.now())
-        if job.lasts():
+        if job.lasts() and job_id not in checks.cancelled_at:
             continue
         state = await world.cluster.wait_until_final(job_id, limit_s=left_s)
         is_cancelled = job.cancelled_at is not None and state == "cancelled"
@@ -294,7 +305,7 @@
             checks.record(f"LOST: {job_id} is {state}")
             return
     for job_id, job in accepted.items():
-        if job.lasts():
+        if job.lasts() and job.cancelled_at is None:
             await _check_lasting(world, job_id, job, checks, standing, limit_at)
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -130,6 +130,28 @@
                 await self._poll_job(job)
             await asyncio.sleep(SETTLE_POLL_INTERVAL_S)
 
+    async def cancel_lasting_jobs(self, seconds: float) -> None:
+        """Cancel half of the lasting jobs at random times after all faults.
+
+        Args:
+            seconds: Longest time until the last one is cancelled.
+        """
+        choices = self._cluster.cancel_choices
+        async with asyncio.TaskGroup() as task_group:
+            for job in list(self.job_by_id.values()):
+                is_open = job.accepted and not job.cancel_requested
+                if job.is_long_running and is_open and choices.random() < 0.5:
+                    delay_s = choices.uniform(0.0, seconds)
+                    task_group.create_task(self._cancel_later(job, delay_s))
+
+    async def _cancel_later(self, job: Job, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        await self._cancel(job)
+        for _ in range(MAX_ATTEMPTS):
+            if job.final_state is None:
+                await self._poll_job(job)
+                await asyncio.sleep(POLL_INTERVAL_S)
+
     def is_unsettled(self, job: Job) -> bool:
         """Return whether an accepted job has not reached its expected state.
 
@@ -247,6 +269,9 @@
         A cancellation that no attempt gets acknowledged is no finding.
         """
         job.cancel_requested = True
+        loop = asyncio.get_running_loop()
+        breaches = self._cluster.breaches
+        breaches.cancel_asked_at[job.job_id] = loop.time()
         for _ in range(MAX_ATTEMPTS):
             status = (await self._call("DELETE", job)).status
             if status == 410 and job.accepted:
@@ -255,8 +280,7 @@
                 )
             if status in (200, 410):
                 job.cancelled = True
-                loop = asyncio.get_running_loop()
-                self._cluster.breaches.cancelled_at[job.job_id] = loop.time()
+                breaches.cancelled_at.setdefault(job.job_id, loop.time())
                 return
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
 
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -88,6 +88,7 @@
         self.patience_choices = random.Random(f"patience {seed}")
         self.kept_choices = random.Random(f"kept {seed}")
         self.abandon_choices = random.Random(f"abandons {seed}")
+        self.cancel_choices = random.Random(f"cancels {seed}")
         self.gate = _breaks.StoreGate()
         self.is_patient = True  # Whether callers make all their attempts.
         self.network = _cuts.Network()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -140,11 +140,16 @@
 
 
 async def late_orders(cluster: _cluster.Cluster) -> None:
-    """Apply start requests at an executor seconds later, without an answer."""
+    """Apply orders at an executor seconds later, without an answer.
+
+    Orders are requests to start a run, and in half of the cases also to stop
+    one.
+    """
     executor = _choose(cluster, cluster.linked_executor_by_id).executor
     executor.delayed_share = 0.5
+    executor.delayed_stop_share = cluster.cancel_choices.choice([0.0, 0.5])
     await hold(cluster.fault_choices)
-    executor.delayed_share = 0.0
+    executor.delayed_share = executor.delayed_stop_share = 0.0
 
 
 async def executor_joins(cluster: _cluster.Cluster) -> None:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -34,6 +34,8 @@
 # The longest lease of an executor (6 s) may end a run without disturbance; the
 # rule for lasting tasks holds from 6 s later, for waits of 3 s.
 CALM_END_S = 15.0
+# From the last fault on; 7 s are left to see whether the runs end.
+MAX_CANCEL_DELAY_S = 8.0
 # Recovery takes up to 12 s; the silence of an executor adds 6 s. Times for
 # which the process of the soak stands still do not count.
 SETTLE_TIMEOUT_S = 30.0
@@ -119,6 +121,7 @@
                     task_group.create_task(_inject_breaks(cluster, seconds, injected))
             await asyncio.gather(
                 callers.wait_until_settled(stall_watch, limit_s=SETTLE_TIMEOUT_S),
+                callers.cancel_lasting_jobs(MAX_CANCEL_DELAY_S),
                 asyncio.sleep(CALM_END_S),
             )
             watch.cancel()
--- a/soak/_watch.py
+++ b/soak/_watch.py
@@ -1,8 +1,11 @@
-"""Watches from outside whether lasting tasks run, while a run goes on."""
+"""Watches from outside which tasks run, and should not, and the reverse."""
 
 import asyncio
+import math
 
+from emulator import deployment
 from soak import _callers, _cluster, _lasting
+from standins import cancelled_runs
 
 INTERVAL_S = 0.1  # A thirtieth of the shortest time that the rule names.
 # Silence after which an owner extends the leases of an executor no longer. If
@@ -16,7 +19,7 @@
     checker: _lasting.Checker,
     notes: list[str],
 ) -> None:
-    """Check lasting tasks until cancelled.
+    """Check lasting tasks and runs of cancelled jobs until cancelled.
 
     Args:
         cluster: Cluster that runs them.
@@ -26,6 +29,9 @@
     """
     loop = asyncio.get_running_loop()
     started_at = observed_at = loop.time()
+    cancelled = cancelled_runs.CancelledRuns(
+        cluster.breaches, max_stop_s=deployment.MAX_STOP_S
+    )
     while True:
         now = loop.time()
         if now - observed_at > MAX_GAP_S:
@@ -37,6 +43,14 @@
             )
         observed_at = now
         checker.observe(now, waiting_tasks(cluster, callers))
+        calm_s = cluster.disturbances.calm_s(now)
+        calm_since = now - calm_s if calm_s else math.inf
+        cancelled.look(
+            [each.executor for each in cluster.linked_executor_by_id.values()],
+            now,
+            undisturbed_since=calm_since,
+            steady_since=calm_since,
+        )
         await asyncio.sleep(INTERVAL_S)
 
 
--- a/standins/step_executor_client.py
+++ b/standins/step_executor_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import pycurl
 
@@ -35,7 +35,7 @@
         self.resets = True
         self.unreachable_ids: set[str] = set()
         self.unanswered_ids: set[str] = set()
-        self._delayed_starts: set[asyncio.Task[None]] = set()
+        self._delayed_orders: set[asyncio.Task[None]] = set()
 
     async def start(
         self,
@@ -52,7 +52,7 @@
         """
         executor = await self._connect(listing, timeout_s)
         if executor.random.random() < executor.delayed_share:
-            self._start_later(executor, request)
+            self._later(executor, lambda: executor.start(request, is_late=True))
             await asyncio.sleep(timeout_s)
             raise errors.PlatformUnavailable("start delayed, no answer in time")
         async with self._answering(listing, timeout_s):
@@ -74,6 +74,11 @@
             TokenOutdated: The executor has seen a higher fencing token.
         """
         executor = await self._connect(listing, timeout_s)
+        share = executor.delayed_stop_share
+        if share and executor.random.random() < share:
+            self._later(executor, lambda: executor.stop(task, run, token))
+            await asyncio.sleep(timeout_s)
+            raise errors.PlatformUnavailable("stop delayed, no answer in time")
         async with self._answering(listing, timeout_s):
             executor.stop(task, run, token)
 
@@ -133,9 +138,10 @@
         async with self._answering(listing, timeout_s):
             executor.pace(task, run, percent, token)
 
-    def _start_later(
-        self, executor: step_executors.Executor, request: messages.StartRequest
+    def _later(
+        self, executor: step_executors.Executor, carry_out: Callable[[], object]
     ) -> None:
+        """Carry an order out 2 to 12 s later, as the users' platform does."""
         born_at = executor.born_at
 
         async def apply() -> None:
@@ -143,13 +149,13 @@
             if executor.born_at != born_at:
                 return  # A restart drops the requests that were received.
             try:
-                executor.start(request)
+                carry_out()
             except errors.TokenOutdated:
                 return
 
         task = asyncio.create_task(apply())
-        self._delayed_starts.add(task)
-        task.add_done_callback(self._delayed_starts.discard)
+        self._delayed_orders.add(task)
+        task.add_done_callback(self._delayed_orders.discard)
 
     async def _connect(
         self, listing: messages.Listing, timeout_s: float
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -39,7 +39,9 @@
             it is paused.
         whole_since: Loop time since which all members of its gang run; None
             before, and for other tasks.
-        waits_since: Loop time since which it waits for members of its gang.
+        started_at: Loop time of its start; a member of a gang waits for the
+            others from then on.
+        is_late: Whether its start was carried out long after it was sent.
     """
 
     number: int
@@ -52,7 +54,8 @@
     pace: int = 100
     paused_work_s: float | None = None
     whole_since: float | None = None
-    waits_since: float = 0.0
+    started_at: float = 0.0
+    is_late: bool = False
 
     def is_best_effort(self) -> bool:
         """Return whether it uses only processors that others leave unused."""
@@ -90,7 +93,8 @@
     ``advance_by_executor`` holds the functions that simulate each executor up
     to now, ``starts`` the number of started runs, and ``started_jobs`` the
     jobs they belong to. A test sets ``cancelled_at``, the loop time of an
-    acknowledged cancellation by job.
+    acknowledged cancellation by job, and may set ``cancel_asked_at``, that of
+    the first request for it.
 
     Args:
         loop: Loop that drives the time.
@@ -108,6 +112,7 @@
         self.starts = 0
         self.started_jobs: set[str] = set()
         self.cancelled_at: dict[str, float] = {}
+        self.cancel_asked_at: dict[str, float] = {}
         self._loop = loop
 
     def record(self, text: str) -> None:
@@ -177,6 +182,7 @@
         cut: Whether calls are lost.
         delayed_share: Share of the start requests that take effect seconds
             later, without an answer.
+        delayed_stop_share: The same for requests to stop a run.
         fail_all: Whether every run fails at once.
         steps_by_spec: Steps of the job, by its text. Without them only the
             processors of its tasks are known.
@@ -199,6 +205,7 @@
     highest_run_by_task: dict[str, int] = dataclasses.field(default_factory=dict)
     cut: bool = False
     delayed_share: float = 0.0
+    delayed_stop_share: float = 0.0
     fail_all: bool = False
     steps_by_spec: dict[str, list[workflow_messages.Step]] = dataclasses.field(
         default_factory=dict
@@ -270,7 +277,7 @@
         if run.whole_since is None and is_whole:
             run.whole_since = now
             run.ends_at = now + self._run_s(run.spec, task)
-        elif run.whole_since is None and now > run.waits_since + GANG_WAIT_S:
+        elif run.whole_since is None and now > run.started_at + GANG_WAIT_S:
             self._end_run(task, "alone")
         elif run.whole_since is not None and not is_whole:
             self._end_run(task, "broken")
@@ -303,9 +310,15 @@
             self.listing, born_ms=self.listing.born_ms + 1
         )
 
-    def start(self, request: messages.StartRequest) -> messages.StartReply:
+    def start(
+        self, request: messages.StartRequest, *, is_late: bool = False
+    ) -> messages.StartReply:
         """Apply a start request.
 
+        Args:
+            request: The request.
+            is_late: Whether it was sent seconds ago.
+
         Raises:
             TokenOutdated: A higher fencing token was seen.
         """
@@ -322,7 +335,7 @@
         if clock_ms > request.deadline_ms:
             return messages.StartReply(messages.LATE, clock_ms)
         self._extend_lease(request.deadline_ms)
-        self._start_run(request)
+        self._start_run(request, is_late=is_late)
         return messages.StartReply(messages.STARTED, clock_ms)
 
     def stop(self, task: str, run: int, token: int) -> None:
@@ -425,7 +438,7 @@
             raise errors.TokenOutdated(self.listing.executor_id)
         self.token = token
 
-    def _start_run(self, request: messages.StartRequest) -> None:
+    def _start_run(self, request: messages.StartRequest, *, is_late: bool) -> None:
         cpu, _seconds = self.size_by_spec[request.spec]
         step = self._step(request)
         if step is not None:
@@ -444,7 +457,8 @@
             ends_at,
             fails=self.fail_all,
             step=step,
-            waits_since=now,
+            started_at=now,
+            is_late=is_late,
         )
         self.wake()
         self.breaches.record_start(request.task, self.listing.executor_id)
