Answer requests that reach an owner as it ends

What callers saw: 500 to a cancel or a state at the owner's own instance, in place of 504, and no other owner was asked.

Cause: the TaskGroup of a shard starts no task once it ends and raises RuntimeError, which no request expects. A shard is served until its main task has been cancelled, and a request may hold it across a wait, so there is a turn of the event loop in which a cancel that stops runs met that error.

Change: shard_server._spawn raises NotOwner there. Every request handles it and asks the next owner; a cancel is told as unknown, as its record may be under way.

The new test failed before.

--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -111,7 +111,8 @@
         shard: state.Shard | None = None
         try:
             async with asyncio.TaskGroup() as group:
-                shard = self._make_shard(number, claim, group.create_task)
+                spawn = functools.partial(_spawn, group)
+                shard = self._make_shard(number, claim, spawn)
                 async with self._registered(shard):
                     await self._load_and_serve(shard)
         except asyncio.CancelledError:
@@ -296,6 +297,22 @@
         )
 
 
+def _spawn(
+    group: asyncio.TaskGroup, coroutine: Coroutine[Any, Any, Any]
+) -> asyncio.Task[Any]:
+    """Start a task that ends with the ownership.
+
+    Raises:
+        NotOwner: The ownership is ending. A request that was under way may
+            still reach the shard then.
+    """
+    try:
+        return group.create_task(coroutine)
+    except RuntimeError as error:
+        coroutine.close()
+        raise errors.NotOwner("the ownership of the shard is ending") from error
+
+
 async def _note_release(shard: state.Shard) -> None:
     """Tell the next owner in the journal that this one has stopped.
 
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -12,6 +12,7 @@
     executor_records,
     instance_quorum,
     instance_votes,
+    job_api,
     names,
     ownership,
     peer_messages,
@@ -425,3 +426,39 @@
         task.cancel()
     scene.loop.run_until_complete(journal.append_last(entry, timeout_s=0.25))
     assert "last" in scene.store.newest(names.PROGRESS_TOPIC, 0)
+
+
+def test_an_owner_that_is_ending_answers_a_cancel():
+    """Guards against an unexpected error where a cancel meets a lost shard.
+
+    The cancel stops runs, and no task can be started for that any more. It may
+    have taken effect, as its record may be under way.
+    """
+    job_id = schedules.job_id(7)
+
+    async def scenario(cluster):
+        instance = cluster.start("m0")
+        await asyncio.sleep(4)
+        assert await cluster.submit(job_id, schedules.steps(4), seconds=60.0)
+        await asyncio.sleep(1)
+        shard = shard_cluster.shard_zero(instance)
+        replies = []
+
+        async def lose_shard():
+            raise errors.WriterFenced("another instance owns the shard")
+
+        def ask(task):
+            # The tasks of the shard are being cancelled, and it is served yet.
+            assert instance.job_api._server.shard_by_number
+            try:
+                job_api._cancel(shard, job_id).send(None)
+            except StopIteration as stop:
+                replies.append(stop.value)
+
+        shard.spawn(lose_shard()).add_done_callback(ask)
+        await asyncio.sleep(0.1)
+        (reply,) = replies
+        assert reply.refused.startswith("NotOwner")
+        assert reply.unknown
+
+    schedules.run_scenario(scenario)
