--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import random
 from collections.abc import Callable, Collection, Iterator
 from typing import NoReturn
@@ -25,6 +26,10 @@
 STORE_TIMEOUT_S = 0.4  # Fifty times the store's usual response time.
 MAX_STORE_TIMEOUT_S = 1.2
 PEER_TIMEOUT_S = 0.5
+# Copies of a request that are sent to an owner that does not answer: a second
+# one, as the connection of the first may have fallen silent. An owner that is
+# late gets later by each further one.
+MAX_COPIES = 2
 RETRY_S = 0.05
 MAX_RETRY_S = 0.3
 OWNER_LOOKUP_INTERVAL_S = 0.2
@@ -465,8 +470,9 @@
         """Ask until an owner answers; return None once the time is over."""
         give_up_at = self._clock.monotonic() + wait_s * RETRY_BUDGET_SHARE
         retry_s = RETRY_S
+        ask_known_owner = functools.partial(self._ask_known_owner, give_up_at)
         while True:
-            for ask in (self.answer_peer, self._ask_known_owner):
+            for ask in (self.answer_peer, ask_known_owner):
                 try:
                     reply = await ask(request)
                 except asyncio.CancelledError:
@@ -486,7 +492,7 @@
             retry_s = min(MAX_RETRY_S, retry_s * 2)
 
     async def _ask_known_owner(
-        self, request: peer_messages.PeerRequest
+        self, give_up_at: float, request: peer_messages.PeerRequest
     ) -> peer_messages.PeerReply:
         member = self._member_by_shard.get(request.shard)
         if member is None or member == self._member:
@@ -499,7 +505,7 @@
         if member == self._member:
             return await self.answer_peer(request)
         try:
-            reply = await self._peers.call(member, request, timeout_s=PEER_TIMEOUT_S)
+            reply = await self._call_owner(member, request, give_up_at)
         except errors.PeerUnreachable as error:
             await self._look_up_owners()
             changes_state = request.kind == "cancel"
@@ -517,6 +523,51 @@
             await self._look_up_owners()
         return reply
 
+    async def _call_owner(
+        self, member: str, request: peer_messages.PeerRequest, give_up_at: float
+    ) -> peer_messages.PeerReply:
+        """Call the owner of a shard until it answers or is the owner no more.
+
+        An owner that is short of processor time answers late. It would be
+        asked again and again if each call had a short time limit, and every
+        request would make it later.
+
+        Args:
+            member: Owner by what is known here.
+            request: Request that may be carried out twice.
+            give_up_at: Monotonic time at which no answer is of use any more.
+
+        Raises:
+            PeerUnreachable: No usable answer came; another member may own the
+                shard by now.
+        """
+        calls: set[asyncio.Task[peer_messages.PeerReply]] = set()
+        copies = 0
+        try:
+            while True:
+                left_s = max(PEER_TIMEOUT_S, give_up_at - self._clock.monotonic())
+                if copies < MAX_COPIES:
+                    copies += 1
+                    call = self._peers.call(member, request, timeout_s=left_s)
+                    calls.add(asyncio.create_task(call))
+                ended, calls = await asyncio.wait(
+                    calls,
+                    timeout=PEER_TIMEOUT_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                failures = [call for call in ended if call.exception() is not None]
+                answers = ended.difference(failures)
+                if answers:
+                    return answers.pop().result()
+                if not calls:
+                    return failures[0].result()  # Raises its error.
+                await self._look_up_owners()
+                if self._member_by_shard.get(request.shard) != member:
+                    raise errors.PeerUnreachable(f"{member} owns the shard no more")
+        finally:
+            for call in calls:
+                call.cancel()
+
     async def _look_up_owners(self) -> None:
         now = self._clock.monotonic()
         if now - self._looked_up_at < OWNER_LOOKUP_INTERVAL_S:
