--- a/limpetstream/shard/proof.py
+++ b/limpetstream/shard/proof.py
@@ -91,11 +91,17 @@
     """Return whether the owner before has ended, and all before it.
 
     No owner has claimed the shard between the one before and this one. The
-    epoch of an unknown one is 0.
+    epoch of an unknown one is 0. Those before it have stopped if that is known
+    of them, or if the last proof that one of them can have has expired: the
+    owner before has found out when proofs ended, and may have served for less
+    than ``VALIDITY_S`` since.
     """
     if not math.isfinite(shard.previous_ended_at) or not shard.previous_epoch:
         return False
-    return shard.proof_ends.stopped_below >= shard.previous_epoch
+    if shard.proof_ends.stopped_below >= shard.previous_epoch:
+        return True
+    ended_at = shard.proof_ends.ended_at(shard.previous_epoch - 1)
+    return shard.clock.monotonic() - ended_at > VALIDITY_S
 
 
 def may_tell_open(shard: state.Shard, job: workflow_state.Job) -> bool:
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -225,6 +225,16 @@
         "shard/tests/test_ended_owners.py::"
         "test_owners_before_one_that_has_ended_may_still_act[5]",
     ),
+    removed_checks.Removal(
+        "stopped-before-expired",
+        STOPPED,
+        f"{SHARD}.proof",
+        "_has_chain_of_owners_ended",
+        "> VALIDITY_S",
+        "> 0.0",
+        "shard/tests/test_ended_owners.py::"
+        "test_owners_before_have_stopped_once_their_last_proofs_have_expired",
+    ),
     removed_checks.Removal(
         "stopped-unknown",
         STOPPED,
--- a/limpetstream/shard/tests/test_ended_owners.py
+++ b/limpetstream/shard/tests/test_ended_owners.py
@@ -248,6 +248,20 @@
     assert not has_stopped(scene)
 
 
+def test_owners_before_have_stopped_once_their_last_proofs_have_expired(scene):
+    """Guards against waits that begin anew at each owner, and against none.
+
+    The owner before, of epoch 6, has found when earlier proofs ended.
+    """
+    scene.peers.released = {"m6"}
+    ask(scene)
+    now = scene.shard.clock.monotonic()
+    scene.shard.proof_ends.note(6, now - proof.VALIDITY_S + 0.1)
+    assert not has_stopped(scene)
+    scene.advance(0.2)
+    assert has_stopped(scene)
+
+
 def test_an_unknown_owner_before_may_still_act(scene):
     """Guards against a cancel beside an owner whose claim cannot be read."""
     scene.shard.previous_epoch = 0
--- a/limpetstream/shard/tests/test_refused_cancels.py
+++ b/limpetstream/shard/tests/test_refused_cancels.py
@@ -56,3 +56,48 @@
         assert refused.type is errors.OutcomeUnknown
 
     assert not schedules.run_scenario(scenario).breaches.found
+
+
+def test_a_cancel_is_acknowledged_by_owners_that_are_stopped_soon():
+    """Guards against refused cancels while each owner serves for under 2 s.
+
+    The first owner is killed, so the next one has to wait until its last proof
+    has expired; it and all later ones are stopped in order before that. The
+    users' callers expect an acknowledgement within 4 s.
+    """
+    serves_s, within_s = 1.9, 4.0
+
+    async def stop_in_turn(cluster):
+        for number in range(10, 30):
+            claimed = await wait_for_owner(cluster)
+            await asyncio.sleep(serves_s)
+            cluster.start(f"m{number}")
+            await cluster.instance_by_member[claimed].ownership.leave()
+
+    async def wait_for_owner(cluster):
+        while cluster.owner_member() is None:
+            await asyncio.sleep(0.01)
+        return cluster.owner_member()
+
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        for number in range(4):
+            cluster.start(f"m{number}")
+        await asyncio.sleep(4)
+        assert await cluster.submit(JOB_ID, schedules.steps(4), seconds=60.0)
+        await cluster.kill(cluster.owner_member())
+        stopping = asyncio.create_task(stop_in_turn(cluster))
+        await wait_for_owner(cluster)
+        asked_at = loop.time()
+        api = cluster.instance_by_member[cluster.owner_member()].job_api
+        is_known = None
+        while is_known is None and loop.time() < asked_at + 20.0:
+            try:
+                is_known = await api.cancel(JOB_ID, wait_s=1.0)
+            except (errors.NotRun, errors.OutcomeUnknown):
+                await asyncio.sleep(0.1)
+        stopping.cancel()
+        assert is_known
+        assert loop.time() < asked_at + within_s
+
+    schedules.run_scenario(scenario)
