Carry on cancels whose callers were told that they are unknown

Cause: an owner notes a cancel in its memory before it may acknowledge it. If its appends fail, the next owner does not know of it.

Change: the instance that has told a caller "unknown" goes on asking owners for that cancel for a minute, one cancel after the other, 1,000 at most.

--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -431,3 +431,10 @@
     "The journal may not tell that this owner has released the shard.",
     "None; the next owner asks this instance, or waits for 2 s.",
 )
+CANCEL_CARRIED = events.declare(
+    1569,
+    "cancel-carried",
+    "INFO",
+    "A cancel whose caller was told that it is unknown was asked for once more.",
+    "If it was not taken, no owner has answered for a minute: see owner-looked-up.",
+)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -11,6 +11,7 @@
 from limpetstream import clock as clock_module, errors, recent_ids
 from limpetstream.border import closing as closing_module
 from limpetstream.shard import (
+    carried_cancels,
     events,
     names,
     peer_messages,
@@ -107,6 +108,11 @@
         self._probe_at = float("-inf")
         self._stored_jobs = recent_ids.RecentIds()
         self._possibly_stored_jobs = recent_ids.RecentIds()
+        self._carried_cancels = carried_cancels.CarriedCancels(self._cancel_once, clock)
+
+    def close(self) -> None:
+        """End the tasks of this instance."""
+        self._carried_cancels.close()
 
     async def submit(
         self,
@@ -253,11 +259,23 @@
             OutcomeUnknown: An owner may have taken it.
         """
         shard = names.shard_of(job_id, self._shard_count)
-        reply = await self._ask_owner(
-            peer_messages.PeerRequest("cancel", shard, job_id=job_id), wait_s
-        )
+        try:
+            reply = await self._ask_owner(
+                peer_messages.PeerRequest("cancel", shard, job_id=job_id), wait_s
+            )
+        except errors.OutcomeUnknown:
+            self._carried_cancels.add(job_id)
+            raise
+        self._carried_cancels.discard(job_id)
         return reply.known
 
+    async def _cancel_once(self, job_id: str) -> bool:
+        """Ask for a cancel once more; return whether an owner has taken it."""
+        shard = names.shard_of(job_id, self._shard_count)
+        request = peer_messages.PeerRequest("cancel", shard, job_id=job_id)
+        reply = await self._ask_repeatedly(request, PEER_TIMEOUT_S, _Asked())
+        return reply is not None
+
     async def count_waiting_jobs(self, queue: str, *, wait_s: float) -> int:
         """Return how many accepted jobs of a queue have not started.
 
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -297,6 +297,7 @@
         instance.gate.open.set()
         instance.store.faults.cut = True
         instance.executor_client.cut = True
+        instance.job_api.close()
         instance.task.cancel()
         await asyncio.gather(instance.task, return_exceptions=True)
 
