--- a/search/fault_world.py
+++ b/search/fault_world.py
@@ -89,8 +89,8 @@
         self._proofs_ended: tuple[int, float] = (0, 0.0)
         self._loop = asyncio.get_running_loop()
         self.last_change_at = 0.0
-        # The last change that is no planned work on executors, and the last
-        # one of the store, of links or of executors that is none.
+        # Time of the last change that is not planned work on executors, and
+        # of the last one of these that is no end or start of an instance.
         self.last_disturbance_at = 0.0
         self.last_unsteady_at = 0.0
 
