Let no cancel be due that nobody has got

Change: a caller that gives up takes its cancel back if every try was refused or could not be sent, in soak and search.

--- a/search/plays.py
+++ b/search/plays.py
@@ -272,19 +272,26 @@
 
 
 async def _cancel(world: fault_world.World, job_id: str) -> None:
-    """Cancel a job at random instances until one confirms; eight tries."""
+    """Cancel a job at random instances until one confirms; eight tries.
+
+    A cancel that was refused each time waits for no answer any more.
+    """
     cluster = world.cluster
     cluster.breaches.cancel_asked_at[job_id] = world.now()
+    may_be_taken = False
     for _ in range(8):
         member = cluster.random.choice(list(cluster.instance_by_member))
         api = cluster.instance_by_member[member].job_api
         try:
             await api.cancel(job_id, wait_s=2.0)
-        except (errors.NotRun, errors.OutcomeUnknown):
+        except (errors.NotRun, errors.OutcomeUnknown) as error:
+            may_be_taken |= isinstance(error, errors.OutcomeUnknown)
             await asyncio.sleep(0.5)
         else:
             cluster.breaches.cancelled_at.setdefault(job_id, world.now())
             return
+    if not may_be_taken:
+        del cluster.breaches.cancel_asked_at[job_id]
 
 
 async def _check_jobs(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -266,23 +266,30 @@
     async def _cancel(self, job: Job) -> None:
         """Cancel a job; any status but 200 and 410 is retried.
 
-        A cancellation that no attempt gets acknowledged is no finding.
+        A cancellation that no attempt gets acknowledged is no finding. It is
+        due all the same if an instance may have taken it; one that nobody has
+        got, or that was refused each time, waits for no answer any more.
         """
         job.cancel_requested = True
         loop = asyncio.get_running_loop()
         breaches = self._cluster.breaches
         breaches.cancel_asked_at[job.job_id] = loop.time()
+        may_be_taken = False
         for _ in range(MAX_ATTEMPTS):
-            status = (await self._call("DELETE", job)).status
-            if status == 410 and job.accepted:
+            answer = await self._call("DELETE", job)
+            if answer.status == 410 and job.accepted:
                 self._add_finding(
                     job, "was accepted but is reported unknown on cancellation"
                 )
-            if status in (200, 410):
+            if answer.status in (200, 410):
                 job.cancelled = True
                 breaches.cancelled_at.setdefault(job.job_id, loop.time())
                 return
+            is_refused = answer.status in REFUSAL_STATUSES or not answer.was_sent
+            may_be_taken = may_be_taken or not is_refused
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
+        if not may_be_taken:
+            del breaches.cancel_asked_at[job.job_id]
 
     async def _poll_job(self, job: Job) -> None:
         answer = await self._call("GET", job)
