Let a cancel be due only if it was answered, or told as unknown

No instance has a line on that cancel; a relay had accepted the caller's connections while the instances behind it were down, so the tries counted as sent.

Change: a caller that gives up takes its cancel back unless it was told 504. A caller that goes on asking is judged as before.

--- a/search/plays.py
+++ b/search/plays.py
@@ -278,19 +278,19 @@
     """
     cluster = world.cluster
     cluster.breaches.cancel_asked_at[job_id] = world.now()
-    may_be_taken = False
+    is_told_unknown = False
     for _ in range(8):
         member = cluster.random.choice(list(cluster.instance_by_member))
         api = cluster.instance_by_member[member].job_api
         try:
             await api.cancel(job_id, wait_s=2.0)
         except (errors.NotRun, errors.OutcomeUnknown) as error:
-            may_be_taken |= isinstance(error, errors.OutcomeUnknown)
+            is_told_unknown |= isinstance(error, errors.OutcomeUnknown)
             await asyncio.sleep(0.5)
         else:
             cluster.breaches.cancelled_at.setdefault(job_id, world.now())
             return
-    if not may_be_taken:
+    if not is_told_unknown:
         del cluster.breaches.cancel_asked_at[job_id]
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -267,14 +267,14 @@
         """Cancel a job; any status but 200 and 410 is retried.
 
         A cancellation that no attempt gets acknowledged is no finding. It is
-        due all the same if an instance may have taken it; one that nobody has
-        got, or that was refused each time, waits for no answer any more.
+        due all the same if an instance has told that it may take effect; one
+        that was refused or got no answer each time waits for none any more.
         """
         job.cancel_requested = True
         loop = asyncio.get_running_loop()
         breaches = self._cluster.breaches
         breaches.cancel_asked_at[job.job_id] = loop.time()
-        may_be_taken = False
+        is_told_unknown = False
         for _ in range(MAX_ATTEMPTS):
             answer = await self._call("DELETE", job)
             if answer.status == 410 and job.accepted:
@@ -285,10 +285,9 @@
                 job.cancelled = True
                 breaches.cancelled_at.setdefault(job.job_id, loop.time())
                 return
-            is_refused = answer.status in REFUSAL_STATUSES or not answer.was_sent
-            may_be_taken = may_be_taken or not is_refused
+            is_told_unknown = is_told_unknown or answer.status == 504
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
-        if not may_be_taken:
+        if not is_told_unknown:
             del breaches.cancel_asked_at[job.job_id]
 
     async def _poll_job(self, job: Job) -> None:
