Test that the search is red with two mends taken out

cancel_draws, seed 10760 without the cancels that are carried on and seed 2475 without the error of an owner that ends. Both are clean with the mends.

--- a/search/tests/test_cancels.py
+++ b/search/tests/test_cancels.py
@@ -2,13 +2,20 @@
 
 import pytest
 
-from limpetstream.shard import status_reports, stops
+from limpetstream.shard import (
+    carried_cancels,
+    shard_server,
+    status_reports,
+    stops,
+)
 from limpetstream.workflow import messages
 from search import cancel_draws, plays
 
 SEEDS = range(0, 30)
 RED_SEED_IF_CANCELLED_RUNS_ARE_NOT_STOPPED = 0
 RED_SEED_IF_UNKNOWN_RUNS_ARE_NOT_STOPPED = 90
+RED_SEED_IF_UNKNOWN_CANCELS_ARE_NOT_CARRIED_ON = 10760
+RED_SEED_IF_AN_OWNER_THAT_ENDS_RAISES_ANY_ERROR = 2475
 
 
 def play(seed):
@@ -43,6 +50,26 @@
     assert any("goes on" in breach for breach in play(seed))
 
 
+def test_the_search_finds_cancels_that_only_an_ended_owner_knew(monkeypatch):
+    """Guards against a search that is clean if nobody asks for them again."""
+    seed = RED_SEED_IF_UNKNOWN_CANCELS_ARE_NOT_CARRIED_ON
+    assert not play(seed)
+    monkeypatch.setattr(
+        carried_cancels.CarriedCancels, "add", lambda carried, job_id: None
+    )
+    assert any("goes on" in breach for breach in play(seed))
+
+
+def test_the_search_finds_errors_of_owners_that_end(monkeypatch):
+    """Guards against a search that is clean if requests meet such an error."""
+    seed = RED_SEED_IF_AN_OWNER_THAT_ENDS_RAISES_ANY_ERROR
+    assert not play(seed)
+    monkeypatch.setattr(
+        shard_server, "_spawn", lambda group, coroutine: group.create_task(coroutine)
+    )
+    assert any("RuntimeError" in breach for breach in play(seed))
+
+
 @pytest.mark.parametrize("seed", SEEDS[:5])
 def test_most_jobs_of_a_draw_are_cancelled(seed):
     """Guards against a search that cancels too little."""
