--- a/bench/_reference_placement.py
+++ b/bench/_reference_placement.py
@@ -6,12 +6,13 @@
 
 from typing import Any
 
-from limpetstream.batch import fleet, jobs, placement, quotas, worker_index
+from limpetstream import amounts
+from limpetstream.batch import fleet, jobs, placement, worker_index
 
 
 def capacities_by_worker(
     state: jobs.Jobs, tree: Any, instances: list[Any]
-) -> dict[str, tuple[Any, tuple[str, ...], quotas.Amount, quotas.Amount]]:
+) -> dict[str, tuple[Any, tuple[str, ...], amounts.Amount, amounts.Amount]]:
     """Return instance, services, size and free capacity by worker id.
 
     They are summed up from all tasks, without the index.
@@ -30,7 +31,7 @@
     for task in state.task_by_id.values():
         if task.state == "placed":
             instance, services, size, free = by_worker[task.worker]
-            free = quotas.subtract(free, task.size)
+            free = amounts.subtract(free, task.size)
             by_worker[task.worker] = (instance, services, size, free)
     return by_worker
 
--- a/limpetstream/admin/cluster_operations.py
+++ b/limpetstream/admin/cluster_operations.py
@@ -9,9 +9,8 @@
 
 import msgspec
 
-from limpetstream import errors
+from limpetstream import amounts, errors
 from limpetstream.admin import handlers, messages, openapi, work_operations
-from limpetstream.batch import quotas
 from limpetstream.telemetry import histograms
 
 if TYPE_CHECKING:
@@ -172,9 +171,9 @@
         if filter_name and each.data_centre != filter_name:
             continue
         ids = components.jobs.task_ids_by_worker.get(each.id, {})
-        total = quotas.ZERO
+        total = amounts.ZERO
         for task in ids:
-            total = quotas.add(total, components.jobs.task_by_id[task].size)
+            total = amounts.add(total, components.jobs.task_by_id[task].size)
         used = work_operations.amount_row(total)
         rows.append(
             {
--- a/limpetstream/admin/work_operations.py
+++ b/limpetstream/admin/work_operations.py
@@ -4,9 +4,9 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from limpetstream import errors
+from limpetstream import amounts, errors
 from limpetstream.admin import handlers, openapi
-from limpetstream.batch import explain, quotas
+from limpetstream.batch import explain
 
 if TYPE_CHECKING:
     from limpetstream.entry import components as entry_components
@@ -14,12 +14,12 @@
 READ = "read"
 MAX_JOB_ROWS = 1000
 ACCOUNT_PAGE_ROWS = 500
-# quotas.Amount counts millicores and MB.
+# amounts.Amount counts millicores and MB.
 MILLICORES_PER_CORE = 1000
 MB_PER_GB = 1024
 
 
-def amount_row(size: quotas.Amount) -> dict[str, float]:
+def amount_row(size: amounts.Amount) -> dict[str, float]:
     """Return an amount of resources in cores, GB and accelerators."""
     return {
         "cores": size[0] / MILLICORES_PER_CORE,
@@ -31,7 +31,7 @@
 def team_row(components: "entry_components.Components", name: str) -> dict[str, Any]:
     """Return the quota, the use and the borrowed cores of a team."""
     settings = components.core.tree.team(name)
-    used = amount_row(components.jobs.quota.used_by_team.get(name, quotas.ZERO))
+    used = amount_row(components.jobs.quota.used_by_team.get(name, amounts.ZERO))
     cores = used["cores"]
     quota = settings.quota_cores
     return {
--- a/limpetstream/batch/data_centre_scheduler.py
+++ b/limpetstream/batch/data_centre_scheduler.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Iterator
 
-from limpetstream import errors
+from limpetstream import amounts, errors
 from limpetstream.batch import (
     colocation,
     colocation_monitor,
@@ -21,7 +21,6 @@
     outbox,
     planner,
     quarantine,
-    quotas,
     tasks,
     worker_controller,
 )
@@ -186,10 +185,10 @@
         """Count a start that a worker has confirmed."""
         self.context.metrics.increment("batch_starts", data_centre=self.data_centre)
 
-    def size_of(self, worker: str) -> quotas.Amount:
+    def size_of(self, worker: str) -> amounts.Amount:
         """Return what batch tasks may use of a worker, by declared sizes."""
         capacity = self.fleet.workers.capacity_by_worker.get(worker)
-        return capacity.size if capacity is not None else quotas.ZERO
+        return capacity.size if capacity is not None else amounts.ZERO
 
     def share_by_task(self) -> dict[str, float]:
         """Return each task's share of its processors, wanted or in force."""
--- a/limpetstream/batch/explain.py
+++ b/limpetstream/batch/explain.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Any
 
+from limpetstream import amounts
 from limpetstream.batch import (
     demand,
     fleet,
@@ -72,7 +73,7 @@
     """
     found: dict[str, None] = {}
     for number, group in enumerate(submit.tasks):
-        need = quotas.amount(group.cores, group.memory_gb, group.accelerators)
+        need = amounts.amount(group.cores, group.memory_gb, group.accelerators)
         prefix = f"tasks[{number}]: "
         for reason in quota.impossible_reasons(submit.team, need):
             found[prefix + reason] = None
@@ -86,7 +87,7 @@
 
 
 def _size_reasons(
-    need: quotas.Amount, capacities: list[worker_index.WorkerCapacity]
+    need: amounts.Amount, capacities: list[worker_index.WorkerCapacity]
 ) -> list[str]:
     if not capacities:
         return []
@@ -100,7 +101,7 @@
                 f"leaves {maximum / units:g} beside its executors"
             )
     if not reasons and not any(
-        quotas.fits(need, capacity.size) for capacity in capacities
+        amounts.fits(need, capacity.size) for capacity in capacities
     ):
         reasons.append("no single worker is large enough in all dimensions at once")
     return reasons
@@ -173,7 +174,7 @@
 def _capacity_reasons(
     task: tasks.Task, usable: list[worker_index.WorkerCapacity]
 ) -> list[str]:
-    if any(quotas.fits(task.size, capacity.usable()) for capacity in usable):
+    if any(amounts.fits(task.size, capacity.usable()) for capacity in usable):
         return []
     reasons = []
     for resource, name in enumerate(RESOURCE_NAMES):
--- a/limpetstream/batch/fleet.py
+++ b/limpetstream/batch/fleet.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 from typing import Any
 
+from limpetstream import amounts
 from limpetstream.batch import (
     jobs,
     placement,
-    quotas,
     tasks,
     usage_estimates,
     worker_index,
@@ -19,7 +19,7 @@
 
 def worker_size(
     instance: Any, executors: Iterable[Any], tree: Any
-) -> tuple[quotas.Amount, tuple[str, ...]]:
+) -> tuple[amounts.Amount, tuple[str, ...]]:
     """Return what batch tasks may use of a worker, and its desk services.
 
     Args:
@@ -39,8 +39,8 @@
             service = tree.service(executor.service)
         except KeyError:
             continue
-        reserved = quotas.amount(service.executor_cores, service.executor_memory_gb, 0)
-        size = quotas.subtract(size, reserved)
+        reserved = amounts.amount(service.executor_cores, service.executor_memory_gb, 0)
+        size = amounts.subtract(size, reserved)
     return (max(0, size[0]), max(0, size[1]), size[2]), tuple(sorted(services))
 
 
@@ -113,11 +113,11 @@
         size, services = worker_size(instance, executors, self.tree)
         free = size
         headroom = (int(size[0] * HEADROOM_SHARE), int(size[1] * HEADROOM_SHARE), 0)
-        estimated_free = quotas.subtract(size, headroom)
+        estimated_free = amounts.subtract(size, headroom)
         for task_id in self.state.task_ids_by_worker.get(worker, ()):
             task = self.state.task_by_id[task_id]
-            free = quotas.subtract(free, task.size)
-            estimated_free = quotas.subtract(estimated_free, self.effective_size(task))
+            free = amounts.subtract(free, task.size)
+            estimated_free = amounts.subtract(estimated_free, self.effective_size(task))
         self.workers.put(
             worker_index.WorkerCapacity(
                 worker,
@@ -130,13 +130,13 @@
             )
         )
 
-    def effective_size(self, task: tasks.Task) -> quotas.Amount:
+    def effective_size(self, task: tasks.Task) -> amounts.Amount:
         """Return the larger of a task's declared and learned size."""
         work_class = self.state.job_by_id[task.job].submit.work_class
         cores, memory_gb = self.usage_model.size(work_class)
         if cores == 0.0:
             return task.size
-        learned = quotas.amount(cores, memory_gb, 0)
+        learned = amounts.amount(cores, memory_gb, 0)
         return (
             max(task.size[0], learned[0]),
             max(task.size[1], learned[1]),
@@ -179,7 +179,7 @@
             for capacity in self.workers.capacity_by_worker.values()
             if capacity.id not in avoided
         )
-        if any(quotas.fits(task.size, capacity.size) for capacity in others):
+        if any(amounts.fits(task.size, capacity.size) for capacity in others):
             return avoided
         return frozenset()
 
--- a/limpetstream/batch/jobs.py
+++ b/limpetstream/batch/jobs.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from limpetstream import amounts
 from limpetstream.batch import attempt_ends, messages, quotas, snapshots, tasks
 from limpetstream.records import registry, view
 
@@ -62,7 +63,7 @@
     task_ids_by_worker: dict[str, dict[str, None]] = dataclasses.field(
         default_factory=dict
     )
-    used_by_data_centre: dict[str, quotas.Amount] = dataclasses.field(
+    used_by_data_centre: dict[str, amounts.Amount] = dataclasses.field(
         default_factory=dict
     )
     pending: tasks.PendingQueue = dataclasses.field(default_factory=tasks.PendingQueue)
@@ -103,7 +104,7 @@
         job = tasks.Job(submit, offset)
         self.job_by_id[submit.job] = job
         for group in submit.tasks:
-            size = quotas.amount(group.cores, group.memory_gb, group.accelerators)
+            size = amounts.amount(group.cores, group.memory_gb, group.accelerators)
             for _ in range(group.count):
                 task_id = f"{submit.job}/{len(job.task_ids)}"
                 job.task_ids.append(task_id)
@@ -202,8 +203,8 @@
         self.quota.acquire(job.submit.team, task.size)
         job.adjust_worker_count(task.worker, 1)
         self.task_ids_by_worker.setdefault(task.worker, {})[task.id] = None
-        used = self.used_by_data_centre.get(task.data_centre, quotas.ZERO)
-        self.used_by_data_centre[task.data_centre] = quotas.add(used, task.size)
+        used = self.used_by_data_centre.get(task.data_centre, amounts.ZERO)
+        self.used_by_data_centre[task.data_centre] = amounts.add(used, task.size)
         self._notify_worker_change(task.worker)
 
     def _release(self, job: tasks.Job, task: tasks.Task) -> None:
@@ -215,7 +216,7 @@
         if not ids:
             del self.task_ids_by_worker[worker]
         used = self.used_by_data_centre[data_centre]
-        self.used_by_data_centre[data_centre] = quotas.subtract(used, task.size)
+        self.used_by_data_centre[data_centre] = amounts.subtract(used, task.size)
         task.worker = task.data_centre = ""
         self._notify_worker_change(worker)
 
--- a/limpetstream/batch/placement.py
+++ b/limpetstream/batch/placement.py
@@ -4,7 +4,8 @@
 import dataclasses
 from collections.abc import Callable
 
-from limpetstream.batch import quotas, worker_index
+from limpetstream import amounts
+from limpetstream.batch import worker_index
 
 DATA_CENTRE_PENALTY = 0.10
 RACK_PENALTY = 0.25
@@ -64,7 +65,7 @@
         avoided_workers: Workers on which tasks of the same job failed.
     """
 
-    need: quotas.Amount
+    need: amounts.Amount
     slowdown: Callable[[tuple[str, ...]], float] = lambda services: 1.0
     siblings: SiblingCounts = dataclasses.field(default_factory=SiblingCounts)
     spread: str = "rack"
@@ -72,7 +73,7 @@
     avoided_workers: frozenset[str] = frozenset()
 
 
-def fit_score(left: quotas.Amount, need: quotas.Amount) -> float:
+def fit_score(left: amounts.Amount, need: amounts.Amount) -> float:
     """Return 1 if no capacity is left over, and less the more is left.
 
     Args:
@@ -109,7 +110,7 @@
 
 def score(capacity: worker_index.WorkerCapacity, request: PlacementRequest) -> float:
     """Return the score of a worker that is large enough, from 0 to 1."""
-    left = quotas.subtract(capacity.usable(), request.need)
+    left = amounts.subtract(capacity.usable(), request.need)
     return (
         fit_score(left, request.need)
         / request.slowdown(capacity.services)
@@ -121,9 +122,9 @@
     capacity: worker_index.WorkerCapacity, request: PlacementRequest
 ) -> bool:
     """Return whether a worker has enough free capacity for a task."""
-    if not quotas.fits(request.need, capacity.free):
+    if not amounts.fits(request.need, capacity.free):
         return False
-    return request.may_use_headroom or quotas.fits(
+    return request.may_use_headroom or amounts.fits(
         request.need, capacity.estimated_free
     )
 
@@ -232,7 +233,7 @@
             break
         for capacity in racks[rack].values():
             if (
-                quotas.fits(request.need, capacity.usable())
+                amounts.fits(request.need, capacity.usable())
                 and capacity.id not in request.avoided_workers
             ):
                 value = score(capacity, request)
@@ -254,7 +255,7 @@
         for capacity in workers.capacity_by_worker.values()
         if capacity.id not in workers.closed
         and capacity.id not in request.avoided_workers
-        and quotas.fits(request.need, capacity.free)
+        and amounts.fits(request.need, capacity.free)
     ]
     return max(
         capacities,
--- a/limpetstream/batch/planner.py
+++ b/limpetstream/batch/planner.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 
+from limpetstream import amounts
 from limpetstream.batch import (
     context,
     demand,
@@ -12,7 +13,6 @@
     placement,
     preemption,
     quarantine,
-    quotas,
     tasks,
 )
 from limpetstream.telemetry import logs
@@ -95,7 +95,7 @@
         self._sync_closed_workers(now, unreachable)
         self.plans_left = MAX_PREEMPTION_PLANS
         planned: list[PlannedPlacement] = []
-        acquired: list[tuple[str, quotas.Amount]] = []
+        acquired: list[tuple[str, amounts.Amount]] = []
         weights = self._weight_by_data_centre(now)
         try:
             for priority in self.demand.priorities():
@@ -122,7 +122,7 @@
         weights: dict[str, float],
         evicting: set[str],
         planned: list[PlannedPlacement],
-        acquired: list[tuple[str, quotas.Amount]],
+        acquired: list[tuple[str, amounts.Amount]],
     ) -> None:
         """Place tasks of one priority, shape by shape in fair-share order."""
         quota = self.context.state.quota
@@ -146,7 +146,7 @@
         weights: dict[str, float],
         evicting: set[str],
         planned: list[PlannedPlacement],
-        acquired: list[tuple[str, quotas.Amount]],
+        acquired: list[tuple[str, amounts.Amount]],
     ) -> bool:
         """Place some tasks of one shape; False if no more can be placed.
 
@@ -266,7 +266,7 @@
             return True
         state = self.context.state
         share = (now - self.back_at) / RAMP_UP_S
-        used = state.used_by_data_centre.get(self.data_centre, quotas.ZERO)[0]
+        used = state.used_by_data_centre.get(self.data_centre, amounts.ZERO)[0]
         used += sum(state.task_by_id[choice.task].size[0] for choice in planned)
         limit = share * self.millicores_by_data_centre.get(self.data_centre, 0)
         return used + task.size[0] <= limit
@@ -282,7 +282,7 @@
             self.measured_at = now
         weights = {}
         for name, size in self.millicores_by_data_centre.items():
-            used = self.context.state.used_by_data_centre.get(name, quotas.ZERO)[0]
+            used = self.context.state.used_by_data_centre.get(name, amounts.ZERO)[0]
             weights[name] = max(1, round(8 * (size - used) / size)) * size
         return weights
 
--- a/limpetstream/batch/preemption.py
+++ b/limpetstream/batch/preemption.py
@@ -3,7 +3,8 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from limpetstream.batch import jobs, messages, quotas, tasks, worker_index
+from limpetstream import amounts
+from limpetstream.batch import jobs, messages, tasks, worker_index
 
 MAX_VICTIMS = 6
 """More evictions than this are not justified by the start of one task."""
@@ -84,7 +85,7 @@
     order_key: VictimOrder,
     evicting: set[str],
 ) -> tuple[tuple[float, ...], list[str]] | None:
-    if not quotas.fits(task.size, capacity.size):
+    if not amounts.fits(task.size, capacity.size):
         return None
     candidates = []
     for task_id in state.task_ids_by_worker.get(capacity.id, ()):
@@ -95,11 +96,11 @@
     candidates.sort(key=lambda pair: (pair[0], pair[1].id))
     free, chosen = capacity.free, []
     for key, other in candidates:
-        if quotas.fits(task.size, free):
+        if amounts.fits(task.size, free):
             break
         chosen.append((key, other))
-        free = quotas.add(free, other.size)
-    if not chosen or len(chosen) > MAX_VICTIMS or not quotas.fits(task.size, free):
+        free = amounts.add(free, other.size)
+    if not chosen or len(chosen) > MAX_VICTIMS or not amounts.fits(task.size, free):
         return None
     worst = max(key for key, _ in chosen)
     return (float(len(chosen)), *worst), [other.id for _, other in chosen]
--- a/limpetstream/batch/quotas.py
+++ b/limpetstream/batch/quotas.py
@@ -9,48 +9,11 @@
 import dataclasses
 from typing import Any
 
-Amount = tuple[int, int, int]
-"""Thousandths of a core, megabytes and accelerators."""
+from limpetstream import amounts
 
-ZERO: Amount = (0, 0, 0)
 UNLIMITED = -1
 
 
-def amount(cores: float, memory_gb: float, accelerators: float) -> Amount:
-    """Return a size in the integer units of ``Amount``, rounded up.
-
-    Rounding up keeps a need from being understated; quotas are rounded up too.
-    A value within 1e-6 of an integer counts as that integer.
-
-    >>> amount(0.5, 1.25, 1)
-    (500, 1280, 1)
-    """
-    return (_ceil(cores * 1000), _ceil(memory_gb * 1024), _ceil(accelerators))
-
-
-def _ceil(value: float) -> int:
-    # Correct for values that are not negative.
-    rounded = round(value)
-    return rounded if abs(value - rounded) < 1e-6 else int(value) + 1
-
-
-def add(left: Amount, right: Amount) -> Amount:
-    """Return the sum of two amounts."""
-    return (left[0] + right[0], left[1] + right[1], left[2] + right[2])
-
-
-def subtract(left: Amount, right: Amount) -> Amount:
-    """Return the difference of two amounts, which may be negative."""
-    return (left[0] - right[0], left[1] - right[1], left[2] - right[2])
-
-
-def fits(need: Amount, available: Amount) -> bool:
-    """Return whether ``need`` is at most ``available`` in every dimension."""
-    return (
-        need[0] <= available[0] and need[1] <= available[1] and need[2] <= available[2]
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class TeamLimit:
     """Limit of one team, from the settings tree.
@@ -64,7 +27,7 @@
         weight: Weight of the team in the fair-share order.
     """
 
-    quota: Amount
+    quota: amounts.Amount
     borrow: bool
     weight: float
 
@@ -85,9 +48,9 @@
     """
 
     tree: Any
-    used_by_team: dict[str, Amount] = dataclasses.field(default_factory=dict)
+    used_by_team: dict[str, amounts.Amount] = dataclasses.field(default_factory=dict)
     limit_by_team: dict[str, TeamLimit] = dataclasses.field(default_factory=dict)
-    total_limit: Amount = ZERO
+    total_limit: amounts.Amount = amounts.ZERO
     total_used: list[int] = dataclasses.field(default_factory=lambda: [0, 0, 0])
     tree_version: int | None = None
 
@@ -112,30 +75,32 @@
         for team, used in self.used_by_team.items():
             self._count(team, used, 1)
 
-    def _count(self, team: str, used: Amount, sign: int) -> None:
+    def _count(self, team: str, used: amounts.Amount, sign: int) -> None:
         limit = self.limit_by_team.get(team)
         for resource in range(3):
             if limit is not None and limit.quota[resource] != UNLIMITED:
                 self.total_used[resource] += sign * used[resource]
 
-    def acquire(self, team: str, need: Amount) -> None:
+    def acquire(self, team: str, need: amounts.Amount) -> None:
         """Add a placed task to the usage of its team; checks no limit."""
-        self.used_by_team[team] = add(self.used_by_team.get(team, ZERO), need)
+        self.used_by_team[team] = amounts.add(
+            self.used_by_team.get(team, amounts.ZERO), need
+        )
         self._count(team, need, 1)
 
-    def release(self, team: str, need: Amount) -> None:
+    def release(self, team: str, need: amounts.Amount) -> None:
         """Subtract a task that has ended from the usage of its team."""
-        self.used_by_team[team] = subtract(self.used_by_team[team], need)
+        self.used_by_team[team] = amounts.subtract(self.used_by_team[team], need)
         self._count(team, need, -1)
 
-    def within_own_quota(self, team: str, need: Amount) -> bool:
+    def within_own_quota(self, team: str, need: amounts.Amount) -> bool:
         """Return whether a task fits into the team's own quota."""
         self.refresh()
         limit = self.limit_by_team.get(team)
-        used = self.used_by_team.get(team, ZERO)
+        used = self.used_by_team.get(team, amounts.ZERO)
         return limit is not None and not _exceeded_resources(limit, used, need)
 
-    def denial_reason(self, team: str, need: Amount) -> str | None:
+    def denial_reason(self, team: str, need: amounts.Amount) -> str | None:
         """Return why the quota forbids a placement, or None if it allows it.
 
         A team may always use its own quota, even if others have borrowed so
@@ -146,7 +111,9 @@
         limit = self.limit_by_team.get(team)
         if limit is None:
             return f"team {team!r} is not in the settings"
-        exceeded = _exceeded_resources(limit, self.used_by_team.get(team, ZERO), need)
+        exceeded = _exceeded_resources(
+            limit, self.used_by_team.get(team, amounts.ZERO), need
+        )
         if exceeded and not limit.borrow:
             return f"quota of team {team!r} is used up"
         for resource in exceeded:
@@ -157,7 +124,7 @@
                 return f"quota of team {team!r} is used up and none can be borrowed"
         return None
 
-    def impossible_reasons(self, team: str, need: Amount) -> list[str]:
+    def impossible_reasons(self, team: str, need: amounts.Amount) -> list[str]:
         """Return why the present limits forbid a task even if nothing runs.
 
         The list is empty if they allow one task of this size.
@@ -167,7 +134,7 @@
         if limit is None:
             return [f"team {team!r} is not in the settings"]
         reasons = []
-        for resource in _exceeded_resources(limit, ZERO, need):
+        for resource in _exceeded_resources(limit, amounts.ZERO, need):
             maximum = self.total_limit if limit.borrow else limit.quota
             if need[resource] > maximum[resource]:
                 name = ("cores", "memory", "accelerators")[resource]
@@ -185,8 +152,10 @@
         limit = self.limit_by_team.get(team)
         if limit is None:
             return 0.0
-        exceeded = _exceeded_resources(limit, self.used_by_team.get(team, ZERO), ZERO)
-        used = self.used_by_team.get(team, ZERO)
+        exceeded = _exceeded_resources(
+            limit, self.used_by_team.get(team, amounts.ZERO), amounts.ZERO
+        )
+        used = self.used_by_team.get(team, amounts.ZERO)
         shares = [
             (used[resource] - limit.quota[resource])
             / max(1, self.total_limit[resource])
@@ -194,7 +163,7 @@
         ]
         return max(shares, default=0.0) / max(limit.weight, 1e-9)
 
-    def fair_share_key(self, team: str, need: Amount) -> tuple[bool, float]:
+    def fair_share_key(self, team: str, need: amounts.Amount) -> tuple[bool, float]:
         """Return the sort key of a pending task; the lowest is placed first.
 
         Tasks that fit into their team's own quota come before others. Within
@@ -208,7 +177,7 @@
         self.refresh()
         limit = self.limit_by_team.get(team)
         weight = max(limit.weight, 1e-9) if limit else 1e-9
-        used = self.used_by_team.get(team, ZERO)
+        used = self.used_by_team.get(team, amounts.ZERO)
         share = (
             max(
                 (used[resource] / self.total_limit[resource])
@@ -226,7 +195,7 @@
         UNLIMITED if value < 0 else scaled
         for value, scaled in zip(
             (team.quota_cores, team.quota_memory_gb, team.quota_accelerators),
-            amount(
+            amounts.amount(
                 max(0.0, team.quota_cores),
                 max(0.0, team.quota_memory_gb),
                 max(0.0, team.quota_accelerators),
@@ -237,7 +206,9 @@
     return TeamLimit(quota, team.borrow, team.weight)
 
 
-def _exceeded_resources(limit: TeamLimit, used: Amount, need: Amount) -> list[int]:
+def _exceeded_resources(
+    limit: TeamLimit, used: amounts.Amount, need: amounts.Amount
+) -> list[int]:
     return [
         resource
         for resource in range(3)
--- a/limpetstream/batch/regions.py
+++ b/limpetstream/batch/regions.py
@@ -12,8 +12,7 @@
 
 import dataclasses
 
-from limpetstream import errors
-from limpetstream.batch import quotas
+from limpetstream import amounts, errors
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,7 +31,7 @@
     team: str
     source: str
     target: str
-    size: quotas.Amount
+    size: amounts.Amount
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,24 +50,24 @@
     """
 
     region: str
-    share_by_key: dict[tuple[str, str], quotas.Amount]
+    share_by_key: dict[tuple[str, str], amounts.Amount]
     unconfirmed_by_id: dict[str, Transfer] = dataclasses.field(default_factory=dict)
     applied_ids: set[str] = dataclasses.field(default_factory=set)
 
-    def limit(self, team: str) -> quotas.Amount:
+    def limit(self, team: str) -> amounts.Amount:
         """Return what the team may use in this region now.
 
         That is the region's share minus the transfers from this region that it
         has not read back from the stream yet.
         """
-        limit = self.share_by_key.get((team, self.region), quotas.ZERO)
+        limit = self.share_by_key.get((team, self.region), amounts.ZERO)
         for transfer in self.unconfirmed_by_id.values():
             if transfer.team == team:
-                limit = quotas.subtract(limit, transfer.size)
+                limit = amounts.subtract(limit, transfer.size)
         return limit
 
     def lend(
-        self, transfer: Transfer, used: quotas.Amount, *, connected: bool
+        self, transfer: Transfer, used: amounts.Amount, *, connected: bool
     ) -> Transfer:
         """Lower this region's limit and return the transfer to append.
 
@@ -93,8 +92,8 @@
             raise errors.NotRun(
                 "not-owner", "the source is another region or the amount is negative"
             )
-        unused = quotas.subtract(self.limit(transfer.team), used)
-        if not quotas.fits(transfer.size, unused):
+        unused = amounts.subtract(self.limit(transfer.team), used)
+        if not amounts.fits(transfer.size, unused):
             raise errors.NotRun("quota", "the team uses the share in this region")
         self.unconfirmed_by_id[transfer.id] = transfer
         return transfer
@@ -114,10 +113,10 @@
             (transfer.team, transfer.source),
             (transfer.team, transfer.target),
         )
-        owned = self.share_by_key.get(source, quotas.ZERO)
-        if min(transfer.size) < 0 or not quotas.fits(transfer.size, owned):
+        owned = self.share_by_key.get(source, amounts.ZERO)
+        if min(transfer.size) < 0 or not amounts.fits(transfer.size, owned):
             return "the source does not own this much"
-        self.share_by_key[source] = quotas.subtract(owned, transfer.size)
-        before = self.share_by_key.get(target, quotas.ZERO)
-        self.share_by_key[target] = quotas.add(before, transfer.size)
+        self.share_by_key[source] = amounts.subtract(owned, transfer.size)
+        before = self.share_by_key.get(target, amounts.ZERO)
+        self.share_by_key[target] = amounts.add(before, transfer.size)
         return None
--- a/limpetstream/batch/tasks.py
+++ b/limpetstream/batch/tasks.py
@@ -3,13 +3,14 @@
 import dataclasses
 from collections.abc import Iterator
 
-from limpetstream.batch import messages, quotas
+from limpetstream import amounts
+from limpetstream.batch import messages
 
 FINAL_STATES = ("finished", "failed", "cancelled")
 MAX_STEPS = 40
 """Bounds the history of a task that is evicted over and over."""
 
-Shape = tuple[str, str, quotas.Amount]
+Shape = tuple[str, str, amounts.Amount]
 """Team, work class and size: tasks of one shape fit in the same places."""
 
 
@@ -59,7 +60,7 @@
 
     id: str
     job: str
-    size: quotas.Amount
+    size: amounts.Amount
     run_s: float
     state: str = "pending"
     attempt: int = 0
--- a/limpetstream/batch/tests/test_jobs.py
+++ b/limpetstream/batch/tests/test_jobs.py
@@ -4,7 +4,8 @@
 import msgspec
 from hypothesis import strategies
 
-from limpetstream.batch import attempts, jobs, quotas
+from limpetstream import amounts
+from limpetstream.batch import attempts, jobs
 from limpetstream.batch.tests import builders
 from limpetstream.settings import schema
 
@@ -194,11 +195,11 @@
 def _check_indexes(state: jobs.Jobs):
     placed = [t for t in state.task_by_id.values() if t.state == "placed"]
     for team in ("red", "blue"):
-        used = quotas.ZERO
+        used = amounts.ZERO
         for task in placed:
             if state.job_by_id[task.job].submit.team == team:
-                used = quotas.add(used, task.size)
-        assert state.quota.used_by_team.get(team, quotas.ZERO) == used
+                used = amounts.add(used, task.size)
+        assert state.quota.used_by_team.get(team, amounts.ZERO) == used
     assert sum(map(len, state.task_ids_by_worker.values())) == len(placed)
     pending = [t for t in state.task_by_id.values() if t.state == "pending"]
     assert sum(state.pending.count_by_priority.values()) == len(pending)
--- a/limpetstream/batch/tests/test_placement.py
+++ b/limpetstream/batch/tests/test_placement.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies
 
 from bench import _loaded_system, _reference_placement
-from limpetstream.batch import placement, quotas, worker_index
+from limpetstream import amounts
+from limpetstream.batch import placement, worker_index
 
 SERVICES = [(), ("quote",), ("quote", "ticket")]
 AMOUNTS = strategies.tuples(
@@ -159,4 +160,4 @@
             size,
             free,
         )
-        assert quotas.fits((0, 0, 0), free)
+        assert amounts.fits((0, 0, 0), free)
--- a/limpetstream/batch/tests/test_policies.py
+++ b/limpetstream/batch/tests/test_policies.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import strategies
 
-from limpetstream import errors
+from limpetstream import amounts, errors
 from limpetstream.batch import (
     colocation,
     demand,
@@ -23,16 +23,16 @@
     settings = builders.tree(teams=("red", "blue", "green"), quota=10.0)
     settings.team_by_name["blue"].weight = 4.0
     quota = quotas.Quotas(settings)
-    quota.acquire("red", quotas.amount(13, 0, 0))
-    quota.acquire("blue", quotas.amount(13, 0, 0))
+    quota.acquire("red", amounts.amount(13, 0, 0))
+    quota.acquire("blue", amounts.amount(13, 0, 0))
     assert (
         quota.borrowed_share("red")
         > quota.borrowed_share("blue")
         > quota.borrowed_share("green")
     )
-    assert quota.denial_reason("green", quotas.amount(10, 0, 0)) is None
-    assert quota.denial_reason("red", quotas.amount(5, 0, 0)) is not None
-    need = quotas.amount(1, 0, 0)
+    assert quota.denial_reason("green", amounts.amount(10, 0, 0)) is None
+    assert quota.denial_reason("red", amounts.amount(5, 0, 0)) is not None
+    need = amounts.amount(1, 0, 0)
     order = sorted(
         ["red", "blue", "green"], key=lambda t: quota.fair_share_key(t, need)
     )
--- a/limpetstream/batch/worker_controller.py
+++ b/limpetstream/batch/worker_controller.py
@@ -8,8 +8,8 @@
 import dataclasses
 from typing import Any
 
-from limpetstream import errors
-from limpetstream.batch import attempts, events, messages, quotas, tasks, wire
+from limpetstream import amounts, errors
+from limpetstream.batch import attempts, events, messages, tasks, wire
 from limpetstream.telemetry import logs
 
 POLL_INTERVAL_S = 1.0
@@ -296,14 +296,14 @@
         free = self.scheduler.size_of(self.worker)
         for task in self._tasks_without_end():
             if self.lease_by_task[task.id].may_run():
-                free = quotas.subtract(free, task.size)
+                free = amounts.subtract(free, task.size)
         ready = []
         for task in unsent:
             if self.scheduler.eviction_reason(task) is not None:
                 continue
-            if quotas.fits(task.size, free):
+            if amounts.fits(task.size, free):
                 ready.append(task)
-                free = quotas.subtract(free, task.size)
+                free = amounts.subtract(free, task.size)
             elif (
                 now - self.lease_by_task[task.id].known_at > attempts.CAPACITY_TIMEOUT_S
             ):
--- a/limpetstream/batch/worker_index.py
+++ b/limpetstream/batch/worker_index.py
@@ -9,7 +9,7 @@
 import bisect
 import dataclasses
 
-from limpetstream.batch import quotas
+from limpetstream import amounts
 
 CORE_STEP_MILLICORES = 2000
 MEMORY_STEP_MB = 8192
@@ -23,7 +23,7 @@
 MEMORY_WEIGHT = 0.2
 
 
-def free_weight(capacity: quotas.Amount) -> float:
+def free_weight(capacity: amounts.Amount) -> float:
     """Return how much free capacity lowers the fit score of a placement.
 
     The weight is linear, so groups have the same order for all tasks.
@@ -51,11 +51,11 @@
     data_centre: str
     rack: str
     services: tuple[str, ...]
-    size: quotas.Amount
-    free: quotas.Amount
-    estimated_free: quotas.Amount
+    size: amounts.Amount
+    free: amounts.Amount
+    estimated_free: amounts.Amount
 
-    def usable(self) -> quotas.Amount:
+    def usable(self) -> amounts.Amount:
         """Return the capacity that ordinary placements may use."""
         return (
             min(self.free[0], self.estimated_free[0]),
@@ -74,7 +74,7 @@
 """Capacities by (data centre, rack) and worker id."""
 
 
-def step_key(capacity: quotas.Amount) -> StepKey:
+def step_key(capacity: amounts.Amount) -> StepKey:
     """Return the whole steps of a free capacity.
 
     >>> step_key((4500, 8192, 0))
@@ -132,12 +132,12 @@
             self._unlink(worker)
             self._link(capacity)
 
-    def take(self, worker: str, need: quotas.Amount) -> None:
+    def take(self, worker: str, need: amounts.Amount) -> None:
         """Subtract a placement that is not in the log yet."""
         capacity = self.capacity_by_worker[worker]
         self._unlink(worker)
-        capacity.free = quotas.subtract(capacity.free, need)
-        capacity.estimated_free = quotas.subtract(capacity.estimated_free, need)
+        capacity.free = amounts.subtract(capacity.free, need)
+        capacity.estimated_free = amounts.subtract(capacity.estimated_free, need)
         if worker not in self.closed:
             self._link(capacity)
 
--- /dev/null
+++ b/limpetstream/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations that share a deployment: keys, limits and shares."""
--- /dev/null
+++ b/limpetstream/organisations/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the organisations that share a deployment."""
--- a/limpetstream/workflow/messages.py
+++ b/limpetstream/workflow/messages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from limpetstream.organisations import keys as keys_module, settings
+
 QUEUED = "queued"
 RUNNING = "running"
 COMPLETED = "completed"
@@ -77,6 +79,8 @@
         interval_ms: Milliseconds between occurrences.
         occurrences: How often the steps run; 0 for a single run that starts
             immediately.
+        organisation: Name of the organisation that submitted it; empty for
+            none.
     """
 
     job_id: str
@@ -89,6 +93,7 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     occurrences: int = 0
+    organisation: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,6 +111,7 @@
             critical path is multiplied.
         target_latency_ms: Constant part of the latency objective.
         advised: Whether a start needs the permission of the advice service.
+        needs_key: Whether each request needs the key of an organisation.
     """
 
     name: str
@@ -117,6 +123,7 @@
     stretch: float = 1.0
     target_latency_ms: float = 0.0
     advised: bool = False
+    needs_key: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -146,12 +153,19 @@
         guarded_services: Services whose executors reject tasks that exceed
             their capacity.
         max_body_bytes: Largest size of a caller's request body, in bytes.
+        organisation_by_name: Organisations that share the deployment; empty
+            if it is not shared.
+        keys: Keys of these organisations.
     """
 
     version: int
     queues: list[Queue]
     guarded_services: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
+    organisation_by_name: dict[str, settings.Organisation] = dataclasses.field(
+        default_factory=dict
+    )
+    keys: keys_module.KeyTable = dataclasses.field(default_factory=keys_module.KeyTable)
     _queue_by_name: dict[str, Queue] = dataclasses.field(
         init=False, repr=False, compare=False
     )
