Tell when an answered read of a followed topic was sent

The age of a view can be proven only by the time before a read was sent, and only if its answer left no record unread. The follower now passes that time to a callback, and a caller can ask for a read that does not wait for records. The time limit of such reads grows with failures, so that a store which answers late is reached in the end. Followers without these callbacks read as before.

Tests of limpetstream/store: all pass; they fail if the time after the read, or a partial answer, is told.

--- a/limpetstream/store/follower.py
+++ b/limpetstream/store/follower.py
@@ -36,6 +36,10 @@
         pause_s: Pause between reads, so that one read returns several records.
         on_failure: Called with the error when reading begins to fail.
         on_recovery: Called with the seconds since then when it works again.
+        on_read: Called with the monotonic time before a read or load was sent
+            once everything up to the end that it told has been applied.
+        is_read_due: Returns whether the next read should return at once
+            instead of waiting for a record.
         position: Offset at which the next read starts; None to load all
             values.
         read_at: Monotonic time before the newest read that was answered.
@@ -43,6 +47,7 @@
             while it works.
         load_timeout_s: Time limit of the next load; it grows with failures.
         read_margin_s: What the next read may take in addition to its wait.
+        is_at_end: Whether the newest answer left no record unread.
     """
 
     store: messages.Store
@@ -54,11 +59,14 @@
     pause_s: float = 0.0
     on_failure: Callable[[Exception], None] = lambda error: None
     on_recovery: Callable[[float], None] = lambda after_s: None
+    on_read: Callable[[float], None] = lambda sent_at: None
+    is_read_due: Callable[[], bool] = lambda: False
     position: int | None = None
     read_at: float = float("-inf")
     failing_since: float | None = None
     load_timeout_s: float = INITIAL_LOAD_TIMEOUT_S
     read_margin_s: float = READ_MARGIN_S
+    is_at_end: bool = True
 
     async def load(self) -> None:
         """Read the newest value of every key.
@@ -78,6 +86,8 @@
         self.apply(page.entries, True)
         self.position = page.end
         self.read_at = sent_at
+        self.is_at_end = True
+        self.on_read(sent_at)
 
     async def advance(self, *, wait_s: float) -> None:
         """Read once from the current position; without one, load all values.
@@ -113,14 +123,24 @@
             # Another call may have advanced the position in the meantime.
             self.position = max(self.position or 0, page.entries[-1].offset + 1)
         self.read_at = sent_at
+        # An answer holds a limited number of bytes.
+        self.is_at_end = (self.position or 0) >= page.end
+        if self.is_at_end:
+            self.on_read(sent_at)
 
     async def run(self) -> None:
         """Follow the partition until cancelled; failed reads are repeated."""
         backoff_s = INITIAL_BACKOFF_S
         while True:
+            # A read with records before it returns at once in any case.
+            is_due = self.is_at_end and self.is_read_due()
+            margin_s = self.read_margin_s
             try:
-                await self.advance(wait_s=self.wait_s)
+                await self.advance(wait_s=0.0 if is_due else self.wait_s)
             except errors.PlatformUnavailable as error:
+                if is_due:
+                    # A store that answers late is reached in the end.
+                    self.read_margin_s = next_load_timeout_s(margin_s, error)
                 if self.failing_since is None:
                     self.failing_since = self.clock.monotonic()
                     self.on_failure(error)
