Check keys, freshness and what other instances have admitted

Requests between instances tell the organisation and the version of the configuration that admitted them. The receiver refuses a request whose version is older than a removal that it has known for longer than revoke_ms; nothing has taken effect then. Requests without these fields, and those that carry on a cancel, are not checked.

--- /dev/null
+++ b/limpetstream/organisations/freshness.py
@@ -0,0 +1,72 @@
+"""Tells how old the newest proof is that the configuration is up to date."""
+
+# Part of the time allowed for revocation at which keys are no longer accepted.
+# The clocks of two machines differ in rate.
+LIMIT_SHARE = 0.8
+# Part of that limit at which a read no longer waits for changes. In calm, a
+# read begins at the age of the read before it, which is below this.
+PROOF_SHARE = 0.5
+# Part of the time allowed for revocation that a read waits for changes at
+# most, so that two reads in a row stay below ``LIMIT_SHARE``.
+WAIT_SHARE = 0.2
+
+
+class Freshness:
+    """Age of the newest read of the configuration that was answered.
+
+    A read shows all that the store acknowledged before the read was sent.
+
+    Args:
+        revoke_s: Seconds from the acknowledgement of a configuration after
+            which a key that it lacks is no longer accepted.
+        is_strict: Whether that also holds for an instance that cannot reach
+            the store. Otherwise the configuration always counts as fresh.
+    """
+
+    __slots__ = ("is_strict", "limit_s", "_revoke_s", "_sent_at", "_has_failed")
+
+    def __init__(self, revoke_s: float, *, is_strict: bool) -> None:
+        self.is_strict = is_strict
+        self.limit_s = revoke_s * LIMIT_SHARE
+        self._revoke_s = revoke_s
+        self._sent_at = float("-inf")
+        self._has_failed = False
+
+    def note_read(self, sent_at: float) -> None:
+        """Note that a read was answered with everything up to its end.
+
+        Args:
+            sent_at: Monotonic time before the read was sent.
+        """
+        self._sent_at = max(self._sent_at, sent_at)
+        self._has_failed = False
+
+    def note_failure(self) -> None:
+        """Note that a read has failed."""
+        self._has_failed = True
+
+    def age_s(self, now: float) -> float:
+        """Return the seconds since the newest answered read was sent."""
+        return now - self._sent_at
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether requests with a key may be judged.
+
+        Args:
+            now: Monotonic time after the request was read. An earlier time
+                would admit a request that arrived while the process was
+                suspended.
+        """
+        return not self.is_strict or self.age_s(now) <= self.limit_s
+
+    def is_read_due(self, now: float) -> bool:
+        """Return whether the next read should not wait for changes."""
+        if not self.is_strict:
+            return False
+        return self._has_failed or self.age_s(now) > self.limit_s * PROOF_SHARE
+
+    def read_wait_s(self, usual_s: float) -> float:
+        """Return how long a read in calm waits for changes, in seconds."""
+        if not self.is_strict:
+            return usual_s
+        return min(usual_s, self._revoke_s * WAIT_SHARE)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -7,10 +7,14 @@
 import math
 import random
 from collections.abc import Callable, Collection, Iterator
-from typing import NoReturn
+from typing import Any, NoReturn
 
 from limpetstream import clock as clock_module, errors, recent_ids
 from limpetstream.border import closing as closing_module
+from limpetstream.organisations import (
+    events as organisation_events,
+    revocations as revocations_module,
+)
 from limpetstream.shard import (
     carried_cancels,
     events,
@@ -47,6 +51,10 @@
 # still asked for if two of three end before an owner takes it.
 CANCEL_COPIES = 2
 CLOSING = "the instance is closing"  # Reason of a refusal during a stop.
+REVOKED = "the key may have been removed since the request was admitted"
+# Requests that are made for a caller while it waits. Those that carry a cancel
+# on afterwards tell no admission: the caller was answered long before.
+ADMITTED_KINDS = frozenset({"state", "cancel", "waiting", "store"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +88,7 @@
         clock: Source of time.
         closing: Bounds the time of requests once a stop has begun; None if
             the instance is never stopped.
+        revocations: Removals of keys; None to check no admissions.
     """
 
     def __init__(
@@ -94,6 +103,7 @@
         shard_count: int,
         clock: clock_module.Clock,
         closing: closing_module.Closing | None = None,
+        revocations: revocations_module.Revocations | None = None,
     ) -> None:
         self._store = store
         self._peers = peers
@@ -104,6 +114,7 @@
         self._shard_count = shard_count
         self._clock = clock
         self._closing = closing or closing_module.Closing(clock)
+        self._revocations = revocations
         self._member_by_shard: dict[int, str] = {}
         self._followed_hints: set[int] = set()
         self._members: list[str] = []
@@ -135,6 +146,7 @@
         *,
         wait_s: float,
         is_wanted: Callable[[], bool] = lambda: True,
+        admission: revocations_module.Admission = revocations_module.NO_KEY,
     ) -> None:
         """Store a job durably.
 
@@ -145,6 +157,7 @@
             submission: Job that was validated.
             wait_s: Seconds that the caller still waits.
             is_wanted: Returns whether the caller still waits for the answer.
+            admission: How the request was admitted.
 
         Raises:
             NotRun: The job was certainly not stored, by this request or an
@@ -156,9 +169,14 @@
         attempts = submission_attempts.Attempts(self._clock)
         try:
             async with self._closing.bounded():
-                tries = await self._store_job(submission, wait_s, is_wanted, attempts)
+                tries = await self._store_job(
+                    submission, wait_s, is_wanted, attempts, admission
+                )
         except TimeoutError:
             self._raise_failure(submission, attempts, CLOSING)
+        self._note_stored(submission, tries)
+
+    def _note_stored(self, submission: messages.Submission, tries: int) -> None:
         self._stored_jobs.add(submission.job_id)
         logs.emit(
             events.SUBMISSION_STORED,
@@ -175,6 +193,7 @@
         wait_s: float,
         is_wanted: Callable[[], bool],
         attempts: submission_attempts.Attempts,
+        admission: revocations_module.Admission,
     ) -> int:
         """Try to store a job until it is stored; return the number of tries.
 
@@ -197,7 +216,7 @@
                 return failed_tries + 1
             failed_tries += 1
             if failed_tries >= LOCAL_STORE_TRIES:
-                if await self._store_at_peer(shard, submission, attempts):
+                if await self._store_at_peer(shard, submission, attempts, admission):
                     return failed_tries + 1
             if self._clock.monotonic() + retry_s >= give_up_at:
                 self._raise_failure(submission, attempts, attempts.reason)
@@ -254,7 +273,13 @@
             "the store does not answer; a later request probes it again",
         )
 
-    async def job_state(self, job_id: str, *, wait_s: float) -> str | None:
+    async def job_state(
+        self,
+        job_id: str,
+        *,
+        wait_s: float,
+        admission: revocations_module.Admission = revocations_module.NO_KEY,
+    ) -> str | None:
         """Return the state of a job; None if the job certainly does not exist.
 
         Raises:
@@ -262,11 +287,17 @@
         """
         shard = names.shard_of(job_id, self._shard_count)
         reply = await self._ask_owner(
-            peer_messages.PeerRequest("state", shard, job_id=job_id), wait_s
+            _admitted(admission, "state", shard, job_id=job_id), wait_s
         )
         return reply.state if reply.known else None
 
-    async def cancel(self, job_id: str, *, wait_s: float) -> bool:
+    async def cancel(
+        self,
+        job_id: str,
+        *,
+        wait_s: float,
+        admission: revocations_module.Admission = revocations_module.NO_KEY,
+    ) -> bool:
         """Cancel a job durably; return False if it certainly does not exist.
 
         Raises:
@@ -280,7 +311,7 @@
             self._voters = owned.instance_quorum.recorded
         try:
             reply = await self._ask_owner(
-                peer_messages.PeerRequest("cancel", shard, job_id=job_id), wait_s
+                _admitted(admission, "cancel", shard, job_id=job_id), wait_s
             )
         except errors.OutcomeUnknown:
             self._carried_cancels.add(job_id)
@@ -356,7 +387,13 @@
                 raise reply
         return takers.difference([self._member])
 
-    async def count_waiting_jobs(self, queue: str, *, wait_s: float) -> int:
+    async def count_waiting_jobs(
+        self,
+        queue: str,
+        *,
+        wait_s: float,
+        admission: revocations_module.Admission = revocations_module.NO_KEY,
+    ) -> int:
         """Return how many accepted jobs of a queue have not started.
 
         Raises:
@@ -365,7 +402,7 @@
         count = 0
         for shard in range(self._shard_count):
             reply = await self._ask_owner(
-                peer_messages.PeerRequest("waiting", shard, queue=queue), wait_s
+                _admitted(admission, "waiting", shard, queue=queue), wait_s
             )
             count += reply.count
         return count
@@ -382,6 +419,8 @@
         """
         if request.kind == "store" and not is_wanted:
             return peer_messages.PeerReply(refused="the sender has left")
+        if request.kind in ADMITTED_KINDS and self._is_revoked(request):
+            return peer_messages.PeerReply(refused=REVOKED, retry_after_s=RETRY_AFTER_S)
         is_begun = False
         try:
             async with self._closing.bounded():
@@ -393,6 +432,25 @@
                 refused=CLOSING, unknown=is_begun and changes_state
             )
 
+    def _is_revoked(self, request: peer_messages.PeerRequest) -> bool:
+        """Return whether keys were removed too long since the admission."""
+        admission = revocations_module.Admission(
+            request.organisation, request.configuration_version
+        )
+        now = self._clock.monotonic()
+        if self._revocations is None or not self._revocations.is_revoked(
+            admission, now
+        ):
+            return False
+        logs.emit(
+            organisation_events.PEER_ADMISSION_REFUSED,
+            call=request.kind,
+            job=request.job_id,
+            organisation=request.organisation,
+            version=request.configuration_version,
+        )
+        return True
+
     async def _answer_peer(
         self, request: peer_messages.PeerRequest
     ) -> peer_messages.PeerReply:
@@ -475,6 +533,7 @@
         shard: int,
         submission: messages.Submission,
         attempts: submission_attempts.Attempts,
+        admission: revocations_module.Admission,
     ) -> bool:
         """Ask another instance to store a job that this one cannot store.
 
@@ -489,7 +548,7 @@
             with self._noting_cut(submission, attempts, member):
                 reply = await self._peers.call(
                     member,
-                    peer_messages.PeerRequest("store", shard, submission=submission),
+                    _admitted(admission, "store", shard, submission=submission),
                     timeout_s=PEER_TIMEOUT_S,
                 )
         except errors.PeerUnreachable as error:
@@ -702,6 +761,19 @@
         self._member_by_shard = member_by_shard
 
 
+def _admitted(
+    admission: revocations_module.Admission, kind: str, shard: int, **fields: Any
+) -> peer_messages.PeerRequest:
+    """Return a request that tells how it was admitted."""
+    return peer_messages.PeerRequest(
+        kind,
+        shard,
+        organisation=admission.organisation,
+        configuration_version=admission.version,
+        **fields,
+    )
+
+
 async def _cancel(shard: state.Shard, job_id: str) -> peer_messages.PeerReply:
     """Cancel a job at its owner; a failure may come after it took effect."""
     try:
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -42,6 +42,11 @@
         stopped_below: For ``epoch``, owners of lower epochs have stopped, as
             the sender knows; 0 in versions that do not tell.
         carried: For ``carry``, cancels that the receiver is to ask for.
+        organisation: For ``state``, ``cancel``, ``waiting`` and ``store``,
+            organisation of the key of the caller's request; empty for none
+            and in versions that do not tell.
+        configuration_version: Version of the configuration that the key was
+            found in; 0 for none and in versions that do not tell.
     """
 
     kind: str
@@ -57,6 +62,8 @@
     carried: Annotated[
         list[CarriedCancel], msgspec.Meta(max_length=MAX_CARRIED_IN_REQUEST)
     ] = dataclasses.field(default_factory=list)
+    organisation: str = ""
+    configuration_version: int = 0
 
 
 @dataclasses.dataclass(slots=True)
