Let callers identify themselves by the keys of organisations

The adapter decodes tenants and allow_anonymous, reads strict_revocation and revoke_ms, and answers requests without a valid key 401, and those that it cannot judge 503. An instance that would refuse all keys is not ready. Jobs are stored with their organisation. A read of the configuration does not wait for changes after a failure, or once the newest proof of freshness has reached 0.4 of revoke_ms. A configuration without tenants has no effect on any of this.

Values of weights and limits out of range count as missing: rejecting the configuration would keep removed keys in force.

Measured: in 60 s of calm the calls to the store are as many as without organisations. One lost answer leaves the newest proof younger than 0.6 of revoke_ms. The fakes of the job operations and of the process in the tests take the new arguments.

--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -196,6 +196,8 @@
         headers["Content-Type"] = response.content_type
     if response.retry_after_s > 0:
         headers["Retry-After"] = str(math.ceil(response.retry_after_s))
+    if response.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"  # RFC 9110 requires the header.
     if closing:
         headers["Connection"] = "close"
     connection = request.connection
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -5,6 +5,7 @@
 from tornado import httputil
 
 from limpetstream import clock, errors
+from limpetstream.organisations import revocations
 from limpetstream.shard import state
 from limpetstream.workflow import messages
 
@@ -16,11 +17,13 @@
     """Fake of the job operations that records submitted jobs.
 
     Tests set ``submit_error`` to make submissions fail, and ``state`` to the
-    state of every job; None stands for an unknown job.
+    state of every job; None stands for an unknown job. ``admissions`` tells
+    how each call was admitted.
     """
 
     def __init__(self) -> None:
         self.submitted: list[messages.Submission] = []
+        self.admissions: list[revocations.Admission] = []
         self.submit_error: errors.LimpetstreamError | None = None
         self.state: str | None = "running"
 
@@ -30,22 +33,33 @@
         *,
         wait_s: float,
         is_wanted: Callable[[], bool],
+        admission: revocations.Admission,
     ) -> None:
         """Record a job, or raise ``submit_error``."""
+        self.admissions.append(admission)
         if self.submit_error:
             raise self.submit_error
         self.submitted.append(submission)
 
-    async def job_state(self, job_id: str, *, wait_s: float) -> str | None:
+    async def job_state(
+        self, job_id: str, *, wait_s: float, admission: revocations.Admission
+    ) -> str | None:
         """Return the state that the test set."""
+        self.admissions.append(admission)
         return self.state
 
-    async def cancel(self, job_id: str, *, wait_s: float) -> bool:
+    async def cancel(
+        self, job_id: str, *, wait_s: float, admission: revocations.Admission
+    ) -> bool:
         """Return whether the job is known."""
+        self.admissions.append(admission)
         return self.state is not None
 
-    async def count_waiting_jobs(self, queue: str, *, wait_s: float) -> int:
+    async def count_waiting_jobs(
+        self, queue: str, *, wait_s: float, admission: revocations.Admission
+    ) -> int:
         """Return a constant."""
+        self.admissions.append(admission)
         return 12
 
 
--- a/tests/stop_builders.py
+++ b/tests/stop_builders.py
@@ -68,7 +68,9 @@
         return status == 0
 
 
-async def call(connection, method: str, path: str, body: bytes = b"") -> Reply:
+async def call(
+    connection, method: str, path: str, body: bytes = b"", *, key: str = ""
+) -> Reply:
     """Send one request over an open connection and read its answer."""
     reader, writer = connection
     loop = asyncio.get_running_loop()
@@ -76,7 +78,7 @@
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Content-Length: {len(body)}",
-        *[f"{name}: {value}" for name, value in deployment.headers(3000).items()],
+        *[f"{name}: {value}" for name, value in deployment.headers(3000, key).items()],
     ]
     head = "\r\n".join([*lines, "", ""]).encode()
     try:
@@ -123,6 +125,7 @@
     grace_s: float,
     silent: frozenset[str] = frozenset(),
     other_member: str = "",
+    organisations: tuple[deployment.Organisation, ...] = (),
 ):
     """Yield an instance that no group admits, so that no shard has an owner.
 
@@ -131,9 +134,11 @@
         grace_s: Time from the stop to the kill, in its settings.
         silent: Paths of the store whose calls are done and get no answer.
         other_member: Member of the group that the store names as the owner.
+        organisations: Organisations in the configuration, whose keys are
+            revoked strictly.
     """
     keyed = keyed_store.Store()
-    deployment.configure(keyed, version=1, max_attempts=4)
+    deployment.configure(keyed, version=1, max_attempts=4, organisations=organisations)
     handler = store.StoreHandler(keyed_store.Client(keyed))
 
     async def answer(request):
@@ -151,7 +156,11 @@
     port = processes.free_port()
     settings = msgspec.json.decode(
         deployment.settings_file(
-            name="stopped", ip=ip, data_centre="a", store_address=f"127.0.0.1:{port}"
+            name="stopped",
+            ip=ip,
+            data_centre="a",
+            store_address=f"127.0.0.1:{port}",
+            strict_revocation=bool(organisations),
         )
     )
     settings["thresholds"]["grace_s"] = grace_s
--- a/tests/test_background_parts.py
+++ b/tests/test_background_parts.py
@@ -11,6 +11,7 @@
 from limpetstream import clock
 from limpetstream.border import stalls
 from limpetstream.entry import lifecycle
+from limpetstream.organisations import freshness, revocations
 from limpetstream.platform import http
 from limpetstream.shard import state
 from limpetstream.store import messages
@@ -52,6 +53,8 @@
         self.view = state.DeploymentView()
         self.store = OddStore()
         self.stalls = stalls.Stalls(clock.Clock())
+        self.freshness = freshness.Freshness(5.0, is_strict=False)
+        self.revocations = revocations.Revocations(5.0, is_strict=False)
 
 
 def run_parts(instance, output, seconds):
--- /dev/null
+++ b/tests/test_organisation_keys.py
@@ -0,0 +1,263 @@
+"""Tests of the keys of organisations at one instance."""
+
+import asyncio
+
+import loguru
+import pytest
+
+from adapter import operator
+from limpetstream.organisations import revocations
+from limpetstream.shard import job_api, peer_messages, state
+from limpetstream.store import messages as store_messages
+from limpetstream.workflow import records
+from tests import key_builders as builders, stop_builders
+
+REVOKE_S = 5.0
+APPLY_S = 3.0
+FAULTS = {
+    "cut off": {"cut": True},
+    "refused": {"refuse": True},
+    "late": {"delay_s": 2.5},
+    "suspended": {},
+}
+
+
+def test_added_removed_and_returned_keys_are_applied():
+    """Guards against an instance that keeps to an earlier configuration.
+
+    Also against a key that is refused for good once it was removed.
+    """
+
+    async def scenario(scene):
+        statuses = []
+        for keys in ([builders.OTHER_KEY], [builders.KEY], [builders.OTHER_KEY]) * 2:
+            scene.configure(*keys)
+            await asyncio.sleep(APPLY_S)
+            statuses.append({await scene.status(call=c) for c in builders.CALLS})
+        return statuses
+
+    assert builders.run(scenario) == [{401}, {200}, {401}] * 2
+
+
+def is_change_of_freshness(record):
+    """Return whether a line tells the loss of freshness or its return."""
+    return record["extra"]["event"] in (1601, 1602)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_a_removed_key_has_no_success_after_the_time_allowed(name):
+    """Guards against an instance that serves a key it cannot know is removed.
+
+    Also against one that refuses requests without a key for that reason, and
+    one that stays ready, or stays out of service when the store is back. Its
+    clock is slow, and its newest read was sent just before the removal.
+    """
+
+    changes = []
+
+    async def scenario(scene):
+        loguru.logger.add(changes.append, filter=is_change_of_freshness)
+        for _ in range(2):
+            scene.configure(builders.KEY, allow_anonymous=True)
+            await asyncio.sleep(0.02)
+        assert (await scene.status(), await scene.readiness()) == (200, 200)
+        scene.set_faults(**FAULTS[name])
+        scene.configure(builders.OTHER_KEY, allow_anonymous=True)
+        removed_at = scene.loop.time()
+        if name == "suspended":
+            scene.loop.use_processor(REVOKE_S + 0.001)
+            assert await scene.status() == 503
+        late, readiness = set(), set()
+        while scene.loop.time() < removed_at + 4 * REVOKE_S:
+            statuses = {await scene.status(call=call) for call in builders.CALLS}
+            if scene.loop.time() > removed_at + REVOKE_S:
+                late |= statuses
+                readiness.add(await scene.readiness())
+            assert await scene.status(None) == 200
+            await asyncio.sleep(0.25)
+        scene.set_faults()
+        await asyncio.sleep(APPLY_S)
+        assert (await scene.status(), await scene.readiness()) == (401, 200)
+        assert await scene.status(f"Bearer {builders.OTHER_KEY}") == 200
+        return late, readiness
+
+    was_suspended = name == "suspended"  # It reads the store soon afterwards.
+    expected = ({401, 503}, {200, 503}) if was_suspended else ({503}, {503})
+    loguru.logger.remove()
+    assert builders.run(scenario, rate=0.85) == expected
+    assert len(changes) == 2  # One line for the loss and one for the return.
+
+
+@pytest.mark.parametrize(
+    ("faults", "fault_s", "then_s", "max_age_s"),
+    [
+        ({"cut": True}, 1.2, 9.0, 0.6 * REVOKE_S),  # One read begins within it.
+        # Two reads in a row wait for 1 s each in calm, so the age reaches 2 s.
+        ({"refuse": True}, 0.3, 9.0, 0.42 * REVOKE_S),
+        ({"delay_s": 1.8}, 60.0, 0.0, 2 * REVOKE_S),
+    ],
+)
+def test_freshness_is_proven_soon(faults, fault_s, then_s, max_age_s):
+    """Guards against a read that waits for changes while a proof is due.
+
+    Also against an instance that never reaches a store which answers late.
+    """
+
+    async def scenario(scene):
+        scene.configure(builders.KEY)
+        await asyncio.sleep(1.0)
+        ages = []
+        for _ in range(20):
+            for kind, seconds in ((faults, fault_s), ({}, then_s)):
+                scene.set_faults(**kind)
+                until = scene.loop.time() + seconds
+                while scene.loop.time() < until:
+                    await asyncio.sleep(0.1)
+                    ages.append(scene.process.freshness.age_s(scene.loop.time()))
+        return max(ages)
+
+    assert builders.run(scenario) < max_age_s
+
+
+def test_calls_to_the_store_do_not_increase():
+    """Guards against reads that are added while the store answers.
+
+    Also against effects on a configuration without organisations, and without
+    strict revocation.
+    """
+
+    async def scenario(scene, keys=()):
+        scene.configure(*keys)
+        await asyncio.sleep(60)
+        calls = [scene.client.calls]
+        needs_key = scene.process.view.configuration.queues[0].needs_key
+        scene.set_faults(cut=True)
+        await asyncio.sleep(60)
+        calls.append(scene.client.calls)
+        status = await scene.status(f"Bearer {keys[0]}" if keys else "Basic x")
+        return calls, status, await scene.readiness(), needs_key
+
+    def scenario_with_key(scene):
+        return scenario(scene, [builders.KEY])
+
+    calls, *without = builders.run(scenario, is_strict=False)
+    assert without == [200, 200, False]
+    assert builders.run(scenario) == (calls, *without)
+    lenient = builders.run(scenario_with_key, is_strict=False)
+    assert lenient == (calls, 200, 200, True)
+    strict_calls, *strict = builders.run(scenario_with_key)
+    assert (strict_calls[0], strict) == (calls[0], [503, 503, True])
+
+
+@pytest.mark.parametrize(
+    ("authorization", "anonymous_status", "status"),
+    [
+        (f"bearer  {builders.KEY}", 200, 200),
+        ("Bearer schl\xc3\xbcssel", 200, 200),  # UTF-8, as Tornado decodes it.
+        (None, 200, 401),
+        ("", 401, 401),
+        ("Bearer", 401, 401),
+        (builders.KEY, 401, 401),
+        (f"Basic {builders.KEY}", 401, 401),
+        (f"Bearer {builders.KEY},Bearer x", 401, 401),
+        ("Bearer \xff\u20ac", 401, 401),
+    ],
+)
+def test_keys_on_both_kinds_of_routes(authorization, anonymous_status, status):
+    """Guards against a header that passes for a key, or for none.
+
+    Also against a key in a log line or an answer, a job without its
+    organisation, and an operation that is not told the admission.
+    """
+    lines = []
+
+    async def scenario(scene):
+        loguru.logger.add(lines.append, format="{message} {extra}")
+        statuses = [await scene.status(authorization)]
+        for options in ({"allow_anonymous": True}, {}):
+            scene.configure(builders.KEY, "schl\xfcssel", "", **options)
+            await asyncio.sleep(0.1)
+            for call in builders.CALLS:
+                statuses.append(await scene.status(authorization, call))
+        return statuses, scene
+
+    loguru.logger.remove()
+    statuses, scene = builders.run(scenario)
+    assert statuses == [503] + [anonymous_status] * 4 + [status] * 4
+    stored = [records.encode_submission(job) for job in scene.jobs.submitted]
+    name = "north" if authorization and status == 200 else ""
+    assert {records.decode_submission(raw).organisation for raw in stored} <= {name}
+    expected = [revocations.Admission(name, n if name else 0) for n in (1, 2)]
+    assert set(scene.jobs.admissions) <= set(expected)
+    assert len(scene.jobs.admissions) == statuses.count(200)
+    assert lines and not any(builders.KEY in line for line in lines)
+    assert not any(builders.KEY.encode() in body for body in scene.bodies)
+
+
+def test_refusals_are_counted_by_reason():
+    """Guards against a log line for each refused request, and against none."""
+    rows = []
+
+    def note(line):
+        fields = line.record["extra"]
+        if fields["event"] == 1600:
+            rows.append((fields["reason"], fields["requests"]))
+
+    async def scenario(scene):
+        loguru.logger.add(note)
+        scene.configure(builders.KEY)
+        await asyncio.sleep(0.1)
+        for authorization in ("Bearer x", "Bearer x", None, "Bearer x"):
+            await scene.status(authorization)
+        await asyncio.sleep(1.0)
+        await scene.status(None)
+
+    loguru.logger.remove()
+    builders.run(scenario)
+    assert rows == [("unknown-key", 1), ("no-key", 2), ("unknown-key", 2)]
+
+
+def test_the_process_checks_what_others_have_admitted():
+    """Guards against removals that are not passed on to the check."""
+
+    async def scenario(scene):
+        refused = []
+        for key in (builders.KEY, builders.OTHER_KEY):
+            scene.configure(key)
+            await asyncio.sleep(REVOKE_S + 1)
+            request = peer_messages.PeerRequest("state", 0, builders.JOB_PATH)
+            request.organisation, request.configuration_version = "north", 1
+            refused.append((await scene.process.job_api.answer_peer(request)).refused)
+        return [reason == job_api.REVOKED for reason in refused]
+
+    assert builders.run(scenario) == [False, True]
+
+
+def test_odd_weights_and_limits_do_not_keep_removed_keys_in_force():
+    """Guards against a configuration that is left out for such a value."""
+    view = state.DeploymentView()
+    tenants = b'{"name":"a","weight":-1,"max_count":{"cpu":-1,"mem_mb":1e300}}'
+    value = b'{"version":1,"routes":[],"services":[],"tenants":[%s]}' % tenants
+    operator.apply(view, [store_messages.Entry("config", value)], True)
+    organisation = view.configuration.organisation_by_name["a"]
+    assert (organisation.weight, organisation.limit) == (1.0, (0, 0, 0))
+
+
+def test_keys_are_checked_by_the_process(tmp_path):
+    """Guards against a process that does not check keys or lets none pass."""
+
+    async def run():
+        organisations = (stop_builders.deployment.Organisation("n", (builders.KEY,)),)
+        async with stop_builders.running(
+            tmp_path, grace_s=3.0, organisations=organisations
+        ) as instance:
+            connection = await instance.connect()
+            path, body = stop_builders.job_path(), stop_builders.job_body()
+            return [
+                await stop_builders.call(connection, "POST", path, body, key=key)
+                for key in ("", "unknown", builders.KEY)
+            ]
+
+    replies = asyncio.run(run())
+    assert [reply.status for reply in replies] == [401, 401, 200]
+    assert replies[0].headers["www-authenticate"] == "bearer"
