Refuse keys where no read of the configuration has ended well

The configuration is set while its first read is still being applied. If a later entry of that read fails, the age of the configuration is infinite, and rounding it for the log line failed with OverflowError, which was answered 500. The line now tells no age.

--- a/limpetstream/organisations/admissions.py
+++ b/limpetstream/organisations/admissions.py
@@ -72,7 +72,7 @@
             logs.emit(
                 events.CONFIGURATION_NOT_FRESH,
                 version=configuration.version,
-                age_ms=round(self._freshness.age_s(now) * 1000),
+                age_ms=logs.ms_since(now, self._freshness.sent_at),
                 limit_ms=round(self._freshness.limit_s * 1000),
             )
         elif is_fresh and self._stale_since is not None:
--- a/limpetstream/organisations/freshness.py
+++ b/limpetstream/organisations/freshness.py
@@ -21,15 +21,18 @@
             which a key that it lacks is no longer accepted.
         is_strict: Whether that also holds for an instance that cannot reach
             the store. Otherwise the configuration always counts as fresh.
+
+    Attributes:
+        sent_at: Monotonic time before the newest answered read was sent.
     """
 
-    __slots__ = ("is_strict", "limit_s", "_revoke_s", "_sent_at", "_has_failed")
+    __slots__ = ("is_strict", "limit_s", "sent_at", "_revoke_s", "_has_failed")
 
     def __init__(self, revoke_s: float, *, is_strict: bool) -> None:
         self.is_strict = is_strict
         self.limit_s = revoke_s * LIMIT_SHARE
         self._revoke_s = revoke_s
-        self._sent_at = float("-inf")
+        self.sent_at = float("-inf")
         self._has_failed = False
 
     def note_read(self, sent_at: float) -> None:
@@ -38,7 +41,7 @@
         Args:
             sent_at: Monotonic time before the read was sent.
         """
-        self._sent_at = max(self._sent_at, sent_at)
+        self.sent_at = max(self.sent_at, sent_at)
         self._has_failed = False
 
     def note_failure(self) -> None:
@@ -47,7 +50,7 @@
 
     def age_s(self, now: float) -> float:
         """Return the seconds since the newest answered read was sent."""
-        return now - self._sent_at
+        return now - self.sent_at
 
     def is_fresh(self, now: float) -> bool:
         """Return whether requests with a key may be judged.
--- a/limpetstream/organisations/tests/test_revocations.py
+++ b/limpetstream/organisations/tests/test_revocations.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from limpetstream.organisations import freshness, keys, revocations
+from limpetstream import clock, errors
+from limpetstream.organisations import (
+    admissions,
+    freshness,
+    keys,
+    revocations,
+    settings,
+)
+from limpetstream.workflow import messages
 
 
 def test_a_table_tells_lost_keys_and_keeps_none():
@@ -53,3 +61,15 @@
     assert freshness.Freshness(1.0, is_strict=True).read_wait_s(1.0) == 0.2
     lenient = freshness.Freshness(1.0, is_strict=False)
     assert (lenient.is_read_due(0.0), lenient.read_wait_s(1.0)) == (False, 1.0)
+
+
+def test_a_configuration_without_an_answered_read_is_not_fresh():
+    """Guards against an error for all callers while no read has ended well."""
+    strict = freshness.Freshness(5.0, is_strict=True)
+    configuration = messages.Configuration(1, [])
+    configuration.organisation_by_name["a"] = settings.Organisation("a")
+    queue = messages.Queue("q", "host", "/", "service")
+    judge = admissions.Admissions(strict, clock.Clock())
+    with pytest.raises(errors.NotRun):
+        judge.admit(configuration, queue, "Bearer key")
+    assert judge.admit(configuration, queue, None) is revocations.NO_KEY
