--- a/limpetstream/store/tests/test_follower.py
+++ b/limpetstream/store/tests/test_follower.py
@@ -147,3 +147,70 @@
 
     virtual_time.run(scenario(), loop=loop)
     assert limits[:4] == [1.7, 5.0, 1.7, 1.7]
+
+
+class PartialStore(keyed_store.Client):
+    """Answers reads with one record at most, or with an end beyond it."""
+
+    end = 0
+
+    async def read(self, *place, **times):
+        """Read records; return one of them at most."""
+        page = await super().read(*place, **times)
+        return messages.Page(page.entries[:1], max(page.end, self.end))
+
+
+def follow_partially(loop, told):
+    """Return a follower whose next read is always due, and its store."""
+    store = PartialStore(keyed_store.Store())
+    topic_follower = follower.Follower(
+        store,
+        TOPIC,
+        0,
+        virtual_time.make_clock(loop),
+        lambda entries, complete: None,
+        wait_s=1.0,
+        on_read=lambda sent_at: told.append((sent_at, topic_follower.position)),
+        is_read_due=lambda: True,
+    )
+    return topic_follower, store
+
+
+def test_a_read_is_told_with_the_time_before_it_was_sent():
+    """Guards against an age of the view that leaves out the time of a read.
+
+    Also against a proof of freshness by an answer that left records unread,
+    as an answer holds a limited number of bytes.
+    """
+    loop = virtual_time.Loop()
+    told = []
+
+    async def scenario():
+        topic_follower, client = follow_partially(loop, told)
+        await topic_follower.load()
+        sent_at = loop.time()
+        await topic_follower.advance(wait_s=1.0)
+        assert told == [(0.0, 0), (sent_at, 0)]
+        entries = [messages.Entry("a", b"1"), messages.Entry("b", b"2")]
+        client.store.append(TOPIC, 0, entries, None, None)
+        await topic_follower.advance(wait_s=0.0)
+        await topic_follower.advance(wait_s=0.0)
+
+    virtual_time.run(scenario(), loop=loop)
+    assert [position for _, position in told] == [0, 0, 2]
+
+
+def test_a_record_that_is_held_back_does_not_cause_a_busy_loop():
+    """Guards against reads without a pause while no read proves freshness."""
+    loop = virtual_time.Loop()
+
+    async def scenario():
+        topic_follower, client = follow_partially(loop, [])
+        await topic_follower.load()
+        client.end = 1
+        following = asyncio.create_task(topic_follower.run())
+        await asyncio.sleep(10.0)
+        following.cancel()
+        return client.calls
+
+    assert virtual_time.run(scenario(), loop=loop) < 20
