Count what the runs of each organisation hold

Limits and shares of organisations need to know what is running. Each shard now has a Usage, which its executors change as they reserve and release, and as runs that no open job needs are listed or not any more. A run that replaces another one in run_by_task releases its capacity. An executor that is removed takes its runs along, and unknown runs on a silent one stop counting when its leases are over.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from limpetstream.executors import leases, messages
+from limpetstream.organisations import usage as usage_module
 from limpetstream.workflow import messages as workflow_messages, state
 
 # Each start needs a connection, and the platform puts a price on new ones.
@@ -79,6 +81,8 @@
         long_running_count: Number of long-running runs.
         run_changes: Number of runs that were added or removed so far.
         has_freed: Whether it has freed capacity since this was last cleared.
+        usage: Sums of the runs of each organisation, which include its runs;
+            None if they are not counted.
     """
 
     listing: messages.Listing
@@ -124,13 +128,20 @@
     long_running_count: int = 0
     run_changes: int = 0
     has_freed: bool = True
+    usage: usage_module.Usage | None = None
     _serving_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
     _best_effort_by_task: dict[str, state.Run] = dataclasses.field(default_factory=dict)
     _count_by_step: dict[str, int] = dataclasses.field(default_factory=dict)
+    _unknown_tasks: dict[tuple[str, int], state.Task] = dataclasses.field(
+        default_factory=dict
+    )
 
     def reserve(self, run: state.Run) -> None:
         """Reserve capacity for a run."""
         name, step = run.task.name, run.task.step
+        replaced = self.run_by_task.get(name)
+        if replaced is not None:
+            self._change_reserved(replaced.task, -1)
         self.run_by_task[name] = run
         if step.tail_target_ms > 0:
             self._serving_by_task[name] = run
@@ -147,6 +158,57 @@
             self._change_reserved(run.task, -1)
             self.has_freed = True
 
+    def set_unknown_runs(
+        self,
+        unknown_runs: dict[tuple[str, int], float | None],
+        find_task: Callable[[str], state.Task | None],
+    ) -> None:
+        """Replace the runs on it that no open job needs.
+
+        Args:
+            unknown_runs: New value of ``unknown_runs``.
+            find_task: Returns the task with a name; None if its job is not
+                known. A run counts as long as it is listed, even if its job
+                is forgotten meanwhile.
+        """
+        self.unknown_runs = unknown_runs
+        if not unknown_runs and not self._unknown_tasks:
+            return
+        for key in self._unknown_tasks.keys() - unknown_runs.keys():
+            self._count_unknown(self._unknown_tasks.pop(key), -1)
+        for key in unknown_runs.keys() - self._unknown_tasks.keys():
+            task = find_task(key[0])
+            if task is not None:
+                self._unknown_tasks[key] = task
+                self._count_unknown(task, 1)
+
+    @property
+    def counts_unknown_runs(self) -> bool:
+        """Whether runs that no open job needs count in the usage."""
+        return bool(self._unknown_tasks)
+
+    def unknown_tasks(self) -> list[state.Task]:
+        """Return the tasks of the runs that no open job needs, if known."""
+        return list(self._unknown_tasks.values())
+
+    def uncount_unknown_runs(self) -> None:
+        """Stop counting runs that no open job needs, as they have ended."""
+        for task in self._unknown_tasks.values():
+            self._count_unknown(task, -1)
+        self._unknown_tasks.clear()
+
+    def detach_usage(self) -> None:
+        """Count none of its runs any more, as it was removed."""
+        self.uncount_unknown_runs()
+        if self.usage is not None:
+            for run in self.run_by_task.values():
+                self.usage.change(run.task, -1)
+        self.usage = None
+
+    def _count_unknown(self, task: state.Task, sign: int) -> None:
+        if self.usage is not None:
+            self.usage.change(task, sign)
+
     def fits(self, step: workflow_messages.Step) -> bool:
         """Return whether the free capacity suffices for a task of a step.
 
@@ -207,3 +269,5 @@
             self.reserved_millicores += sign * step.cpu_millicores
         self.reserved_memory_mb += sign * step.memory_mb
         self.reserved_accelerators += sign * step.accelerators
+        if self.usage is not None:
+            self.usage.change(task, sign)
--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -59,7 +59,7 @@
             journal; the executor is marked as listed when its entry in the
             list is applied.
     """
-    executor = tracking.Executor(listing, listed=listed)
+    executor = tracking.Executor(listing, listed=listed, usage=shard.usage)
     executor.lease.duration_s = min(executor.lease.duration_s, shard.timing.max_lease_s)
     _note_draining(shard, executor)
     shard.executor_by_id[listing.executor_id] = executor
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -325,7 +325,8 @@
 
     Its runs are lost, and it is removed if the list does not contain it.
     """
-    if executor.giving_up or (executor.listed and not executor.run_by_task):
+    holds_runs = bool(executor.run_by_task) or executor.counts_unknown_runs
+    if executor.giving_up or (executor.listed and not holds_runs):
         return
     executor.giving_up = True
     shard.spawn(_give_up_once_confirmed(shard, executor))
@@ -364,6 +365,7 @@
             proven_ms_ago=round(proof.age_s(shard) * 1000),
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
+    executor.uncount_unknown_runs()
     if not executor.listed:
         _remove(shard, executor)
     elif _is_idle(shard, executor):
@@ -411,6 +413,7 @@
     if shard.executor_by_id.get(executor_id) is executor:
         del shard.executor_by_id[executor_id]
         shard.removed_executors.add(executor_id)
+        executor.detach_usage()
         shard.spawn(executor_records.delete(shard, executor))
     check_earlier_runs(shard)
 
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -11,6 +11,7 @@
     sending,
     tracking,
 )
+from limpetstream.organisations import usage as usage_module
 from limpetstream.shard import (
     instance_quorum as quorum_module,
     journal as journal_module,
@@ -169,6 +170,7 @@
         run_s_by_queue: Mean duration in seconds of runs that ended as done, by
             queue.
         submissions_follower: Reads the topic of submissions.
+        usage: What the runs of each organisation hold.
         send_window: Bounds what is under way to executors.
         load: What keeps the owner busy.
     """
@@ -253,6 +255,7 @@
     run_s_by_queue: dict[str, float] = dataclasses.field(default_factory=dict)
     submissions_follower: follower.Follower | None = None
     send_window: sending.SendWindow = dataclasses.field(init=False)
+    usage: usage_module.Usage = dataclasses.field(default_factory=usage_module.Usage)
     load: owner_load_module.OwnerLoad = dataclasses.field(
         default_factory=owner_load_module.OwnerLoad
     )
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -1,5 +1,7 @@
 """Applies the status that an executor reports in its reply to a poll."""
 
+import functools
+
 from limpetstream.executors import messages, tracking
 from limpetstream.shard import events, jobs, pacing, proof, restarts, state, stops
 from limpetstream.telemetry import logs
@@ -46,7 +48,7 @@
             unknown_runs[key] = _stop_unknown(shard, executor, key, sent_at)
     if executor.unknown_runs.keys() != unknown_runs.keys():
         shard.changed.set()
-    executor.unknown_runs = unknown_runs
+    executor.set_unknown_runs(unknown_runs, functools.partial(jobs.find_task, shard))
     if executor.fenced and len(reply.ended) < MAX_LISTED_ENDS:
         _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
