Hold tasks back whose start would exceed a limit

A pass leaves out the tasks whose organisation has no room before it sorts them, and checks again at each turn, for a gang as a whole. So a task that is held back costs no search, preempts nothing and is no backlog. Submissions of final jobs are kept while there may be runs of them, as a later owner could not tell whose they are. The limits are not computed if no organisation is configured.

A long-running task, or one that has waited for 5 s, gets the first use of the room that becomes free. Otherwise small tasks would use it up, and a task that was stopped for others might never run again. Paused runs are not moved if the limit would not let them start again. task-waits names the limit.

--- /dev/null
+++ b/limpetstream/organisations/claims.py
@@ -0,0 +1,85 @@
+"""Chooses which task has the first use of its organisation's room.
+
+Without this, small tasks would use up whatever room becomes free under a
+limit, and a larger task, or a long-running one that was stopped for others,
+might never start again.
+"""
+
+import dataclasses
+
+from limpetstream import amounts
+from limpetstream.workflow import state
+
+# Short tasks run for up to 3 s, so room for most tasks becomes free sooner.
+CLAIM_AFTER_S = 5.0
+# Once there is room, for the search of an executor and the stop of other runs.
+CLAIM_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """First use of the room of one organisation.
+
+    Args:
+        task: Task that has it.
+        need: What the task needs, with its gang.
+        held_at: Monotonic time at which there was last no room for it.
+    """
+
+    task: state.Task
+    need: amounts.Amount
+    held_at: float
+
+
+class Claims:
+    """The claims of all organisations, by their names."""
+
+    __slots__ = ("_by_organisation",)
+
+    def __init__(self) -> None:
+        self._by_organisation: dict[str, Claim] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_organisation)
+
+    def drop_ended(self, now: float) -> None:
+        """Drop claims of tasks that have a run, or no use for their room."""
+        for name, claim in list(self._by_organisation.items()):
+            task = claim.task
+            is_over = task.run is not None or task.done or bool(task.job.outcome)
+            if is_over or now - claim.held_at > CLAIM_S:
+                del self._by_organisation[name]
+
+    def note_held(self, task: state.Task, need: amounts.Amount, now: float) -> None:
+        """Note that there is no room for a task; it may get the claim."""
+        name = task.job.submission.organisation
+        claim = self._by_organisation.get(name)
+        if not may_claim(task, now):
+            return
+        if claim is None or _rank(task) < _rank(claim.task):
+            self._by_organisation[name] = Claim(task, need, now)
+        elif claim.task is task:
+            claim.held_at = now
+
+    def kept_from(self, task: state.Task) -> amounts.Amount:
+        """Return how much of its organisation's room a task must leave."""
+        claim = self._by_organisation.get(task.job.submission.organisation)
+        if claim is None or _is_same(claim.task, task):
+            return amounts.ZERO
+        return claim.need
+
+
+def may_claim(task: state.Task, now: float) -> bool:
+    """Return whether a task comes first: long-running, or waiting for long."""
+    return task.step.long_running or now - task.ready_at > CLAIM_AFTER_S
+
+
+def _rank(task: state.Task) -> tuple[bool, float]:
+    return not task.step.long_running, task.ready_at
+
+
+def _is_same(claimant: state.Task, task: state.Task) -> bool:
+    """Return whether two tasks are the same, or members of one gang."""
+    if claimant is task:
+        return True
+    return task.step.gang and state.step_name(claimant) == state.step_name(task)
--- /dev/null
+++ b/limpetstream/organisations/limits.py
@@ -0,0 +1,114 @@
+"""Holds tasks back whose start would exceed the limit of their organisation.
+
+A task that is held back waits without any effect on others. What its
+organisation holds is counted from before a start is sent until the end is
+known, so a single owner needs no further state to keep within a limit.
+"""
+
+import sys
+from collections.abc import Collection
+
+from limpetstream import amounts
+from limpetstream.organisations import claims, settings, unseen, usage
+from limpetstream.shard import state
+from limpetstream.workflow import state as workflow_state
+
+
+def startable(shard: state.Shard, now: float) -> Collection[workflow_state.Task]:
+    """Return the waiting tasks that no limit holds back.
+
+    Args:
+        shard: Shard of the tasks.
+        now: Monotonic time.
+    """
+    waiting = shard.waiting_tasks
+    if not _organisation_by_name(shard):
+        return waiting
+    unseen.refresh(shard, now)
+    shard.claims.drop_ended(now)
+    free_by_organisation: dict[str, amounts.Amount | None] = {}
+    with_room = []
+    for task in waiting:
+        name = task.job.submission.organisation
+        if name not in free_by_organisation:
+            free_by_organisation[name] = _free(shard, name)
+        free = free_by_organisation[name]
+        if free is None or amounts.fits(_need(task), free):
+            with_room.append(task)
+        else:
+            _note_held(shard, task, now)
+    if not shard.claims:
+        return with_room
+    return [task for task in with_room if allows(shard, task)]
+
+
+def allows(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether a task may start now, with its whole gang."""
+    name = task.job.submission.organisation
+    free = _free(shard, name) if name else None
+    if free is None:
+        return True
+    left = amounts.subtract(free, shard.claims.kept_from(task))
+    return amounts.fits(_need(task), _at_least_zero(left))
+
+
+def allows_again(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether a task could start again once its run has ended."""
+    free = _free(shard, task.job.submission.organisation, without=task)
+    return free is None or amounts.fits(_need(task), free)
+
+
+def _organisation_by_name(shard: state.Shard) -> dict[str, settings.Organisation]:
+    configuration = shard.view.configuration
+    return {} if configuration is None else configuration.organisation_by_name
+
+
+def _free(
+    shard: state.Shard, name: str, *, without: workflow_state.Task | None = None
+) -> amounts.Amount | None:
+    """Return what an organisation may start; None if it has no limit.
+
+    Args:
+        shard: Shard of its tasks.
+        name: Its name.
+        without: Task whose run is not counted.
+    """
+    organisation = _organisation_by_name(shard).get(name)
+    if organisation is None:
+        return None
+    held = shard.usage.at_most(name)
+    if without is not None:
+        held = amounts.subtract(held, usage.need_of(without.step))
+    return _at_least_zero(amounts.subtract(_bound(organisation.limit), held))
+
+
+def _bound(limit: amounts.Amount) -> amounts.Amount:
+    """Return a limit, with a large amount of each resource without one."""
+    return (limit[0] or sys.maxsize, limit[1] or sys.maxsize, limit[2] or sys.maxsize)
+
+
+def _at_least_zero(amount: amounts.Amount) -> amounts.Amount:
+    """Return an amount without negative parts.
+
+    A task that needs nothing of a resource is not held back by its use.
+    """
+    return (max(0, amount[0]), max(0, amount[1]), max(0, amount[2]))
+
+
+def _need(task: workflow_state.Task) -> amounts.Amount:
+    """Return what a task needs, with the gang that starts with it."""
+    need = usage.need_of(task.step)
+    return usage.times(need, task.step.count) if task.step.gang else need
+
+
+def _note_held(shard: state.Shard, task: workflow_state.Task, now: float) -> None:
+    """Let a task claim room, if ends of short runs can make enough of it.
+
+    Before earlier runs are settled, the task itself may be running unseen.
+    """
+    if not shard.earlier_runs_settled or not claims.may_claim(task, now):
+        return
+    name, need = task.job.submission.organisation, _need(task)
+    bound = _bound(_organisation_by_name(shard)[name].limit)
+    if amounts.fits(need, amounts.subtract(bound, shard.usage.long_running_of(name))):
+        shard.claims.note_held(task, need, now)
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -7,6 +7,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import messages as executor_messages
+from limpetstream.organisations import unseen
 from limpetstream.shard import (
     audits,
     events,
@@ -119,9 +120,12 @@
     now_ms = shard.clock.wall_ms()
     retention_ms = (shard.timing.status_retention_s + RETENTION_MARGIN_S) * 1000
     final_job_ids, expired_job_ids = [], []
+    kept_jobs = unseen.jobs_that_may_run(shard)
     for job_id, job in shard.job_by_id.items():
         if not job.visible_outcome:
             continue
+        if job in kept_jobs:
+            continue
         if job_id not in dropped_submissions:
             final_job_ids.append(job_id)
         elif now_ms - job.final_ms > retention_ms:
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -1,6 +1,6 @@
 """Stops runs to free capacity for waiting tasks."""
 
-from collections.abc import Hashable
+from collections.abc import Collection, Hashable
 
 from limpetstream.executors import tracking
 from limpetstream.shard import searches, state, stops, victims
@@ -121,11 +121,14 @@
     task.preempted_others_at = now
 
 
-def may_preempt_long_running(shard: state.Shard, now: float) -> bool:
+def may_preempt_long_running(
+    shard: state.Shard, now: float, startable: Collection[workflow_state.Task]
+) -> bool:
     """Return whether a further long-running run may be preempted now.
 
     That requires a pause since the last one, a short task that has waited long
-    enough, and that few long-running tasks wait, none of them for long.
+    enough, and that few long-running tasks wait, none of them for long. Of the
+    waiting tasks, ``startable`` holds those that no limit holds back.
     """
     fleet = max(1.0, len(shard.executor_by_id) / EXECUTORS_PER_PREEMPTED_RUN)
     pause_s = LONG_RUNNING_PREEMPT_INTERVAL_S / fleet
@@ -133,10 +136,10 @@
         return False
     if not any(
         victims.is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
-        for task in shard.waiting_tasks
+        for task in startable
     ):
         return False
-    waiting = [task for task in shard.waiting_tasks if task.step.long_running]
+    waiting = [task for task in startable if task.step.long_running]
     if any(victims.has_waited_long(shard, task) for task in waiting):
         return False
     long_running_count = sum(
--- a/limpetstream/shard/relocation.py
+++ b/limpetstream/shard/relocation.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from limpetstream.executors import tracking
+from limpetstream.organisations import limits
 from limpetstream.shard import scheduling, state, stops
 from limpetstream.workflow import best_effort, state as workflow_state
 
@@ -17,13 +18,16 @@
 def relocate_paused_runs(shard: state.Shard) -> None:
     """Stop paused best-effort runs whose tasks fit on another executor.
 
+    A run stays if the limit of its organisation would not let its task start
+    again.
+
     A call that reaches its limits leaves the other runs to the next one.
     """
     now = shard.clock.monotonic()
     relocated = checks = 0
     for index, executor in _from_last_end(shard):
         for run in executor.best_effort_runs():
-            if not _should_move(run, now):
+            if not _should_move(run, now) or not limits.allows_again(shard, run.task):
                 continue
             if relocated >= MAX_RELOCATIONS_PER_PASS or checks >= MAX_CHECKS:
                 shard.searches.next_relocation = index
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -6,8 +6,10 @@
 
 import dataclasses
 import functools
+from collections.abc import Collection
 
 from limpetstream.executors import sending, tracking
+from limpetstream.organisations import limits
 from limpetstream.shard import (
     events,
     owner_load,
@@ -131,14 +133,15 @@
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
     now = shard.clock.monotonic()
-    due = [task for task in shard.waiting_tasks if task.not_before <= now]
+    startable = limits.startable(shard, now)
+    due = [task for task in startable if task.not_before <= now]
     sendable = _without_backlog(shard, due)
     is_left_out = len(sendable) < len(due)
     if is_left_out:
         shard.send_window.is_pass_left_out = True
         if not sendable:
             return
-    this_pass = _begin(shard)
+    this_pass = _begin(shard, startable)
     in_order = turn_order.sort(shard, sendable, now)
     this_pass.turns_began_at = shard.clock.monotonic()
     for task in in_order:
@@ -176,7 +179,7 @@
     return [task for task in due if not has_backlog(shard.priority_of(task.job))]
 
 
-def _begin(shard: state.Shard) -> _Pass:
+def _begin(shard: state.Shard, startable: Collection[workflow_state.Task]) -> _Pass:
     now = shard.clock.monotonic()
     executors = list(shard.executor_by_id.values())
     context = placement_context(shard, "", now)
@@ -186,7 +189,9 @@
         lambda executor: eligibility.is_available(executor, context),
         now,
     )
-    may_preempt_long_running = preemption.may_preempt_long_running(shard, now)
+    may_preempt_long_running = preemption.may_preempt_long_running(
+        shard, now, startable
+    )
     has_doubt = any(eligibility.is_in_doubt(executor, now) for executor in executors)
     return _Pass(now, executors, has_doubt, may_preempt_long_running)
 
@@ -226,7 +231,12 @@
 
 
 def _give_turn(shard: state.Shard, task: workflow_state.Task, this_pass: _Pass) -> None:
-    """Look for an executor for a task and start the task there."""
+    """Look for an executor for a task and start the task there.
+
+    Nothing is reserved between the check of the limit and the start.
+    """
+    if not limits.allows(shard, task):
+        return  # Starts of this pass have used up what was left.
     this_pass.checks += CHECKS_PER_TURN
     task.tried_in_round = shard.searches.round_number
     _note_turn(shard, task)
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -11,7 +11,7 @@
     sending,
     tracking,
 )
-from limpetstream.organisations import usage as usage_module
+from limpetstream.organisations import claims as claims_module, usage as usage_module
 from limpetstream.shard import (
     instance_quorum as quorum_module,
     journal as journal_module,
@@ -171,6 +171,7 @@
             queue.
         submissions_follower: Reads the topic of submissions.
         usage: What the runs of each organisation hold.
+        claims: Tasks that have the first use of their organisations' room.
         send_window: Bounds what is under way to executors.
         load: What keeps the owner busy.
     """
@@ -256,6 +257,9 @@
     submissions_follower: follower.Follower | None = None
     send_window: sending.SendWindow = dataclasses.field(init=False)
     usage: usage_module.Usage = dataclasses.field(default_factory=usage_module.Usage)
+    claims: claims_module.Claims = dataclasses.field(
+        default_factory=claims_module.Claims
+    )
     load: owner_load_module.OwnerLoad = dataclasses.field(
         default_factory=owner_load_module.OwnerLoad
     )
--- a/limpetstream/shard/wait_reports.py
+++ b/limpetstream/shard/wait_reports.py
@@ -9,6 +9,7 @@
 import math
 
 from limpetstream.executors import tracking
+from limpetstream.organisations import limits
 from limpetstream.shard import events, proof, scheduling, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state, wait_reasons
@@ -79,7 +80,10 @@
         # run, or have not been queued.
         gang_missing=_count_missing_members(shard, task),
         executors=wait_reasons.count_reasons(
-            shard.executor_by_id.values(), task, context
+            shard.executor_by_id.values(),
+            task,
+            context,
+            is_held_back=not limits.allows(shard, task),
         ),
     )
 
--- a/limpetstream/workflow/wait_reasons.py
+++ b/limpetstream/workflow/wait_reasons.py
@@ -14,6 +14,8 @@
 # Pace is how fast a best-effort run may work, in percent of full speed. A
 # best-effort task waits for an executor that gives it a sufficient pace.
 PACE_TOO_LOW = "pace too low"
+# A start would exceed what the organisation of the task may have running.
+ORGANISATION_LIMIT = "limit of the organisation"
 
 
 def closed_reason(
@@ -79,6 +81,8 @@
     executors: Iterable[tracking.Executor],
     task: state.Task,
     context: eligibility.PlacementContext,
+    *,
+    is_held_back: bool = False,
 ) -> dict[str, int]:
     """Return how many executors a task cannot use now, by reason.
 
@@ -91,7 +95,11 @@
         executors: All executors.
         task: Task that waits.
         context: What a placement depends on besides the executors.
+        is_held_back: Whether the limit of the task's organisation holds it
+            back. That is the only reason then, whatever the executors run.
     """
+    if is_held_back:
+        return {ORGANISATION_LIMIT: sum(1 for _ in executors)}
     suitable = PACE_TOO_LOW if task.step.fills else "none"
     return dict(
         Counter(
