Do not count time in which a limit held a task back

Some waits give a task rights over others: to preempt, to come before long-running tasks, to take a slow place. A task that its own limit had held back for seconds had them at once when it got room. These waits now count from when the limit last held it back, and the report of tasks without a turn, which tells of a busy owner, leaves out those that are held back.

--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -36,10 +36,19 @@
         if free is None or amounts.fits(_need(task), free):
             with_room.append(task)
         else:
+            task.held_back_at = now
             _note_held(shard, task, now)
     if not shard.claims:
         return with_room
-    return [task for task in with_room if allows(shard, task)]
+    return [task for task in with_room if may_have_turn(shard, task, now)]
+
+
+def may_have_turn(shard: state.Shard, task: workflow_state.Task, now: float) -> bool:
+    """Return whether a task may start now; note it if it is held back."""
+    if allows(shard, task):
+        return True
+    task.held_back_at = now
+    return False
 
 
 def allows(shard: state.Shard, task: workflow_state.Task) -> bool:
--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -7,11 +7,13 @@
 from limpetstream.organisations.tests import builders
 from limpetstream.shard import (
     owner_load,
+    owner_reports,
     placing,
     preemption,
     relocation,
     scheduling,
     turn_order,
+    victims,
     wait_reports,
 )
 from limpetstream.shard.tests import builders as shard_builders
@@ -287,3 +289,33 @@
     builders.make_tasks(shard, count=5)
     monkeypatch.setattr(limits, "_free", None)
     assert limits.startable(shard, 0.0) is shard.waiting_tasks
+
+
+def test_time_for_which_a_limit_held_a_task_back_does_not_count():
+    """Guards against tasks that preempt others as soon as they have room."""
+    shard = builders.make_shard(acme=(3000, 0, 0))
+    task = builders.make_tasks(shard, waited_s=20.0)[0]
+    lasting = builders.make_tasks(shard, waited_s=20.0, long_running=True)[0]
+    serving = builders.make_tasks(shard, "", long_running=True, count=60)
+    for number, each in enumerate(serving):
+        hold(shard, f"x{number % 4}", each)
+    run_pass(shard)
+    shard.view.configuration = builders.make_configuration(acme=(0, 0, 0))
+    builders.advance(shard, 0.1)
+    now = shard.clock.monotonic()
+    assert startable_and_preemption(shard) == (2, False)
+    assert not turn_order._has_backlog([task], now)
+    assert not preemption.may_preempt(shard, task, now)
+    assert not victims.has_waited_long(shard, lasting)
+    builders.advance(shard, preemption.SHORT_PREEMPT_AFTER_S)
+    assert startable_and_preemption(shard) == (2, True)
+
+
+def test_tasks_that_are_held_back_wait_for_no_turn():
+    """Guards against reports of a busy owner for the sake of a limit."""
+    shard = builders.make_shard(acme=(3000, 0, 0))
+    builders.make_tasks(shard, waited_s=20.0)
+    assert not owner_reports._rows_without_turn(shard, 0.0)
+    builders.make_tasks(shard, "", waited_s=20.0)
+    rows = owner_reports._rows_without_turn(shard, 0.0)
+    assert [row["tasks"] for row in rows] == [1]
--- a/limpetstream/shard/owner_load.py
+++ b/limpetstream/shard/owner_load.py
@@ -91,7 +91,8 @@
     if task.first_turn_at >= task.ready_at:
         return
     task.first_turn_at = now
-    waited_s = task.first_turn_wait_s = now - max(task.ready_at, task.not_before)
+    waited_s = min(workflow_state.waited_s(task, now), now - task.not_before)
+    task.first_turn_wait_s = waited_s
     turns = load.turns_by_priority.setdefault(priority, Turns())
     turns.count += 1
     turns.late += waited_s > LATE_TURN_S
--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -4,8 +4,10 @@
 import dataclasses
 
 from limpetstream.executors import messages as executor_messages
+from limpetstream.organisations import limits
 from limpetstream.shard import audits, events, owner_load, state
 from limpetstream.telemetry import logs
+from limpetstream.workflow import state as workflow_state
 
 REPORT_INTERVAL_S = 5.0  # The platform reads the metrics as often.
 
@@ -94,7 +96,9 @@
     waits_by_priority: dict[int, list[float]] = collections.defaultdict(list)
     for task in shard.waiting_tasks:
         if task.first_turn_at < task.ready_at and task.not_before <= now:
-            waited_s = now - max(task.ready_at, task.not_before)
+            if not limits.allows(shard, task):
+                continue
+            waited_s = min(workflow_state.waited_s(task, now), now - task.not_before)
             waits_by_priority[shard.priority_of(task.job)].append(waited_s)
     return [
         {
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -31,7 +31,7 @@
         if task.step.long_running
         else SHORT_PREEMPT_AFTER_S
     )
-    if now - task.ready_at <= wait_s:
+    if workflow_state.waited_s(task, now) <= wait_s:
         return False
     # Runs that were stopped for it before need time to end.
     return (
@@ -135,7 +135,8 @@
     if now - shard.long_running_preempted_at < pause_s:
         return False
     if not any(
-        victims.is_short(task) and now - task.ready_at > SHORT_PREEMPT_AFTER_S
+        victims.is_short(task)
+        and workflow_state.waited_s(task, now) > SHORT_PREEMPT_AFTER_S
         for task in startable
     ):
         return False
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -235,7 +235,7 @@
 
     Nothing is reserved between the check of the limit and the start.
     """
-    if not limits.allows(shard, task):
+    if not limits.may_have_turn(shard, task, this_pass.now):
         return  # Starts of this pass have used up what was left.
     this_pass.checks += CHECKS_PER_TURN
     task.tried_in_round = shard.searches.round_number
@@ -295,7 +295,7 @@
         placing.shape(task, context.service),
         task.step.image,
         task.step.long_running,
-        best_effort.stage_of_wait(this_pass.now - task.ready_at),
+        best_effort.stage_of_wait(workflow_state.waited_s(task, this_pass.now)),
     )
     if key not in this_pass.unplaceable:
         if placing.place_best_effort(shard, task, context, this_pass.executors):
--- a/limpetstream/shard/turn_order.py
+++ b/limpetstream/shard/turn_order.py
@@ -49,5 +49,8 @@
 def _has_backlog(due: list[workflow_state.Task], now: float) -> bool:
     """Return whether a short task has waited longer than it should."""
     return any(
-        victims.is_short(task) and now - task.ready_at > BACKLOG_WAIT_S for task in due
+        victims.is_short(task)
+        and now - task.ready_at > BACKLOG_WAIT_S
+        and now - task.held_back_at > BACKLOG_WAIT_S
+        for task in due
     )
--- a/limpetstream/shard/victims.py
+++ b/limpetstream/shard/victims.py
@@ -29,7 +29,8 @@
     """Return whether a task is long-running and its longest wait is over."""
     if not task.step.long_running:
         return False
-    return shard.clock.monotonic() - task.ready_at > LONG_RUNNING_MAX_WAIT_S
+    waited_s = workflow_state.waited_s(task, shard.clock.monotonic())
+    return waited_s > LONG_RUNNING_MAX_WAIT_S
 
 
 def kind_of(shard: state.Shard, task: workflow_state.Task) -> str:
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -99,7 +99,7 @@
     ranked = _ranked(within_target, task, context)
     if accepts_any_executor(task, context):
         return ranked[0].executor
-    waited_s = context.now - task.ready_at
+    waited_s = state.waited_s(task, context.now)
     min_cpu_share, min_pace = MIN_CPU_SHARE, MIN_PACE
     if waited_s >= FULL_PACE_WAIT_S:
         further_s = waited_s - FULL_PACE_WAIT_S
@@ -126,7 +126,7 @@
     task: state.Task, context: eligibility.PlacementContext
 ) -> bool:
     """Return whether a best-effort task no longer waits for speed."""
-    waited_s = context.now - task.ready_at
+    waited_s = state.waited_s(task, context.now)
     return must_run_soon(task, context) and waited_s >= IDLE_SERVICE_WAIT_S
 
 
@@ -211,7 +211,7 @@
     """Yield what a best-effort task can expect on each of the executors."""
     step, rack, now = task.step, task.step.data_rack, context.now
     model, forecast_of = context.interference_model, context.forecasts.get
-    is_calm = now - task.ready_at < FULL_PACE_WAIT_S
+    is_calm = state.waited_s(task, now) < FULL_PACE_WAIT_S
     for executor in executors:
         expected = forecast_of(executor, model, now)
         pace = expected.pace(step, calm=is_calm)
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -101,6 +101,8 @@
         run: The run that holds capacity now, if any.
         ready_at: Monotonic time from which it could have been placed.
         not_before: Monotonic time before which it is not placed again.
+        held_back_at: Monotonic time at which the limit of its organisation was
+            last found to hold it back.
         preempted_others_at: Monotonic time at which other runs were last
             stopped to make capacity for it.
         moved_at: Monotonic time at which it was last stopped to run on another
@@ -127,6 +129,7 @@
     run: Run | None = None
     ready_at: float = 0.0
     not_before: float = 0.0
+    held_back_at: float = -math.inf
     preempted_others_at: float = -math.inf
     moved_at: float = -math.inf
     tried_in_round: int = -1
@@ -217,6 +220,14 @@
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
 
+def waited_s(task: Task, now: float) -> float:
+    """Return for how many seconds a task has waited for capacity.
+
+    Time for which a limit held it back does not count.
+    """
+    return now - max(task.ready_at, task.held_back_at)
+
+
 def step_name(task: Task) -> str:
     """Return the part of a task's name that all tasks of its step share."""
     return task.name.rpartition(".")[0]
