Test the claims of room more closely

Trials that removed single checks left the tests green for a gang's claim, the end of a claim with the start of its task, the order of claims, and a limit of 0 accelerators. Each has a test now.

--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -75,6 +75,17 @@
     assert running(tasks) == 1
 
 
+@pytest.mark.parametrize("resource", range(3))
+def test_zero_is_no_limit(resource):
+    """Guards against a resource that nobody may use."""
+    limit = [9000, 9000, 9]
+    limit[resource] = 0
+    shard = builders.make_shard(acme=tuple(limit))
+    fields = ("cpu_millicores", "memory_mb", "accelerators")
+    task = builders.make_tasks(shard, **{fields[resource]: 10_000})[0]
+    assert limits.allows(shard, task)
+
+
 def test_a_gang_starts_whole_or_not_at_all():
     """Guards against a gang whose last members exceed the limit."""
     shard = builders.make_shard(acme=LIMIT)
@@ -222,6 +233,56 @@
     assert (running(large), running(later)) == (1, 0)
 
 
+def test_a_gang_gets_the_room_that_becomes_free():
+    """Guards against members that leave the room to each other."""
+    shard = builders.make_shard(acme=LIMIT)
+    small = builders.make_tasks(shard)[0]
+    run_pass(shard)
+    gang = builders.make_tasks(
+        shard, count=2, gang=True, waited_s=claims.CLAIM_AFTER_S + 1
+    )
+    run_pass(shard)
+    shard.executor_by_id[small.run.executor_id].release(small.run)
+    run_pass(shard)
+    assert running(gang) == 2
+
+
+def test_a_claim_ends_with_the_start_of_its_task():
+    """Guards against room that stays unused after the start."""
+    shard = builders.make_shard(acme=LIMIT)
+    large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
+    shard.claims.note_held(large[0], (6000, 1000, 0), 0.0)
+    run_pass(shard)
+    short = builders.make_tasks(shard)
+    run_pass(shard)
+    assert (running(large), running(short)) == (1, 1)
+
+
+def test_the_task_that_has_waited_longest_gets_the_room():
+    """Guards against long-running tasks that take turns to lose their room."""
+    shard = builders.make_shard(acme=LIMIT)
+    hold(shard, "x0", builders.make_tasks(shard, cpu_millicores=8000)[0])
+    waits = {"cpu_millicores": 6000, "long_running": True}
+    builders.make_tasks(shard, waited_s=1.0, **waits)
+    oldest = builders.make_tasks(shard, waited_s=3.0, **waits)[0]
+    run_pass(shard)
+    assert shard.claims.kept_from(oldest) == (0, 0, 0)
+    assert shard.claims.kept_from(shard.waiting_tasks[0]) == (6000, 1000, 0)
+
+
+def test_no_task_claims_room_before_earlier_runs_are_settled():
+    """Guards against a claim of a task whose own run counts as unseen."""
+    shard = builders.make_shard(acme=LIMIT)
+    shard.earlier_runs_settled = False
+    shard.inherited_executors.add("x3")
+    shard.executor_by_id["x3"].reached = False
+    hold(shard, "x0", builders.make_tasks(shard, cpu_millicores=6000)[0])
+    builders.make_tasks(shard, long_running=True, cpu_millicores=9000)
+    short = builders.make_tasks(shard)
+    run_pass(shard)
+    assert running(short) == 1
+
+
 def test_a_task_that_cannot_use_its_room_gives_it_back():
     """Guards against room that is kept for a task that no executor suits."""
     shard = builders.make_shard(acme=LIMIT)
