--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -159,9 +159,8 @@
     if this_pass.has_skipped or not this_pass.is_finished:
         shard.changed.set()  # The next pass continues with them.
     _note_bound(shard, this_pass)
-    searches.end_pass(
-        shard.searches, is_finished=this_pass.is_finished and not is_left_out
-    )
+    is_finished = this_pass.is_finished and not is_left_out
+    searches.end_pass(shard.searches, is_finished=is_finished)
 
 
 def _without_backlog(
