Test that submissions are kept, and drop a needless check

Trials that removed single checks showed that no test noticed when submissions were dropped too soon; one does now. The claim of a gang held for each of its members, which changed nothing: the member with the claim starts the others.

--- a/limpetstream/organisations/claims.py
+++ b/limpetstream/organisations/claims.py
@@ -62,9 +62,12 @@
             claim.held_at = now
 
     def kept_from(self, task: state.Task) -> amounts.Amount:
-        """Return how much of its organisation's room a task must leave."""
+        """Return how much of its organisation's room a task must leave.
+
+        Of a gang one member has the claim, and it starts the others.
+        """
         claim = self._by_organisation.get(task.job.submission.organisation)
-        if claim is None or _is_same(claim.task, task):
+        if claim is None or claim.task is task:
             return amounts.ZERO
         return claim.need
 
@@ -76,10 +79,3 @@
 
 def _rank(task: state.Task) -> tuple[bool, float]:
     return not task.step.long_running, task.ready_at
-
-
-def _is_same(claimant: state.Task, task: state.Task) -> bool:
-    """Return whether two tasks are the same, or members of one gang."""
-    if claimant is task:
-        return True
-    return task.step.gang and state.step_name(claimant) == state.step_name(task)
--- a/limpetstream/organisations/tests/test_unseen.py
+++ b/limpetstream/organisations/tests/test_unseen.py
@@ -5,7 +5,7 @@
 
 from limpetstream.organisations import unseen
 from limpetstream.organisations.tests import builders
-from limpetstream.shard import scheduling
+from limpetstream.shard import housekeeping, scheduling
 from limpetstream.shard.tests import builders as shard_builders
 from limpetstream.workflow import messages, state as workflow_state
 
@@ -153,3 +153,28 @@
     builders.advance(shard, unseen.REFRESH_S)
     scheduling.run_pass(shard)
     assert len(calls) == 2
+
+
+@pytest.mark.parametrize("obstacle", ["run", "unknown run", "unsettled"])
+def test_a_submission_is_kept_while_there_may_be_runs(obstacle):
+    """Guards against a later owner that cannot tell whose runs they are."""
+    scene = shard_builders.JournaledShard()
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    shard.store = scene.store_client
+    task = shard_builders.make_tasks(shard, builders.SHORT)[0]
+    task.job.submission.organisation = builders.ACME
+    task.job.outcome = task.job.visible_outcome = messages.CANCELLED
+    if obstacle == "run":
+        run = shard_builders.start_run(executor, task)
+    elif obstacle == "unknown run":
+        executor.set_unknown_runs({(task.name, 1): None}, lambda name: task)
+    shard.earlier_runs_settled = obstacle != "unsettled"
+    scene.loop.run_until_complete(housekeeping._drop_final_jobs(shard, set()))
+    assert task.job.submission.steps
+    if obstacle == "run":
+        executor.release(run)
+    executor.uncount_unknown_runs()
+    shard.earlier_runs_settled = True
+    scene.loop.run_until_complete(housekeeping._drop_final_jobs(shard, set()))
+    assert not task.job.submission.steps
+    scene.close()
