--- /dev/null
+++ b/limpetstream/organisations/reports.py
@@ -0,0 +1,180 @@
+"""Logs what organisations use, what they may use, and what waits for them."""
+
+import collections
+import dataclasses
+import heapq
+from typing import Any
+
+from limpetstream import amounts
+from limpetstream.organisations import owner_events, settings, usage_standin
+from limpetstream.shard import state
+from limpetstream.telemetry import logs
+from limpetstream.workflow import state as workflow_state
+
+# Of one report; above the 72 organisations of the target.
+MAX_LINES = 100
+# In the log, for work without an organisation.
+NO_ORGANISATION = "(none)"
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """Waiting tasks of one organisation.
+
+    Args:
+        tasks: Number of tasks.
+        held_back: Number of those that the limit does not allow now.
+        longest_s: Longest time that one has waited, without its pause.
+    """
+
+    tasks: int = 0
+    held_back: int = 0
+    longest_s: float = 0.0
+
+
+def log(shard: state.Shard, reported: frozenset[str]) -> frozenset[str]:
+    """Log each organisation that has work, or had some in the last report.
+
+    Nothing is computed if the configuration names no organisation.
+
+    Args:
+        shard: Shard to report on.
+        reported: Names of the organisations that had work in the last report.
+
+    Returns:
+        Names of the organisations that have work now.
+    """
+    configuration = shard.view.configuration
+    if configuration is None or not configuration.organisation_by_name:
+        return frozenset()
+    by_name = configuration.organisation_by_name
+    usage = usage_standin.usage_of(shard)
+    waiting_by_name = _count_waiting(shard, by_name, usage)
+    used = {name for name in (*by_name, *reported, "") if any(usage.of(name))}
+    busy = frozenset(used | waiting_by_name.keys())
+    names = busy | reported
+    capacity = _capacity(shard)
+    chosen = heapq.nsmallest(
+        MAX_LINES,
+        names,
+        key=lambda name: (-waiting_by_name.get(name, Waiting()).longest_s, name),
+    )
+    for name in chosen:
+        organisation = by_name.get(name) or settings.Organisation(name)
+        waiting = waiting_by_name.get(name, Waiting())
+        logs.emit(
+            owner_events.ORGANISATION_STATE,
+            **_fields(organisation, usage, waiting, capacity),
+        )
+    if len(names) > len(chosen):
+        logs.emit(
+            owner_events.ORGANISATIONS_LEFT_OUT,
+            organisations=len(names),
+            left_out=len(names) - len(chosen),
+        )
+    return busy
+
+
+def dominant_share(used: amounts.Amount, capacity: amounts.Amount) -> float:
+    """Return the largest of the shares of the resources that there are.
+
+    >>> dominant_share((4000, 1024, 0), (16_000, 16_384, 0))
+    0.25
+    """
+    return max(
+        (part / whole for part, whole in zip(used, capacity, strict=True) if whole),
+        default=0.0,
+    )
+
+
+def exceeds(used: amounts.Amount, need: amounts.Amount, limit: amounts.Amount) -> bool:
+    """Return whether a task would bring its organisation over its limit.
+
+    A resource of which the task needs nothing does not hold it back.
+
+    Args:
+        used: What the organisation uses.
+        need: What the task needs.
+        limit: Limit of the organisation; 0 for a resource without one.
+
+    >>> exceeds((3000, 0, 0), (1000, 512, 0), (4000, 0, 0))
+    False
+    >>> exceeds((3000, 0, 0), (1001, 512, 0), (4000, 0, 0))
+    True
+    """
+    return any(
+        most and more and part + more > most
+        for part, more, most in zip(used, need, limit, strict=True)
+    )
+
+
+def need_of(task: workflow_state.Task) -> amounts.Amount:
+    """Return what a task needs."""
+    step = task.step
+    return step.cpu_millicores, step.memory_mb, step.accelerators
+
+
+def _fields(
+    organisation: settings.Organisation,
+    usage: usage_standin.Usage,
+    waiting: Waiting,
+    capacity: amounts.Amount,
+) -> dict[str, Any]:
+    used, limit = usage.of(organisation.name), organisation.limit
+    share = dominant_share(usage.short_of(organisation.name), capacity)
+    return {
+        "organisation": organisation.name or NO_ORGANISATION,
+        "weight": organisation.weight,
+        "share_percent": round(share * 100, 2),
+        "weighted_share_percent": round(share * 100 / organisation.weight, 2)
+        if organisation.weight > 0
+        else 0.0,
+        "used_millicores": used[0],
+        "used_memory_mb": used[1],
+        "used_accelerators": used[2],
+        "limit_millicores": limit[0],
+        "limit_memory_mb": limit[1],
+        "limit_accelerators": limit[2],
+        "waiting": waiting.tasks,
+        "held_back": waiting.held_back,
+        "longest_wait_ms": round(waiting.longest_s * 1000),
+    }
+
+
+def _count_waiting(
+    shard: state.Shard,
+    by_name: dict[str, settings.Organisation],
+    usage: usage_standin.Usage,
+) -> dict[str, Waiting]:
+    """Return what waits by organisation, without tasks that still pause."""
+    now = shard.clock.monotonic()
+    used_by_name: dict[str, amounts.Amount] = {}
+    waiting_by_name: dict[str, Waiting] = collections.defaultdict(Waiting)
+    for task in shard.waiting_tasks:
+        if task.not_before > now:
+            continue
+        name = task.job.submission.organisation
+        waiting = waiting_by_name[name]
+        waiting.tasks += 1
+        waited_s = now - max(task.ready_at, task.not_before)
+        waiting.longest_s = max(waiting.longest_s, waited_s)
+        organisation = by_name.get(name)
+        if organisation is not None and any(organisation.limit):
+            if name not in used_by_name:
+                used_by_name[name] = usage.of(name)
+            waiting.held_back += exceeds(
+                used_by_name[name], need_of(task), organisation.limit
+            )
+    return waiting_by_name
+
+
+def _capacity(shard: state.Shard) -> amounts.Amount:
+    """Return what all listed executors have."""
+    total = amounts.ZERO
+    for executor in shard.executor_by_id.values():
+        if executor.listed:
+            each = executor.listing.capacity
+            total = amounts.add(
+                total, (each.cpu_millicores, each.memory_mb, each.accelerators)
+            )
+    return total
--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -22,12 +22,14 @@
     job.loaded_at = shard.clock.monotonic()
     job.stored_after_claim = shard.recovered
     shard.job_by_id[submission.job_id] = job
+    organisation = submission.organisation
     logs.emit(
         events.JOB_LOADED,
         job=submission.job_id,
         queue=submission.queue,
         tasks=sum(step.count for step in submission.steps),
         waited_ms=shard.clock.wall_ms() - submission.accepted_ms,
+        **({"organisation": organisation} if organisation else {}),
     )
     open_job(shard, job)
 
--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from limpetstream.executors import messages as executor_messages
+from limpetstream.organisations import reports as organisation_reports
 from limpetstream.shard import audits, events, owner_load, state
 from limpetstream.telemetry import logs
 
@@ -20,12 +21,15 @@
             event loop was late.
         sum_of_delays_s: Sum of these times.
         delay_count: Number of these times.
+        organisations: Names of the organisations that had work in the last
+            report.
     """
 
     next_report_at: float
     worst_delay_s: float = 0.0
     sum_of_delays_s: float = 0.0
     delay_count: int = 0
+    organisations: frozenset[str] = frozenset()
 
 
 def note_delay(reporter: Reporter, delay_s: float) -> None:
@@ -42,6 +46,7 @@
         return
     reporter.next_report_at = now + REPORT_INTERVAL_S
     _log_owner(shard, reporter, audit)
+    reporter.organisations = organisation_reports.log(shard, reporter.organisations)
     reporter.worst_delay_s = reporter.sum_of_delays_s = 0.0
     reporter.delay_count = 0
     owner_load.begin(shard.load, shard.clock)
--- a/limpetstream/telemetry/catalogue.py
+++ b/limpetstream/telemetry/catalogue.py
@@ -22,9 +22,12 @@
 
 
 def load_events() -> list[events.Event]:
-    """Import all modules named ``events`` and return all events by number."""
+    """Import all modules that declare events; return all events by number.
+
+    They are named ``events``, or their names end in ``_events``.
+    """
     for module in pkgutil.walk_packages(limpetstream.__path__, "limpetstream."):
-        if module.name.endswith(".events"):
+        if module.name.endswith((".events", "_events")):
             importlib.import_module(module.name)
     return [event for _, event in sorted(events.event_by_number.items())]
 
--- a/limpetstream/telemetry/event_metrics.py
+++ b/limpetstream/telemetry/event_metrics.py
@@ -18,6 +18,7 @@
 QUANTILES = (50.0, 90.0, 99.0, 100.0)
 DURATION_SUFFIX = "_ms"
 SHARE_SUFFIX = "_percent"
+ORGANISATION_FIELD = "organisation"
 
 
 class EventMetrics:
@@ -33,6 +34,9 @@
     def observe(self, event: events.Event, fields: dict[str, Any]) -> None:
         """Count one event and record its durations.
 
+        Percentages of an organisation are not kept here, as that of the last
+        one would stand for all: see ``organisation_metrics``.
+
         Args:
             event: Event that is logged.
             fields: Fields of the event; those whose names end in ``_ms`` are
@@ -44,7 +48,11 @@
                 self._histogram(event.name, field).record_value(
                     min(HIGHEST_MS, max(LOWEST_MS, int(value)))
                 )
-            elif field.endswith(SHARE_SUFFIX) and isinstance(value, int | float):
+            elif (
+                field.endswith(SHARE_SUFFIX)
+                and isinstance(value, int | float)
+                and ORGANISATION_FIELD not in fields
+            ):
                 self.percent_by_event_and_field[event.name, field] = value
 
     def render(self) -> bytes:
--- a/limpetstream/telemetry/events.py
+++ b/limpetstream/telemetry/events.py
@@ -4,7 +4,7 @@
 the hundred that is reserved for the package: records 100, membership 200,
 snapshots 300, peers 400, desk 500, batch 600, accounts 700, settings 800,
 admin 900, entry 1000, platform 1100, report 1200, border 1300, telemetry
-1400, shard 1500.
+1400, shard 1500, organisations 1600.
 """
 
 import dataclasses
