Add a table of organisations to limpetstream-stages

The stages of jobs were told by queue only, so a complaint of one organisation could not be checked from logs. The table tells for each organisation its jobs, the waits until capacity (50th and 95th percentile), the ends, and the refusals by reason. It is left out if no line names an organisation.

--- a/limpetstream/organisations/owner_events.py
+++ b/limpetstream/organisations/owner_events.py
@@ -2,6 +2,10 @@
 
 from limpetstream.telemetry import events
 
+# Events of refused requests; each has a ``reason``, and the organisation if it
+# is known.
+REFUSAL_NUMBERS = range(1600, 1610)
+
 ORGANISATION_STATE = events.declare(
     1610,
     "organisation-state",
--- a/limpetstream/report/stages.py
+++ b/limpetstream/report/stages.py
@@ -13,6 +13,7 @@
 import hdrh.histogram
 import msgspec
 
+from limpetstream.report import organisations
 from limpetstream.shard import events
 from limpetstream.telemetry import events as telemetry_events
 
@@ -64,6 +65,7 @@
         events.START_IN_DOUBT,
     )
 }
+EVENT_NAMES = STAGES_BY_EVENT.keys() | COUNTED_EVENT_NAMES
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,11 +99,16 @@
 
     Args:
         queue_by_name: Queues by name.
+        organisation_by_name: What the jobs of organisations met with, by name;
+            empty if no line names one.
         lines: Number of lines with a JSON object.
         unreadable: Number of those lines that are not valid JSON.
     """
 
     queue_by_name: dict[str, Queue] = dataclasses.field(default_factory=dict)
+    organisation_by_name: dict[str, organisations.Organisation] = dataclasses.field(
+        default_factory=dict
+    )
     lines: int = 0
     unreadable: int = 0
 
@@ -114,12 +121,15 @@
     """
     report = StageReport()
     lines = list(_parse(texts, report))
+    report.organisation_by_name = organisations.collect(lines, _job_of)
     queue_by_job = {
         line["job"]: line["queue"]
         for line in lines
         if "job" in line and "queue" in line
     }
     for line in lines:
+        if line["name"] not in EVENT_NAMES:
+            continue  # Only its organisation counts.
         name = queue_by_job.get(_job_of(line)) or line.get("queue") or UNKNOWN_QUEUE
         queue = report.queue_by_name.setdefault(name, Queue())
         how = str(line.get("how") or line.get("outcome") or "")
@@ -133,7 +143,6 @@
 
 
 def _parse(texts: Iterable[str], report: StageReport) -> Iterator[dict]:
-    event_names = STAGES_BY_EVENT.keys() | COUNTED_EVENT_NAMES
     for text in texts:
         start = text.find("{")
         if start < 0:
@@ -144,7 +153,9 @@
         except (msgspec.DecodeError, UnicodeError):
             report.unreadable += 1
             continue
-        if isinstance(line, dict) and line.get("name") in event_names:
+        if isinstance(line, dict) and (
+            line.get("name") in EVENT_NAMES or organisations.is_refusal(line)
+        ):
             yield line
 
 
--- a/limpetstream/report/stages_program.py
+++ b/limpetstream/report/stages_program.py
@@ -6,7 +6,7 @@
 import sys
 
 from limpetstream.admin import client
-from limpetstream.report import render, stages
+from limpetstream.report import organisations, render, stages
 
 HEADER = ["stage", "count", "p50 ms", "p95 ms", "max ms"]
 
@@ -44,6 +44,9 @@
         lines += ["", name, *render.text_table(HEADER, stage_rows(queue))]
         if queue.count_by_outcome:
             lines.append(f"  {outcome_summary(queue)}")
+    rows = organisations.table_rows(stage_report.organisation_by_name)
+    if rows:
+        lines += ["", *render.text_table(organisations.HEADER, rows)]
     return "\n".join(lines) + "\n"
 
 
@@ -62,6 +65,10 @@
             fragments.append("</tr><tr>")
             fragments += [f"<td>{html.escape(cell)}</td>" for cell in row]
         fragments.append(f"</tr></table><p>{html.escape(outcome_summary(queue))}</p>")
+    rows = organisations.table_rows(stage_report.organisation_by_name)
+    if rows:
+        fragments.append("<h2>Organisations</h2>")
+        fragments.append(render.html_table(organisations.HEADER, rows))
     return "\n".join(fragments) + "\n"
 
 
--- a/limpetstream/report/tests/test_stages.py
+++ b/limpetstream/report/tests/test_stages.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from limpetstream.report import stages, stages_program
+from limpetstream.report import organisations, stages, stages_program
 
 JOB = "5c0e7a21d94b36f8"
 TASK = f"{JOB}.0.0.1"
@@ -62,6 +62,28 @@
         assert wanted in text
 
 
+def test_organisations_have_a_table_of_their_own():
+    """Guards against waits and refusals that no log line tells by caller."""
+    lines = [
+        *[text for text in LINES if "job-loaded" not in text],
+        line("job-loaded", job=JOB, queue="desk", waited_ms=30, organisation="mill"),
+        line("request-refused", event=1601, organisation="mill", reason="not fresh"),
+        line("request-refused", event=1601, reason="unknown key"),
+    ]
+    stage_report = stages.collect(lines)
+    assert organisations.table_rows(stage_report.organisation_by_name) == [
+        ["(unknown)", "0", "0", "0", "0", "-", "unknown key: 1"],
+        ["mill", "1", "1", "12", "12", "completed: 1", "not fresh: 1"],
+    ]
+    assert stage_report.queue_by_name.keys() == {"desk", stages.UNKNOWN_QUEUE}
+    for text in (
+        stages_program.render_text(stage_report),
+        stages_program.render_html(stage_report),
+    ):
+        assert "mill" in text
+    assert not stages.collect(LINES).organisation_by_name
+
+
 def test_missing_file_is_a_usage_error(capsys):
     """Guards against a traceback instead of a message."""
     with pytest.raises(SystemExit) as stopped:
--- a/limpetstream/telemetry/organisation_metrics.py
+++ b/limpetstream/telemetry/organisation_metrics.py
@@ -14,7 +14,6 @@
 # Of organisations, as each label costs memory and a line of each scrape.
 MAX_ORGANISATIONS = 100
 OTHERS = "(others)"  # Label of the organisations beyond that number.
-REFUSAL_EVENTS = range(1600, 1610)
 LABEL = "organisation"
 
 
@@ -36,7 +35,7 @@
             self._keep(fields)
         elif event is shard_events.SHARD_RELEASED:
             self._fields_by_name.clear()
-        elif event.number in REFUSAL_EVENTS and "reason" in fields:
+        elif event.number in owner_events.REFUSAL_NUMBERS and "reason" in fields:
             self._count_refusal(fields)
 
     def render(self) -> bytes:
