--- a/search/plays.py
+++ b/search/plays.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from limpetstream import errors
+from limpetstream import amounts, errors
 from limpetstream.shard import names
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
@@ -22,6 +22,7 @@
     cancel_faults,
     executor_faults,
     fault_world,
+    limit_faults,
     overlapping_faults,
     rare_faults,
     restart_faults,
@@ -30,7 +31,13 @@
     stop_faults,
     transport_faults,
 )
-from standins import cancelled_runs, shard_cluster, step_executors, virtual_time
+from standins import (
+    cancelled_runs,
+    organisation_limits,
+    shard_cluster,
+    step_executors,
+    virtual_time,
+)
 
 LIMIT_S = 180.0  # Virtual seconds of a schedule; one that hangs fails.
 SETTLE_S = 60.0  # Time after the last fault in which every job has to end.
@@ -45,6 +52,7 @@
     | stop_faults.FAULTS
     | cancel_faults.FAULTS
     | restart_faults.FAULTS
+    | limit_faults.FAULTS
 )
 
 
@@ -71,6 +79,7 @@
         self.steps_by_job: dict[str, list[messages.Step]] = {}
         self.withdraw: Callable[[str, str], bool] = lambda *start: False
         self.is_end_judged: Callable[[str, str], bool] = lambda *end: True
+        self.limits = organisation_limits.LimitCheck(self, self._need_of)
 
     def record_start(self, task: str, executor_id: str) -> None:
         """Record a start; all tasks of earlier steps must have been done."""
@@ -88,6 +97,11 @@
         if missing:
             self.record(f"{task} started on {executor_id} before {missing} were done")
 
+    def _need_of(self, task: str) -> amounts.Amount:
+        job_id, number, _task_number = schedules.split_task(task)
+        step = self.steps_by_job[job_id][number]
+        return step.cpu_millicores, step.memory_mb, step.accelerators
+
     def record_acknowledged(
         self, task: str, executor_id: str, *, ended_at: float
     ) -> None:
@@ -107,6 +121,8 @@
     async def bounded() -> None:
         cluster = _make_cluster(loop, schedule, checks)
         world = fault_world.World(cluster)
+        if schedule.limit_by_organisation:
+            limit_faults.set_limits(world, schedule.limit_by_organisation)
         if traced:
             world.trace = trace
         with world.observing():
@@ -252,6 +268,7 @@
     """Submit a job; cancel it if the schedule says so."""
     cluster, job_id = world.cluster, f"{number:016x}"
     checks.steps_by_job[job_id] = job.steps
+    checks.limits.organisation_by_job[job_id] = job.organisation
 
     def run_time(task: str) -> float:
         seconds = job.seconds_by_step[schedules.split_task(task)[1]]
@@ -272,6 +289,7 @@
         seconds=run_time,
         queue=job.queue,
         max_refusals=job.max_refusals,
+        organisation=job.organisation,
     )
     if not is_accepted:
         return
--- a/search/schedules.py
+++ b/search/schedules.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from limpetstream import amounts
 from limpetstream.workflow import messages
 from standins import shard_cluster, step_executors
 
@@ -48,6 +49,7 @@
         stored_after_s: Seconds after which its append, which has no answer,
             takes effect; its caller cancels the job at once. None for a job
             that is submitted as usual.
+        organisation: Organisation that submits it; empty for none.
     """
 
     at: float
@@ -59,6 +61,7 @@
     )
     max_refusals: int = MAX_ATTEMPTS
     stored_after_s: float | None = None
+    organisation: str = ""
 
     def lasts(self) -> bool:
         """Return whether its tasks run until it is cancelled."""
@@ -116,6 +119,8 @@
         next_share: Share of the calls to an ended process that the next one
             under its id carries out. If it is above 0, clocks of executors
             begin anywhere.
+        limit_by_organisation: Limits of the organisations that the
+            configuration names; empty if it names none.
     """
 
     seed: int
@@ -128,6 +133,9 @@
     is_watched: bool = False
     max_lease_ms: int = step_executors.MAX_LEASE_MS
     next_share: float = 0.0
+    limit_by_organisation: dict[str, amounts.Amount] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def split_task(task: str) -> tuple[str, int, int]:
--- /dev/null
+++ b/standins/organisation_limits.py
@@ -0,0 +1,93 @@
+"""Finds starts that bring an organisation over its limit.
+
+What counts is what the executors really run. A start is judged by the highest
+limit that may have been in force when it was sent.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable, Mapping
+
+from limpetstream import amounts
+from standins import step_executors
+
+# A start may be sent just before a configuration is replaced, and be carried
+# out up to 12 s later. An owner that is cut off reads the next configuration
+# up to 6 s late.
+IN_FORCE_S = 20.0
+
+
+class LimitCheck:
+    """Checks each start on the executors of one cluster.
+
+    Without any limits it does nothing. ``organisation_by_job`` holds the
+    organisation of each job that has one, ``starts`` the number of starts of
+    these jobs, and ``highest`` the most thousandths of a core that each
+    organisation with a limit has had running.
+
+    Args:
+        breaches: What the executors run; violations are recorded there.
+        need_of: Returns what a task needs, by its name.
+    """
+
+    def __init__(
+        self,
+        breaches: step_executors.Breaches,
+        need_of: Callable[[str], amounts.Amount],
+    ) -> None:
+        self.organisation_by_job: dict[str, str] = {}
+        self.starts = 0
+        self.highest: dict[str, int] = {}
+        self._breaches = breaches
+        self._need_of = need_of
+        self._limits_since: list[tuple[float, Mapping[str, amounts.Amount]]] = []
+        breaches.start_checks.append(self._check)
+
+    def set_limits(self, limit_by_name: Mapping[str, amounts.Amount]) -> None:
+        """Note the limits of a configuration that is acknowledged now.
+
+        Args:
+            limit_by_name: Limit by organisation; 0 for a resource without one.
+        """
+        now = asyncio.get_running_loop().time()
+        self._limits_since.append((now, dict(limit_by_name)))
+
+    def _check(self, task: str, executor_id: str) -> None:
+        name = self.organisation_by_job.get(_job_of(task), "")
+        limits = self._limits_in_force(name)
+        if not limits or (task, executor_id) in self._breaches.uncovered_starts:
+            return
+        self.starts += 1
+        running = self._running(name)
+        self.highest[name] = max(self.highest.get(name, 0), running[0])
+        for resource, need in enumerate(self._need_of(task)):
+            most = max(limit[resource] or math.inf for limit in limits)
+            if need and running[resource] > most:
+                self._breaches.record(
+                    f"OVER LIMIT: {task} started on {executor_id}; {name} runs "
+                    f"{running[resource]} of {most} of resource {resource}"
+                )
+
+    def _limits_in_force(self, name: str) -> list[amounts.Amount]:
+        """Return the limits that may be in force; none if it has none."""
+        now = asyncio.get_running_loop().time()
+        limits = []
+        for since, limit_by_name in reversed(self._limits_since):
+            limits.append(limit_by_name.get(name, amounts.ZERO))
+            if since < now - IN_FORCE_S:
+                break
+        return limits if any(map(any, limits)) else []
+
+    def _running(self, name: str) -> amounts.Amount:
+        total = amounts.ZERO
+        for task, executor_ids in self._breaches.executors_by_task.items():
+            if self.organisation_by_job.get(_job_of(task)) != name:
+                continue
+            for executor_id in executor_ids:
+                if (task, executor_id) not in self._breaches.uncovered_starts:
+                    total = amounts.add(total, self._need_of(task))
+        return total
+
+
+def _job_of(task: str) -> str:
+    return task.partition(".")[0]
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -394,6 +394,7 @@
         *,
         seconds: Any,
         queue: messages.Queue = QUEUE,
+        organisation: str = "",
     ) -> messages.Submission:
         """Return a submission; the executors know the sizes of its tasks."""
         self.size_by_spec[job_id] = (steps[0].cpu_millicores, seconds)
@@ -406,6 +407,7 @@
             steps,
             queue.max_attempts,
             self.clock.wall_ms(),
+            organisation=organisation,
         )
 
     async def submit(
@@ -416,12 +418,15 @@
         seconds: float,
         queue: messages.Queue = QUEUE,
         max_refusals: int = 8,
+        organisation: str = "",
     ) -> bool:
         """Submit at random instances until one accepts; eight attempts.
 
         A caller that only got refusals gives up after ``max_refusals``.
         """
-        submission = self.make_submission(job_id, steps, seconds=seconds, queue=queue)
+        submission = self.make_submission(
+            job_id, steps, seconds=seconds, queue=queue, organisation=organisation
+        )
         refusals, attempts = 0, 0
         while attempts < 8 and not refusals == attempts == max_refusals:
             member = self.random.choice(list(self.instance_by_member))
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -97,7 +97,8 @@
     the first request for it. It may add the task and the executor of a start
     to ``uncovered_starts`` before the start is carried out; that run then
     breaks no guarantee until it ends, and its end may be acknowledged although
-    the task was started again.
+    the task was started again. ``start_checks`` are called with the task and
+    the executor of each start, once it is recorded.
 
     Args:
         loop: Loop that drives the time.
@@ -117,6 +118,7 @@
         self.cancelled_at: dict[str, float] = {}
         self.cancel_asked_at: dict[str, float] = {}
         self.uncovered_starts: set[tuple[str, str]] = set()
+        self.start_checks: list[Callable[[str, str], None]] = []
         self._uncovered_ends: set[tuple[str, str]] = set()
         self._loop = loop
 
@@ -146,6 +148,8 @@
         running.add(executor_id)
         if is_covered or task not in self.started_at_by_task:
             self.started_at_by_task[task] = self._loop.time()
+        for check in self.start_checks:
+            check(task, executor_id)
 
     def record_acknowledged(
         self, task: str, executor_id: str, *, ended_at: float
