Check keys and limits of organisations in the soak

Probes send calls with unknown, removed and present keys. A finding is a start over a limit, a success with an unknown key or with one that was removed more than 5 s before, and a run of a job of an unknown key. Without the argument nothing changes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     late_calls: bool = True,
     instances: int = _run.INSTANCES,
     executors: int = _run.EXECUTORS,
+    organisations: bool = False,
 ) -> None:
     """Run seeds one after the other; exit 1 if a guarantee was violated.
 
@@ -40,6 +41,8 @@
             seconds late.
         instances: Number of instances.
         executors: Number of executors at the start.
+        organisations: Whether organisations with keys and limits share the
+            cluster.
     """
     loguru.logger.remove()
     failed_runs = 0
@@ -55,6 +58,7 @@
                 late_calls=late_calls,
                 instances=instances,
                 executors=executors,
+                organisations=organisations,
             )
         )
         failed_runs += bool(outcome.findings)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -343,12 +343,15 @@
     ) -> _connections.Answer:
         """Call a random instance."""
         instance = self._random.choice(list(self._cluster.instance_by_name.values()))
+        headers = deployment.headers(DEADLINE_MS)
+        if self._cluster.organisations is not None:
+            headers |= self._cluster.organisations.headers_of(job.job_id)
         return await self._cluster.client.call(
             method,
             instance.caller_link.port,
             f"{deployment.PREFIX}{job.job_id}",
             body,
-            headers=deployment.headers(DEADLINE_MS),
+            headers=headers,
             timeout_s=timeout_s,
         )
 
--- a/soak/_cluster.py
+++ b/soak/_cluster.py
@@ -17,7 +17,7 @@
 
 from tornado import httputil
 
-from emulator import deployment, store
+from emulator import deployment, organisations, store
 from limpetstream.border import simple_server
 from limpetstream.executors import messages
 from soak import (
@@ -27,6 +27,7 @@
     _executors,
     _lasting,
     _late_calls,
+    _organisations,
     _owners,
 )
 from standins import keyed_store, link, processes, step_executors
@@ -82,6 +83,7 @@
         seed: Seed of all random decisions.
         group: Process group of the instances.
         max_lease_ms: Longest lease that executors grant.
+        is_shared: Whether organisations share it.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         group: processes.ProcessGroup,
         *,
         max_lease_ms: int = step_executors.MAX_LEASE_MS,
+        is_shared: bool = False,
     ) -> None:
         loop = asyncio.get_running_loop()
         # Separate generators: draws for callers and executors must not change
@@ -117,6 +120,11 @@
         self.owners = _owners.Owners(self.store)
         self.breaches = step_executors.Breaches(loop)
         self.size_by_spec: dict[str, tuple[int, float]] = {}
+        self.organisations: _organisations.Organisations | None = None
+        if is_shared:
+            self.organisations = _organisations.Organisations(
+                seed, self.breaches, self.size_by_spec
+            )
         self.lasting_millicores = 0  # Of all jobs that callers tried to submit.
         self.disturbances = _lasting.Disturbances()
         self.instance_by_name: dict[str, Instance] = {}
@@ -159,6 +167,9 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
+        if self.organisations is not None:
+            self.organisations.configure(self.store, self.version)
+            return
         deployment.configure(self.store, version=self.version, max_attempts=4)
 
     async def add_executor(self, executor_id: str) -> None:
@@ -306,15 +317,16 @@
 
         store_link = await self._serve_behind_link(answer)
         path = self.group.log_directory / f"{name}.json"
-        path.write_bytes(
-            deployment.settings_file(
-                name=name,
-                ip=ip,
-                data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
-                store_address=f"127.0.0.1:{store_link.port}",
-                max_lease_ms=self.max_lease_ms,
-            )
+        settings_file = deployment.settings_file(
+            name=name,
+            ip=ip,
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            store_address=f"127.0.0.1:{store_link.port}",
+            max_lease_ms=self.max_lease_ms,
         )
+        if self.organisations is not None:
+            settings_file = organisations.with_strict_revocation(settings_file)
+        path.write_bytes(settings_file)
         caller_link = await self._stack.enter_async_context(
             link.open_link(deployment.CALLER_PORT, target_host=ip)
         )
@@ -367,6 +379,7 @@
     instance_count: int,
     executor_count: int,
     max_lease_ms: int = step_executors.MAX_LEASE_MS,
+    is_shared: bool = False,
 ) -> AsyncIterator[Cluster]:
     """Yield a running cluster; its processes are killed on exit.
 
@@ -375,11 +388,12 @@
         instance_count: Number of instances.
         executor_count: Number of executors at the start.
         max_lease_ms: Longest lease that executors grant.
+        is_shared: Whether organisations share it.
     """
     with processes.process_group(f"{DIRECTORY}/{seed}") as group:
         for old_log in group.log_directory.glob("*.log"):
             old_log.unlink()
-        cluster = Cluster(seed, group, max_lease_ms=max_lease_ms)
+        cluster = Cluster(seed, group, max_lease_ms=max_lease_ms, is_shared=is_shared)
         try:
             await cluster.build(
                 instance_count=instance_count, executor_count=executor_count
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,6 +14,7 @@
     _cluster,
     _executors,
     _faults,
+    _key_probes,
     _lasting,
     _leaves,
     _restarts,
@@ -44,6 +45,9 @@
 # which the process of the soak stands still do not count.
 SETTLE_TIMEOUT_S = 30.0
 
+# A job of an invalid key that was stored would have been started by then.
+SETTLE_AFTER_PROBES_S = 3.0
+
 # Injects one kind of fault into a cluster for seconds, and notes each fault.
 Injector = Callable[[_cluster.Cluster, float, list[str]], Awaitable[None]]
 
@@ -63,6 +67,7 @@
         room: What the executors had and what was reserved there, every few
             seconds and at the end.
         findings: Violated guarantees; empty if all hold.
+        organisations: What was seen of organisations, if there are any.
     """
 
     seed: int
@@ -73,6 +78,7 @@
     starts: int
     room: list[str]
     findings: list[str]
+    organisations: list[str] = dataclasses.field(default_factory=list)
 
 
 async def run(
@@ -86,6 +92,7 @@
     late_calls: bool = True,
     instances: int = INSTANCES,
     executors: int = EXECUTORS,
+    organisations: bool = False,
 ) -> Outcome:
     """Run one seed and return its result.
 
@@ -101,6 +108,8 @@
             seconds late.
         instances: Number of instances.
         executors: Number of executors at the start.
+        organisations: Whether organisations with keys and limits share the
+            cluster.
     """
     injectors = [_inject]
     for injector, is_chosen in (
@@ -118,6 +127,7 @@
         instance_count=instances,
         executor_count=executors,
         max_lease_ms=max_lease_ms,
+        is_shared=organisations,
     )
     async with opened as cluster, _stalls.watch() as stall_watch:
         cluster.is_patient = not breaks
@@ -127,13 +137,14 @@
         checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
         room: list[str] = []
+        seen: list[str] = []
         async with asyncio.TaskGroup() as watching:
             watch = watching.create_task(
                 _watch.watch(cluster, callers, checker, injected)
             )
             noting = watching.create_task(_room.note(cluster, callers, room))
             await _submit_and_inject(
-                cluster, callers, injectors, seconds, injected, executors
+                cluster, callers, injectors, seconds, injected, executors, seen
             )
             await asyncio.gather(
                 callers.wait_until_settled(stall_watch, limit_s=SETTLE_TIMEOUT_S),
@@ -144,6 +155,8 @@
             noting.cancel()
             room.append(f"at the end: {_room.measure(cluster, callers)}")
         _check_final_states(cluster, callers)
+        if cluster.organisations is not None:
+            seen.append(str(cluster.organisations.limits))
         await asyncio.gather(
             *[cluster.stop(instance) for instance in cluster.instance_by_name.values()]
         )
@@ -157,6 +170,7 @@
             cluster.breaches.starts,
             room,
             cluster.breaches.found + checker.found + cluster.findings,
+            seen,
         )
 
 
@@ -167,6 +181,7 @@
     seconds: float,
     injected: list[str],
     executors: int,
+    seen: list[str],
 ) -> None:
     """Submit jobs and inject faults; return when all faults have ended."""
     max_lasting_millicores = _sizes.max_lasting_millicores(
@@ -183,6 +198,22 @@
         task_group.create_task(callers.poll_jobs(seconds))
         for injector in injectors:
             task_group.create_task(injector(cluster, seconds, injected))
+        if cluster.organisations is not None:
+            task_group.create_task(_probe_keys(cluster, callers, seconds, seen))
+
+
+async def _probe_keys(
+    cluster: _cluster.Cluster,
+    callers: _callers.Callers,
+    seconds: float,
+    seen: list[str],
+) -> None:
+    """Send requests with invalid keys; note the answers."""
+    probes = _key_probes.Probes(cluster, callers, cluster.organisations)
+    await probes.run(seconds)
+    await asyncio.sleep(SETTLE_AFTER_PROBES_S)
+    probes.check_jobs()
+    seen.append(f"answers by key: {dict(sorted(probes.count_by_answer.items()))}")
 
 
 async def _inject(
--- a/standins/organisation_limits.py
+++ b/standins/organisation_limits.py
@@ -52,6 +52,9 @@
         now = asyncio.get_running_loop().time()
         self._limits_since.append((now, dict(limit_by_name)))
 
+    def __str__(self) -> str:
+        return f"{self.starts} starts under a limit, most: {self.highest}"
+
     def _check(self, task: str, executor_id: str) -> None:
         name = self.organisation_by_job.get(_job_of(task), "")
         limits = self._limits_in_force(name)
