--- a/limpetstream/organisations/reports.py
+++ b/limpetstream/organisations/reports.py
@@ -1,6 +1,5 @@
 """Logs what organisations use, what they may use, and what waits for them."""
 
-import collections
 import dataclasses
 import heapq
 from typing import Any
@@ -146,25 +145,32 @@
     by_name: dict[str, settings.Organisation],
     usage: usage_standin.Usage,
 ) -> dict[str, Waiting]:
-    """Return what waits by organisation, without tasks that still pause."""
+    """Return what waits by organisation, without tasks that still pause.
+
+    Whether the limit holds tasks back is decided once for all of a step.
+    """
     now = shard.clock.monotonic()
-    used_by_name: dict[str, amounts.Amount] = {}
-    waiting_by_name: dict[str, Waiting] = collections.defaultdict(Waiting)
+    used_by_name = {name: usage.of(name) for name in by_name}
+    is_held_back_by_step: dict[int, bool] = {}
+    waiting_by_name: dict[str, Waiting] = {}
     for task in shard.waiting_tasks:
         if task.not_before > now:
             continue
-        name = task.job.submission.organisation
-        waiting = waiting_by_name[name]
+        name, step = task.job.submission.organisation, task.step
+        waiting = waiting_by_name.get(name)
+        if waiting is None:
+            waiting = waiting_by_name[name] = Waiting()
         waiting.tasks += 1
         waited_s = now - max(task.ready_at, task.not_before)
-        waiting.longest_s = max(waiting.longest_s, waited_s)
-        organisation = by_name.get(name)
-        if organisation is not None and any(organisation.limit):
-            if name not in used_by_name:
-                used_by_name[name] = usage.of(name)
-            waiting.held_back += exceeds(
-                used_by_name[name], need_of(task), organisation.limit
+        if waited_s > waiting.longest_s:
+            waiting.longest_s = waited_s
+        is_held_back = is_held_back_by_step.get(id(step))
+        if is_held_back is None:
+            is_held_back = name in by_name and exceeds(
+                used_by_name[name], need_of(task), by_name[name].limit
             )
+            is_held_back_by_step[id(step)] = is_held_back
+        waiting.held_back += is_held_back
     return waiting_by_name
 
 
