Name the limit or the share as the reason in task-waits

A task that its organisation's limit holds back waits beside executors with room, and task-waits counted them as `none`. While the configuration names organisations, the line has `organisation` and `held_by`: `limit`, or `share` if an organisation that uses less of the service for its weight waits as well.

--- a/limpetstream/organisations/reports.py
+++ b/limpetstream/organisations/reports.py
@@ -52,7 +52,7 @@
     used = {name for name in (*by_name, *reported, "") if any(usage.of(name))}
     busy = frozenset(used | waiting_by_name.keys())
     names = busy | reported
-    capacity = _capacity(shard)
+    capacity = capacity_of(shard)
     chosen = heapq.nsmallest(
         MAX_LINES,
         names,
@@ -174,7 +174,7 @@
     return waiting_by_name
 
 
-def _capacity(shard: state.Shard) -> amounts.Amount:
+def capacity_of(shard: state.Shard) -> amounts.Amount:
     """Return what all listed executors have."""
     total = amounts.ZERO
     for executor in shard.executor_by_id.values():
--- a/limpetstream/organisations/tests/test_reports.py
+++ b/limpetstream/organisations/tests/test_reports.py
@@ -2,9 +2,19 @@
 
 import pytest
 
-from limpetstream.organisations import owner_events, reports, usage_standin
+from limpetstream.organisations import (
+    owner_events,
+    reports,
+    usage_standin,
+    wait_reasons,
+)
 from limpetstream.organisations.tests import builders
-from limpetstream.shard import audits, events as shard_events, owner_reports
+from limpetstream.shard import (
+    audits,
+    events as shard_events,
+    owner_reports,
+    wait_reports,
+)
 from limpetstream.telemetry import event_metrics, logs, organisation_metrics
 
 
@@ -88,6 +98,29 @@
     assert reporter.organisations == {"mill", ""}
 
 
+def test_a_waiting_task_names_the_limit_or_the_share_as_the_reason(rows):
+    """Guards against tasks that wait beside free executors for no reason."""
+    shard = builders.make_shard(
+        builders.organisation("mill", limit=(13_000, 0, 0)),
+        builders.organisation("quay"),
+    )
+    builders.run(shard, builders.make_tasks(shard, "mill", count=2))
+    builders.run(shard, builders.make_tasks(shard, "quay", count=3))
+    held, small = (
+        builders.make_tasks(shard, "mill", cpu_millicores=cpu)[0] for cpu in (6000, 500)
+    )
+    behind = builders.make_tasks(shard, "quay")[0]
+    for task in (held, small, behind):
+        builders.wait(shard, [task], since=-9.0)
+    wait_reports.report_waiting_jobs(shard)
+    reason_by_task = {fields["task"]: fields["held_by"] for _event, fields in rows}
+    assert reason_by_task == {
+        held.name: wait_reasons.LIMIT,
+        small.name: "",
+        behind.name: wait_reasons.SHARE,
+    }
+
+
 def observed(*rows):
     metrics = organisation_metrics.OrganisationMetrics()
     for event, fields in rows:
--- /dev/null
+++ b/limpetstream/organisations/wait_reasons.py
@@ -0,0 +1,57 @@
+"""Tells whether a task waits for its organisation's limit or share."""
+
+from typing import Any
+
+from limpetstream.organisations import reports, settings, usage_standin
+from limpetstream.shard import state
+from limpetstream.workflow import state as workflow_state
+
+LIMIT = "limit"  # The task would bring its organisation over its limit.
+# Other organisations wait that use less of the service for their weight.
+SHARE = "share"
+
+
+def fields(shard: state.Shard, task: workflow_state.Task) -> dict[str, Any]:
+    """Return what a log line on a waiting task tells of its organisation.
+
+    Args:
+        shard: Shard of the task.
+        task: Task that waits.
+
+    Returns:
+        The organisation and why it lets the task wait, or an empty text if it
+        does not; nothing if the configuration names no organisation.
+    """
+    configuration = shard.view.configuration
+    if configuration is None or not configuration.organisation_by_name:
+        return {}
+    by_name = configuration.organisation_by_name
+    usage = usage_standin.usage_of(shard)
+    name = task.job.submission.organisation
+    held_by = ""
+    if name in by_name and reports.exceeds(
+        usage.of(name), reports.need_of(task), by_name[name].limit
+    ):
+        held_by = LIMIT
+    elif _waits_for_others(shard, name, by_name, usage):
+        held_by = SHARE
+    return {"organisation": name or reports.NO_ORGANISATION, "held_by": held_by}
+
+
+def _waits_for_others(
+    shard: state.Shard,
+    name: str,
+    by_name: dict[str, settings.Organisation],
+    usage: usage_standin.Usage,
+) -> bool:
+    """Return whether an organisation with a smaller weighted share waits."""
+    capacity = reports.capacity_of(shard)
+
+    def weighted_share(each: str) -> float:
+        weight = by_name[each].weight if each in by_name else 1.0
+        share = reports.dominant_share(usage.short_of(each), capacity)
+        return share / weight if weight > 0 else float("inf")
+
+    own_share = weighted_share(name)
+    names = {task.job.submission.organisation for task in shard.waiting_tasks}
+    return any(weighted_share(other) < own_share for other in names - {name})
--- a/limpetstream/shard/wait_reports.py
+++ b/limpetstream/shard/wait_reports.py
@@ -9,6 +9,7 @@
 import math
 
 from limpetstream.executors import tracking
+from limpetstream.organisations import wait_reasons as organisation_wait_reasons
 from limpetstream.shard import events, proof, scheduling, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state, wait_reasons
@@ -81,6 +82,7 @@
         executors=wait_reasons.count_reasons(
             shard.executor_by_id.values(), task, context
         ),
+        **organisation_wait_reasons.fields(shard, task),
     )
 
 
