--- a/bench/organisation_reports.py
+++ b/bench/organisation_reports.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from bench import result
-from limpetstream.organisations import reports, settings, usage_standin
+from limpetstream.organisations import keys, reports, settings
 from limpetstream.shard import audits, owner_reports, scheduling, state
 from limpetstream.shard.tests import builders
 from limpetstream.telemetry import logs, organisation_metrics
@@ -68,7 +68,8 @@
         "report of the owner itself (ms)": round(owner_ms, 2),
         "ratio of both reports": round(report_ms / owner_ms, 2),
         "bytes of all metrics": len(metrics.render()),
-        "bytes kept for metrics": _kept_bytes(shared),
+        "bytes kept for metrics": _kept_bytes(lambda: _kept_metrics(shared)),
+        "bytes kept for organisations and keys": _kept_bytes(_make_configuration),
         "pass with organisations (ms)": round(pass_ms, 2),
         "pass without organisations (ms)": round(plain_pass_ms, 2),
         "ratio of both passes": round(pass_ms / plain_pass_ms, 3),
@@ -145,17 +146,33 @@
     return statistics.median(took)
 
 
-def _kept_bytes(shard: state.Shard) -> int:
-    """Return how much memory the metrics of one report keep."""
-    metrics = organisation_metrics.OrganisationMetrics()
-    logs.observers.append(metrics.observe)
-    usage_standin.usage_of(shard)
+def _kept_bytes(make: Callable[[], object]) -> int:
+    """Return how much memory an object keeps."""
     tracemalloc.start()
     try:
         before, _peak = tracemalloc.get_traced_memory()
-        reports.log(shard, frozenset())
+        kept = make()
         after, _peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-        logs.observers.remove(metrics.observe)
+    del kept
     return after - before
+
+
+def _kept_metrics(shard: state.Shard) -> organisation_metrics.OrganisationMetrics:
+    metrics = organisation_metrics.OrganisationMetrics()
+    logs.observers.append(metrics.observe)
+    try:
+        reports.log(shard, frozenset())
+    finally:
+        logs.observers.remove(metrics.observe)
+    return metrics
+
+
+def _make_configuration() -> object:
+    """Return all organisations, and a table of two keys of each."""
+    names = [f"organisation-{number}" for number in range(ORGANISATIONS)]
+    table = keys.KeyTable(
+        (f"key {number} of {name}", name) for name in names for number in range(2)
+    )
+    return table, {name: settings.Organisation(name, limit=LIMIT) for name in names}
