Judge starts in the search by when they were decided on

A start was judged by the highest limit of the last 20 s, so that a lowered limit had no effect for as long. run-ordered tells when the owner has decided on it, and the search now judges by the limits in force since then; the soak, which does not see that, keeps the 20 s. overlapping_schedules plays the draw as well.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -2,8 +2,8 @@
 
 Each seed is played with plain jobs, with every kind of task, with these and
 connections that break, with planned stops and jobs that are cancelled before
-they are stored, with cancels of most jobs, and with calls to former processes
-of executors. The number of schedules and of
+they are stored, with cancels of most jobs, with calls to former processes of
+executors, and with limits of organisations. The number of schedules and of
 processes can be set by the environment variables ``SCHEDULES`` and
 ``PROCESSES``.
 """
@@ -20,6 +20,7 @@
     cancel_draws,
     draws,
     kind_draws,
+    limit_draws,
     plays,
     rare_draws,
     restart_draws,
@@ -50,6 +51,7 @@
             ("planned stops", play_stops),
             ("cancels", play_cancels),
             ("restarts", play_restarts),
+            ("limits", play_limits),
         ):
             outcomes = list(pool.map(function, seeds, chunksize=10))
             breaches_by_seed = {
@@ -117,6 +119,13 @@
     return plays.play(restart_draws.draw(seed))
 
 
+def play_limits(seed: int) -> plays.Outcome:
+    """Play the schedule of a seed with limits of organisations."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(limit_draws.draw(seed))
+
+
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
--- a/limpetstream/organisations/reports.py
+++ b/limpetstream/organisations/reports.py
@@ -51,26 +51,14 @@
     waiting_by_name = _count_waiting(shard, by_name, usage)
     used = {name for name in (*by_name, *reported, "") if any(usage.of(name))}
     busy = frozenset(used | waiting_by_name.keys())
-    names = busy | reported
     capacity = capacity_of(shard)
-    chosen = heapq.nsmallest(
-        MAX_LINES,
-        names,
-        key=lambda name: (-waiting_by_name.get(name, Waiting()).longest_s, name),
-    )
-    for name in chosen:
+    for name in _choose(busy | reported, waiting_by_name):
         organisation = by_name.get(name) or settings.Organisation(name)
         waiting = waiting_by_name.get(name, Waiting())
         logs.emit(
             owner_events.ORGANISATION_STATE,
             **_fields(organisation, usage, waiting, capacity),
         )
-    if len(names) > len(chosen):
-        logs.emit(
-            owner_events.ORGANISATIONS_LEFT_OUT,
-            organisations=len(names),
-            left_out=len(names) - len(chosen),
-        )
     return busy
 
 
@@ -113,6 +101,22 @@
     return step.cpu_millicores, step.memory_mb, step.accelerators
 
 
+def _choose(names: frozenset[str], waiting_by_name: dict[str, Waiting]) -> list[str]:
+    """Return the names to report, those with the longest waits first."""
+    chosen = heapq.nsmallest(
+        MAX_LINES,
+        names,
+        key=lambda name: (-waiting_by_name.get(name, Waiting()).longest_s, name),
+    )
+    if len(names) > len(chosen):
+        logs.emit(
+            owner_events.ORGANISATIONS_LEFT_OUT,
+            organisations=len(names),
+            left_out=len(names) - len(chosen),
+        )
+    return chosen
+
+
 def _fields(
     organisation: settings.Organisation,
     usage: usage_standin.Usage,
--- a/limpetstream/organisations/tests/test_reports.py
+++ b/limpetstream/organisations/tests/test_reports.py
@@ -84,7 +84,7 @@
     reports.log(shard, frozenset())
     assert len(states(rows)) == reports.MAX_LINES
     assert names[-1] in states(rows)
-    assert rows[-1][1] == {"organisations": len(names), "left_out": 5}
+    assert rows[0][1] == {"organisations": len(names), "left_out": 5}
 
 
 def test_the_owner_logs_organisations_with_its_own_state(rows):
--- a/limpetstream/organisations/usage_standin.py
+++ b/limpetstream/organisations/usage_standin.py
@@ -48,7 +48,8 @@
 
 def usage_of(shard: state.Shard) -> Usage:
     """Return the usage that a shard keeps, or else one that is counted."""
-    return getattr(shard, "usage", None) or CountedUsage(shard)
+    kept: Usage | None = getattr(shard, "usage", None)
+    return CountedUsage(shard) if kept is None else kept
 
 
 def _add(
--- a/search/plays.py
+++ b/search/plays.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from limpetstream import amounts, errors
-from limpetstream.shard import names
+from limpetstream.shard import events, names
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
@@ -136,6 +136,10 @@
     def observe(event: Any, fields: dict[str, object]) -> None:
         if event.name in ("task-forgotten", "shard-failed"):
             checks.record(f"LOST: {event.name}: {fields}")
+        elif event is events.RUN_ORDERED:
+            # Decided on before the journal and other starts let it be sent.
+            age_s = (fields["placed_ms_ago"] + 1) / 1000
+            checks.limits.note_decision(fields["task"], loop.time() - age_s)
 
     logs.observers.append(observe)
     try:
--- a/standins/organisation_limits.py
+++ b/standins/organisation_limits.py
@@ -1,20 +1,21 @@
 """Finds starts that bring an organisation over its limit.
 
 What counts is what the executors really run. A start is judged by the highest
-limit that may have been in force when it was sent.
+limit that may have been in force since it was decided on.
 """
 
 import asyncio
+import collections
 import math
 from collections.abc import Callable, Mapping
 
 from limpetstream import amounts
 from standins import step_executors
 
-# A start may be sent just before a configuration is replaced, and be carried
-# out up to 12 s later. An owner that is cut off reads the next configuration
-# up to 6 s late.
-IN_FORCE_S = 20.0
+# Age of the oldest start that may be carried out now. It may be sent just
+# before a configuration is replaced, and be carried out up to 12 s later. An
+# owner that is cut off reads the next configuration up to 6 s late.
+MAX_START_AGE_S = 20.0
 
 
 class LimitCheck:
@@ -40,6 +41,7 @@
         self.highest: dict[str, int] = {}
         self._breaches = breaches
         self._need_of = need_of
+        self._decided_at_by_task: dict[str, list[float]] = collections.defaultdict(list)
         self._limits_since: list[tuple[float, Mapping[str, amounts.Amount]]] = []
         breaches.start_checks.append(self._check)
 
@@ -52,12 +54,23 @@
         now = asyncio.get_running_loop().time()
         self._limits_since.append((now, dict(limit_by_name)))
 
+    def note_decision(self, task: str, decided_at: float) -> None:
+        """Note when an owner has decided on a start.
+
+        Without that, each start may be as old as the oldest one.
+
+        Args:
+            task: Name of the task.
+            decided_at: Loop time.
+        """
+        self._decided_at_by_task[task].append(decided_at)
+
     def __str__(self) -> str:
         return f"{self.starts} starts under a limit, most: {self.highest}"
 
     def _check(self, task: str, executor_id: str) -> None:
         name = self.organisation_by_job.get(_job_of(task), "")
-        limits = self._limits_in_force(name)
+        limits = self._limits_in_force(name, self._oldest_decision(task))
         if not limits or (task, executor_id) in self._breaches.uncovered_starts:
             return
         self.starts += 1
@@ -71,13 +84,18 @@
                     f"{running[resource]} of {most} of resource {resource}"
                 )
 
-    def _limits_in_force(self, name: str) -> list[amounts.Amount]:
-        """Return the limits that may be in force; none if it has none."""
-        now = asyncio.get_running_loop().time()
+    def _oldest_decision(self, task: str) -> float:
+        """Return the earliest time at which this start can be decided on."""
+        oldest = asyncio.get_running_loop().time() - MAX_START_AGE_S
+        decided = self._decided_at_by_task.get(task, [])
+        return min((at for at in decided if at >= oldest), default=oldest)
+
+    def _limits_in_force(self, name: str, decided_at: float) -> list[amounts.Amount]:
+        """Return the limits that were in force since; none if it has none."""
         limits = []
         for since, limit_by_name in reversed(self._limits_since):
             limits.append(limit_by_name.get(name, amounts.ZERO))
-            if since < now - IN_FORCE_S:
+            if since <= decided_at:
                 break
         return limits if any(map(any, limits)) else []
 
--- a/standins/tests/test_organisation_limits.py
+++ b/standins/tests/test_organisation_limits.py
@@ -45,6 +45,6 @@
 def test_a_lowered_limit_stops_new_starts_only():
     """Guards against findings for runs that go on, and starts sent before."""
     limits = {0.0: 6000, 10.0: 2000}
-    late_s = 10.0 + organisation_limits.IN_FORCE_S
+    late_s = 10.0 + organisation_limits.MAX_START_AGE_S
     assert not start_tasks({0: 1.0, 1: 2.0, 2: late_s - 1}, limits=limits)
     assert start_tasks({0: 1.0, 1: 2.0, 2: late_s + 1}, limits={**limits, 11.0: 2000})
