Hand the organisations of a soak to its callers

Callers took them from the cluster, which the builders of test_settling do not have: five of its tests failed since the soak knows organisations. They are an argument of Callers now, and no test is changed. A refusal that is counted already no longer looks at all labels.

--- a/limpetstream/telemetry/organisation_metrics.py
+++ b/limpetstream/telemetry/organisation_metrics.py
@@ -72,9 +72,10 @@
 
     def _count_refusal(self, fields: dict[str, Any]) -> None:
         name, reason = str(fields.get(LABEL) or ""), str(fields["reason"])
-        known = {name for name, _reason in self._refusals}
-        if name not in known and len(known) >= MAX_ORGANISATIONS:
-            name = OTHERS
+        if (name, reason) not in self._refusals:
+            known = {each for each, _reason in self._refusals}
+            if name not in known and len(known) >= MAX_ORGANISATIONS:
+                name = OTHERS
         count = fields.get("count", 1)
         self._refusals[name, reason] += count if isinstance(count, int) else 1
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,7 +8,14 @@
 from emulator import deployment
 from limpetstream.shard import names
 from limpetstream.workflow import messages
-from soak import _cluster, _connections, _executors, _sizes, _stalls
+from soak import (
+    _cluster,
+    _connections,
+    _executors,
+    _organisations,
+    _sizes,
+    _stalls,
+)
 
 DEADLINE_MS = 3000  # Most requests of real users have this deadline, here all.
 TIMEOUT_S = 4.0  # One second more than the deadline, for late answers.
@@ -72,11 +79,17 @@
 
     Args:
         cluster: Cluster that they call.
+        organisations: Organisations that they belong to; None without any.
     """
 
-    def __init__(self, cluster: _cluster.Cluster) -> None:
+    def __init__(
+        self,
+        cluster: _cluster.Cluster,
+        organisations: _organisations.Organisations | None = None,
+    ) -> None:
         self.job_by_id: dict[str, Job] = {}
         self._cluster = cluster
+        self._organisations = organisations
         self._random = cluster.caller_choices
         self._lasting_left = 0  # Millicores.
 
@@ -344,8 +357,8 @@
         """Call a random instance."""
         instance = self._random.choice(list(self._cluster.instance_by_name.values()))
         headers = deployment.headers(DEADLINE_MS)
-        if self._cluster.organisations is not None:
-            headers |= self._cluster.organisations.headers_of(job.job_id)
+        if self._organisations is not None:
+            headers |= self._organisations.headers_of(job.job_id)
         return await self._cluster.client.call(
             method,
             instance.caller_link.port,
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -132,7 +132,7 @@
     async with opened as cluster, _stalls.watch() as stall_watch:
         cluster.is_patient = not breaks
         cluster.has_late_calls = late_calls
-        callers = _callers.Callers(cluster)
+        callers = _callers.Callers(cluster, cluster.organisations)
         cluster.submit_lasting_job = callers.submit_lasting_job
         checker = _lasting.Checker(cluster.disturbances)
         injected: list[str] = []
