--- a/limpetstream/organisations/tests/builders.py
+++ b/limpetstream/organisations/tests/builders.py
@@ -41,8 +41,6 @@
     """Return a recovered shard that counts what organisations hold."""
     shard = builders.make_shard(virtual_time.Loop(), executors=executors)
     shard.clock = dataclasses.replace(shard.clock, monotonic=SteppedTime())
-    for executor in shard.executor_by_id.values():
-        executor.usage = shard.usage
     shard.view.configuration = make_configuration(**limit_by_name)
     return shard
 
@@ -89,7 +87,6 @@
         sums[0] = amounts.add(sums[0], need)
         if task.step.long_running:
             sums[1] = amounts.add(sums[1], need)
-    held.pop("", None)
     return held
 
 
@@ -104,7 +101,7 @@
     return all(
         [shard.usage.of(name), shard.usage.long_running_of(name)]
         == held.get(name, [amounts.ZERO, amounts.ZERO])
-        for name in {ACME, GLOBEX, *held}
+        for name in {"", ACME, GLOBEX, *held}
     )
 
 
--- a/limpetstream/organisations/usage.py
+++ b/limpetstream/organisations/usage.py
@@ -8,9 +8,9 @@
     """Resources of the runs of each organisation, changed with each run.
 
     A run counts from before its start is requested until its end is known.
-    Jobs without an organisation are not counted. What earlier owners may have
-    running unseen is kept apart; ``unseen_at`` is the monotonic time at which
-    that was computed.
+    Jobs without an organisation count under an empty name. What earlier owners
+    may have running unseen is kept apart; ``unseen_at`` is the monotonic time
+    at which that was computed.
     """
 
     __slots__ = (
@@ -29,8 +29,6 @@
     def change(self, task: state.Task, sign: int) -> None:
         """Add a run of a task, or remove it with a ``sign`` of -1."""
         name = task.job.submission.organisation
-        if not name:
-            return
         _change(self._by_organisation, name, task.step, sign)
         if task.step.long_running:
             _change(self._long_running_by_organisation, name, task.step, sign)
@@ -72,8 +70,12 @@
     step: messages.Step,
     sign: int,
 ) -> None:
-    held = by_organisation.get(name, amounts.ZERO)
-    changed = amounts.add(held, times(need_of(step), sign))
+    cpu, memory, accelerators = by_organisation.get(name, amounts.ZERO)
+    changed = (
+        cpu + sign * step.cpu_millicores,
+        memory + sign * step.memory_mb,
+        accelerators + sign * step.accelerators,
+    )
     if changed == amounts.ZERO:
         by_organisation.pop(name, None)
     else:
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -153,7 +153,9 @@
         earlier_runs_settled=True,
     )
     for number in range(executors):
-        shard.executor_by_id[f"x{number}"] = make_executor(f"x{number}")
+        executor = make_executor(f"x{number}")
+        executor.usage = shard.usage
+        shard.executor_by_id[f"x{number}"] = executor
     return shard
 
 
--- a/limpetstream/shard/wait_reports.py
+++ b/limpetstream/shard/wait_reports.py
@@ -9,7 +9,7 @@
 import math
 
 from limpetstream.executors import tracking
-from limpetstream.organisations import limits
+from limpetstream.organisations import limits, wait_reasons as organisation_wait_reasons
 from limpetstream.shard import events, proof, scheduling, state
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state, wait_reasons
@@ -85,6 +85,7 @@
             context,
             is_held_back=not limits.allows(shard, task),
         ),
+        **organisation_wait_reasons.fields(shard, task),
     )
 
 
