Keep the text that a catalogued removal replaces

The removal wait-unknown-runs-kept names the assignment of unknown_runs in apply_report, which had moved. The assignment is back, and counting the runs is a step of its own. Tests of the texts of removals and of organisations: passed.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -158,20 +158,15 @@
             self._change_reserved(run.task, -1)
             self.has_freed = True
 
-    def set_unknown_runs(
-        self,
-        unknown_runs: dict[tuple[str, int], float | None],
-        find_task: Callable[[str], state.Task | None],
-    ) -> None:
-        """Replace the runs on it that no open job needs.
+    def count_unknown_runs(self, find_task: Callable[[str], state.Task | None]) -> None:
+        """Count ``unknown_runs``, which a poll has listed, in the usage.
 
         Args:
-            unknown_runs: New value of ``unknown_runs``.
             find_task: Returns the task with a name; None if its job is not
                 known. A run counts as long as it is listed, even if its job
                 is forgotten meanwhile.
         """
-        self.unknown_runs = unknown_runs
+        unknown_runs = self.unknown_runs
         if not unknown_runs and not self._unknown_tasks:
             return
         for key in self._unknown_tasks.keys() - unknown_runs.keys():
--- a/limpetstream/organisations/tests/test_unseen.py
+++ b/limpetstream/organisations/tests/test_unseen.py
@@ -44,9 +44,8 @@
     builders.make_tasks(shard, count=9)  # Not started by an earlier owner.
     workflow_state.mark_done(tasks[0])
     shard_builders.start_run(shard.executor_by_id["x3"], tasks[1])
-    shard.executor_by_id["x3"].set_unknown_runs(
-        {(tasks[2].name, 1): None}, lambda name: tasks[2]
-    )
+    shard.executor_by_id["x3"].unknown_runs = {(tasks[2].name, 1): None}
+    shard.executor_by_id["x3"].count_unknown_runs(lambda name: tasks[2])
     assert bound(shard) == (8000, 2000, 0)
 
 
@@ -167,7 +166,8 @@
     if obstacle == "run":
         run = shard_builders.start_run(executor, task)
     elif obstacle == "unknown run":
-        executor.set_unknown_runs({(task.name, 1): None}, lambda name: task)
+        executor.unknown_runs = {(task.name, 1): None}
+        executor.count_unknown_runs(lambda name: task)
     shard.earlier_runs_settled = obstacle != "unsettled"
     scene.loop.run_until_complete(housekeeping._drop_final_jobs(shard, set()))
     assert task.job.submission.steps
--- a/limpetstream/organisations/tests/test_usage.py
+++ b/limpetstream/organisations/tests/test_usage.py
@@ -75,7 +75,8 @@
     def list_unknown(self, executor, keys):
         """Let a poll list runs; those of forgotten jobs count as before."""
         find_task = functools.partial(jobs.find_task, self.shard)
-        executor.set_unknown_runs(dict.fromkeys(keys), find_task)
+        executor.unknown_runs = dict.fromkeys(keys)
+        executor.count_unknown_runs(find_task)
         if executor.usage is None:
             return
         counted = self.unknown_by_executor[id(executor)]
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -48,7 +48,8 @@
             unknown_runs[key] = _stop_unknown(shard, executor, key, sent_at)
     if executor.unknown_runs.keys() != unknown_runs.keys():
         shard.changed.set()
-    executor.set_unknown_runs(unknown_runs, functools.partial(jobs.find_task, shard))
+    executor.unknown_runs = unknown_runs
+    executor.count_unknown_runs(functools.partial(jobs.find_task, shard))
     if executor.fenced and len(reply.ended) < MAX_LISTED_ENDS:
         _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
