--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -11,6 +11,7 @@
     sending,
     tracking,
 )
+from limpetstream.organisations import usage as usage_module
 from limpetstream.shard import (
     instance_quorum as quorum_module,
     journal as journal_module,
@@ -171,6 +172,7 @@
         submissions_follower: Reads the topic of submissions.
         send_window: Bounds what is under way to executors.
         load: What keeps the owner busy.
+        usage: What the runs of each organisation use.
     """
 
     number: int
@@ -256,10 +258,12 @@
     load: owner_load_module.OwnerLoad = dataclasses.field(
         default_factory=owner_load_module.OwnerLoad
     )
+    usage: usage_module.Usage = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.send_window = sending.SendWindow(self.clock)
         owner_load_module.begin(self.load, self.clock)
+        self.usage = usage_module.Usage(self.executor_by_id)
 
     def queue_of(self, job: workflow_state.Job) -> workflow_messages.Queue | None:
         """Return the queue of a job by the configuration in force."""
