Order waiting tasks by the shares of organisations

On a full service the order by due time lets one organisation take all that becomes free. Where the configuration names organisations and there is a backlog, each turn now goes to the organisation with the lowest weighted dominant share, within each class and priority. Tasks that no executor has room for do not count, so that small tasks do not starve behind large ones.

--- a/limpetstream/shard/turn_order.py
+++ b/limpetstream/shard/turn_order.py
@@ -1,5 +1,13 @@
-"""Orders waiting tasks by their priority and by when their jobs are due."""
+"""Orders waiting tasks by their priority and by when their jobs are due.
 
+Where the configuration names organisations, those share a full service by
+their weights.
+"""
+
+from collections.abc import Callable
+
+from limpetstream import amounts
+from limpetstream.organisations import shares
 from limpetstream.shard import objectives, state, victims
 from limpetstream.workflow import placement, state as workflow_state
 
@@ -19,11 +27,21 @@
         now: Monotonic time.
     """
     has_backlog = _has_backlog(due, now)
+    key_of = _key_function(shard, has_backlog=has_backlog)
+    if has_backlog and _has_organisations(shard):
+        return _sort_by_shares(shard, due, key_of)
+    return sorted(due, key=key_of)
+
+
+def _key_function(
+    shard: state.Shard, *, has_backlog: bool
+) -> Callable[[workflow_state.Task], shares.Key]:
+    """Return a function that returns the key of a task without shares."""
     now_ms = shard.clock.wall_ms()
     rank_by_job: dict[str, tuple[int, float]] = {}
-    key_by_job: dict[str, tuple[int, int, float]] = {}  # Unless long-running.
+    key_by_job: dict[str, shares.Key] = {}  # Unless long-running.
 
-    def key(task: workflow_state.Task) -> tuple[int, int, float]:
+    def key(task: workflow_state.Task) -> shares.Key:
         job_id = task.job.submission.job_id
         shared = None if task.step.long_running else key_by_job.get(job_id)
         if shared is not None:
@@ -43,7 +61,7 @@
             key_by_job[job_id] = order
         return order
 
-    return sorted(due, key=key)
+    return key
 
 
 def _has_backlog(due: list[workflow_state.Task], now: float) -> bool:
@@ -51,3 +69,57 @@
     return any(
         victims.is_short(task) and now - task.ready_at > BACKLOG_WAIT_S for task in due
     )
+
+
+def _has_organisations(shard: state.Shard) -> bool:
+    configuration = shard.view.configuration
+    return configuration is not None and bool(configuration.organisation_by_name)
+
+
+def _sort_by_shares(
+    shard: state.Shard,
+    due: list[workflow_state.Task],
+    key_of: Callable[[workflow_state.Task], shares.Key],
+) -> list[workflow_state.Task]:
+    """Return due tasks in the order of the shares of their organisations."""
+    configuration = shard.view.configuration
+    assert configuration is not None
+    capacity, largest_free = _capacity(shard)
+    return shares.order(
+        due,
+        key_of,
+        {
+            name: organisation.weight
+            for name, organisation in configuration.organisation_by_name.items()
+        },
+        {
+            name: shard.usage.short_of(name)
+            for name in {task.job.submission.organisation for task in due}
+        },
+        capacity,
+        largest_free,
+    )
+
+
+def _capacity(shard: state.Shard) -> tuple[amounts.Amount, amounts.Amount]:
+    """Return the capacity of all executors, and the most that one has free.
+
+    Only executors that may get new tasks count as free.
+    """
+    cpu = memory = accelerators = free_cpu = free_memory = free_accelerators = 0
+    available = shard.searches.available
+    for executor_id, executor in shard.executor_by_id.items():
+        each = executor.listing.capacity
+        cpu += each.cpu_millicores
+        memory += each.memory_mb
+        accelerators += each.accelerators
+        if executor_id in available:
+            free_cpu = max(free_cpu, each.cpu_millicores - executor.reserved_millicores)
+            free_memory = max(free_memory, each.memory_mb - executor.reserved_memory_mb)
+            free_accelerators = max(
+                free_accelerators, each.accelerators - executor.reserved_accelerators
+            )
+    return (
+        (cpu, memory, accelerators),
+        (free_cpu, free_memory, free_accelerators),
+    )
