Measure the cost of the order by shares

A pass sorts all due tasks, up to 100 times a second.

A test of the weights of the configuration is new; ignoring them left all tests green.

--- a/bench/organisation_shares.py
+++ b/bench/organisation_shares.py
@@ -16,7 +16,7 @@
 import os
 import statistics
 
-from bench import _shares_plays, result
+from bench import _shares_cost, _shares_plays, result
 
 DEFAULT_SEEDS = 100
 DEFAULT_PROCESSES = 4
@@ -38,6 +38,8 @@
     "shares after 0.05 s": _shares_plays.Order(backlog_wait_s=0.05),
 }
 HOT_DIVISOR = 10
+# Waiting tasks, and tasks of each job.
+COST_SIZES = ((1000, 1), (10_000, 1), (1000, 20), (10_000, 20))
 
 
 def run(seed: int) -> result.Result:
@@ -46,6 +48,11 @@
     processes = int(os.environ.get("PROCESSES", DEFAULT_PROCESSES))
     figures: dict[str, object] = {}
     bounds: dict[str, bool] = {}
+    for waiting, width in COST_SIZES:
+        before_ms, ms = _shares_cost.measure(seed, waiting, width)
+        figures[f"order of {waiting} tasks in jobs of {width}"] = (
+            f"{ms:.2f} ms, {ms / before_ms:.2f} times that by due time"
+        )
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
         for name, (order, sizes, divisor) in FULL_PLAYS.items():
             seeds = range(seed, seed + max(2, count // divisor))
--- a/limpetstream/shard/tests/test_shares.py
+++ b/limpetstream/shard/tests/test_shares.py
@@ -52,6 +52,18 @@
     assert organisations(ordered) == ["desk", "press"] * 3
 
 
+def test_weights_of_the_configuration_count():
+    """Guards against equal shares whatever the configuration says."""
+    shard = make_shard()
+    shard.view.configuration.organisation_by_name["press"].weight = 3.0
+    tasks = make_tasks(shard, "desk", 4) + make_tasks(shard, "press", 4)
+    ordered = turn_order.sort(shard, tasks, 0.0)
+    assert organisations(ordered) == [
+        *("desk", "press", "press", "press", "desk"),
+        *("press", "desk", "desk"),
+    ]
+
+
 def test_without_organisations_the_order_is_by_due_time():
     """Guards against a changed order where nothing is shared."""
     shard = make_shard(names=())
