Split the order by shares into smaller functions

Grouping by class and priority is a function of its own now; the order is the same. Tests of organisations, shard/tests/test_shares.py and test_scheduling.py: 33 passed.

--- a/limpetstream/organisations/shares.py
+++ b/limpetstream/organisations/shares.py
@@ -7,7 +7,7 @@
 
 import bisect
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from limpetstream import amounts
 from limpetstream.workflow import messages, state
@@ -34,43 +34,47 @@
 
     Classes and priorities come first, and the tasks of one organisation keep
     the order of their keys. Long-running tasks are ordered by their keys only.
-
-    A task counts as use of its organisation for the tasks after it in its
-    group of equal class and priority. Tasks of other groups do not count: the
-    pass reaches the next group only with tasks that fit nowhere.
+    A task counts as use for later ones of its class and priority. When tasks
+    of the next priority have their turns, those that are left fit nowhere.
 
     Args:
         tasks: Tasks to order.
         key_of: Returns the key of a task by the order without shares.
         weight_by_organisation: Weights, by name of the organisation.
-        use_by_organisation: What the runs of an organisation use that are not
-            long-running, by its name; nothing for names that are missing.
+        use_by_organisation: Use by runs that are not long-running, by name of
+            the organisation; none where a name is missing.
         capacity: Capacity of all executors.
-        largest_free: Most of each resource that is free on any one executor.
-            Larger tasks fit nowhere and do not count as use. None counts all.
+        largest_free: Most of each resource that one executor has free. Larger
+            tasks fit nowhere and do not count as use; None counts all.
     """
-    tasks = list(tasks)
+    ordered: list[state.Task] = []
+    for group in _groups(list(tasks), key_of):
+        if not group[0].step.long_running:
+            filling_by_name = {
+                name: _Filling(
+                    use_by_organisation.get(name, amounts.ZERO),
+                    weight_by_organisation.get(name, DEFAULT_WEIGHT),
+                    capacity,
+                )
+                for name in {task.job.submission.organisation for task in group}
+            }
+            group = _fill(group, filling_by_name, largest_free)
+        ordered += group
+    return ordered
+
+
+def _groups(
+    tasks: list[state.Task], key_of: Callable[[state.Task], Key]
+) -> Iterator[list[state.Task]]:
+    """Yield the tasks of each class and priority, ordered by their keys."""
     keys = [key_of(task) for task in tasks]
     indices = sorted(range(len(tasks)), key=keys.__getitem__)
     keys.sort()
-    ordered: list[state.Task] = []
-    while len(ordered) < len(tasks):
-        first = len(ordered)
+    first = 0
+    while first < len(tasks):
         end = bisect.bisect_right(keys, (*keys[first][:2], math.inf), first)
-        group = [tasks[index] for index in indices[first:end]]
-        if group[0].step.long_running:
-            ordered += group
-            continue
-        filling_by_name = {
-            name: _Filling(
-                use_by_organisation.get(name, amounts.ZERO),
-                weight_by_organisation.get(name, DEFAULT_WEIGHT),
-                capacity,
-            )
-            for name in {task.job.submission.organisation for task in group}
-        }
-        ordered += _fill(group, filling_by_name, largest_free)
-    return ordered
+        yield [tasks[index] for index in indices[first:end]]
+        first = end
 
 
 def _fill(
