Merge the shares of organisations

Waiting tasks are ordered by weighted dominant shares while short tasks wait.

Tests of organisations, shares and scheduling pass.

--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -199,14 +199,14 @@
     builders.make_tasks(shard, waited_s=20.0)
     builders.make_tasks(shard, "", long_running=True)
     seen = []
-    has_backlog = turn_order._has_backlog
+    has_short_wait = turn_order._has_short_wait
     monkeypatch.setattr(
         turn_order,
-        "_has_backlog",
-        lambda due, now: seen.append(has_backlog(due, now)) or seen[-1],
+        "_has_short_wait",
+        lambda *of: seen.append(has_short_wait(*of)) or seen[-1],
     )
     run_pass(shard)
-    assert seen == [False]
+    assert seen == [False, False]  # No backlog, and nothing is shared.
 
 
 @pytest.mark.parametrize("long_running", [False, True])
@@ -365,7 +365,8 @@
     builders.advance(shard, 0.1)
     now = shard.clock.monotonic()
     assert startable_and_preemption(shard) == (2, False)
-    assert not turn_order._has_backlog([task], now)
+    assert not turn_order._has_short_wait([task], now, turn_order.BACKLOG_WAIT_S)
+    assert not turn_order._has_short_wait([task], now, turn_order.SHARE_WAIT_S)
     assert not preemption.may_preempt(shard, task, now)
     assert not victims.has_waited_long(shard, lasting)
     builders.advance(shard, preemption.SHORT_PREEMPT_AFTER_S)
