Let long-running tasks run again before longest leases expire

After a change of owner, a task that an earlier owner may have started waited for the longest lease (10 s on some deployments) of each executor that had restarted and could not be reached.

The record of an executor that may hold the longest lease now says whether a run of a long-running task may be there, which includes starts that are not settled: unanswered ones younger than the longest delay of a call, and those of earlier owners. Long-running tasks are settled once the usual leases are over wherever no such run may be. They go to such an executor only if no other one suits them, and only after its record admits them. A record without the field, and one that an owner of an earlier version may have ignored, excludes nothing.

The claim has a new field, so two expected claims in test_unserved_claims name its value; they still compare the whole record.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from limpetstream.executors import leases, messages
+from limpetstream.leases import unsettled_starts
 from limpetstream.workflow import messages as workflow_messages, state
 
 # Each start needs a connection, and the platform puts a price on new ones.
@@ -49,6 +50,11 @@
             expired that a call to a former process may have granted; minus
             infinity without one, infinity while such calls may take effect.
         recorded_longest: Whether its record tells later owners of that lease.
+        long_running_starts: Starts of long-running tasks that it may still
+            carry out, or has carried out unseen.
+        record_bars_long_running: Whether its record may tell later owners that
+            no long-running task runs on it.
+        records_encoded: How many records of it were encoded for an append.
         giving_up: Whether its runs are given up once an append is confirmed.
         silent_since: Monotonic time of the first of the consecutive calls that
             have failed; None while calls are answered.
@@ -99,6 +105,11 @@
     required_token_raise: int = 0
     longest_lease_expires_at: float = float("-inf")
     recorded_longest: bool = False
+    long_running_starts: unsettled_starts.UnsettledStarts = dataclasses.field(
+        default_factory=unsettled_starts.UnsettledStarts
+    )
+    record_bars_long_running: bool = False
+    records_encoded: int = 0
     giving_up: bool = False
     silent_since: float | None = None
     failure_score: float = 0.0
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -459,3 +459,10 @@
     "Other instances ask for cancels as well whose outcome was told as unknown.",
     "None; cancel-carried at each of the members tells the end.",
 )
+LONG_RUNNING_LOCATED = events.declare(
+    1573,
+    "long-running-located",
+    "INFO",
+    "Only runs of tasks that are not long-running may still be unknown.",
+    "None; shard-located follows once the longest leases have expired.",
+)
--- a/limpetstream/shard/executor_list.py
+++ b/limpetstream/shard/executor_list.py
@@ -14,6 +14,7 @@
     sessions,
     state,
 )
+from limpetstream.shard.settling import long_running
 from limpetstream.telemetry import logs
 
 
@@ -64,6 +65,7 @@
     _note_draining(shard, executor)
     shard.executor_by_id[listing.executor_id] = executor
     restarts.note_return(shard, executor)
+    long_running.note_added(shard, executor)
     shard.spawn(sessions.run(shard, executor))
     if listed:
         shard.spawn(executor_records.write(shard, executor))
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -24,6 +24,7 @@
 from limpetstream import errors
 from limpetstream.executors import leases, listing_checks, messages, tracking
 from limpetstream.shard import names, ownership, state
+from limpetstream.shard.settling import long_running
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +41,8 @@
             tell it, None if an owner of an earlier version wrote the record.
         longest_lease: Whether a call to a former process of its id may have
             granted the longest lease there.
+        long_running: Whether a run of a long-running task may be there if so;
+            true if an owner of an earlier version wrote the record.
     """
 
     listing: messages.Listing
@@ -47,6 +50,7 @@
     epoch: Annotated[int, msgspec.Meta(ge=0, le=ownership.MAX_EPOCH)] = 0
     process_born_ms: Annotated[int, msgspec.Meta(ge=0)] | None = None
     longest_lease: bool = False
+    long_running: bool = True
 
 
 def decode(key: str, raw: bytes) -> ExecutorRecord:
@@ -84,6 +88,8 @@
     shard.process_born_ms_by_executor[executor_id] = record.process_born_ms
     if record.longest_lease or record.process_born_ms is None:
         shard.longest_leased_executors.add(executor_id)
+    may_run = record.long_running or not record.longest_lease
+    long_running.note_recorded(shard, executor_id, may_run=may_run)
     if record.votes:
         shard.inherited_voters.add(executor_id)
     else:
@@ -200,10 +206,14 @@
         basis: What starts there rest on: the epoch and the address in the
             record, and the restart of the executor that the owner had noticed.
         longest_lease: Whether it tells of a longest lease.
+        bars_long_running: Whether it says that no long-running task is there.
+        order: How many records of the executor were encoded before.
     """
 
     basis: tuple[int, str, int]
     longest_lease: bool
+    bars_long_running: bool
+    order: int
 
 
 def _put(shard: state.Shard, executor: tracking.Executor) -> list[_Written]:
@@ -228,12 +238,22 @@
             executor.longest_lease_expires_at > shard.clock.monotonic(),
         )
         may_extend = executor.reached or executor.recorded
+        record.long_running = not record.longest_lease or long_running.may_be_on(
+            executor
+        )
         if executor_id in shard.inherited_executors and not may_extend:
             record.epoch = newest_lessor(shard, executor_id)
             record.process_born_ms = shard.process_born_ms_by_executor.get(executor_id)
             record.longest_lease = may_hold_longest_lease(shard, executor_id)
+            record.long_running = long_running.may_be_on_inherited(shard, executor_id)
         basis = (record.epoch, executor.listing.address, executor.required_token_raise)
-        written.append(_Written(basis, record.longest_lease))
+        # An append without an answer may have taken effect.
+        executor.record_bars_long_running |= not record.long_running
+        executor.records_encoded += 1
+        order = executor.records_encoded
+        written.append(
+            _Written(basis, record.longest_lease, not record.long_running, order)
+        )
         return msgspec.json.encode(record)
 
     shard.journal.put(names.EXECUTOR_KEY_PREFIX + executor_id, encode)
@@ -247,6 +267,8 @@
     if written and written[-1].basis == basis:
         executor.recorded = True
         executor.recorded_longest = written[-1].longest_lease
+        if written[-1].order == executor.records_encoded:
+            executor.record_bars_long_running = written[-1].bars_long_running
         shard.changed.set()
 
 
@@ -352,12 +374,33 @@
         # Otherwise the next owner would wait for a lease that has expired.
         executor.recorded_longest = False
         shard.spawn(_write_under_epoch(shard, executor))
+    elif _can_bar_long_running(shard, executor):
+        shard.spawn(_write_under_epoch(shard, executor))
 
 
 def _may_hold_longest_now(shard: state.Shard, executor: tracking.Executor) -> bool:
     return shard.clock.monotonic() < executor.longest_lease_expires_at
 
 
+def _can_bar_long_running(shard: state.Shard, executor: tracking.Executor) -> bool:
+    """Return whether its record could exclude long-running tasks."""
+    return (
+        executor.recorded_longest
+        and shard.journal.failing_since is None
+        and not executor.record_bars_long_running
+        and not long_running.may_be_on(executor)
+    )
+
+
+async def admit_long_running(shard: state.Shard, executor: tracking.Executor) -> None:
+    """Let the record tell of a long-running task before it is started there.
+
+    Its run has reserved capacity, so that the record tells of it.
+    """
+    if executor.record_bars_long_running:
+        await _write_under_epoch(shard, executor)
+
+
 def majority_polled_at(shard: state.Shard) -> float:
     """Return the latest time by which a majority was polled successfully.
 
--- a/limpetstream/shard/lease_records.py
+++ b/limpetstream/shard/lease_records.py
@@ -84,6 +84,7 @@
         recorded_from,
         shard.proof_ends.stopped_below,
         token_raises=shard.token_raises,
+        starts_recorded_from=shard.starts_recorded_from,
     )
 
 
--- a/limpetstream/shard/ownership.py
+++ b/limpetstream/shard/ownership.py
@@ -63,6 +63,9 @@
         leases_recorded_from: Lowest epoch from which on every owner before
             this one has recorded each executor under its epoch on which it has
             extended a lease.
+        starts_recorded_from: Lowest epoch from which on no owner before this
+            one started a long-running task on an executor whose record said
+            that none runs there.
         offset_by_voter: Offsets of the records of executors and instances
             that the journal held at the claim, by key.
         previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
@@ -81,6 +84,7 @@
     previous_member: str = ""
     previous_released: bool = False
     stopped_below: int = 0
+    starts_recorded_from: int | None = None
 
 
 Serve = Callable[[int, Claim], Awaitable[None]]
@@ -107,6 +111,9 @@
         released: Whether this owner has released the shard and sends nothing
             any more under its epoch.
         token_raises: By how much its highest token exceeds its epoch.
+        starts_recorded_from: Lowest epoch from which on no owner up to this
+            one starts a long-running task on an executor whose record says
+            that none runs there; None in versions that do not know it.
     """
 
     epoch: Annotated[int, msgspec.Meta(ge=1, le=MAX_EPOCH)]
@@ -116,6 +123,7 @@
     stopped_below: int = 0
     released: bool = False
     token_raises: Annotated[int, msgspec.Meta(ge=0)] = 0
+    starts_recorded_from: int | None = None
 
     def claimed_epoch(self) -> int:
         """Return the epoch under which the owner has claimed the shard.
@@ -517,6 +525,7 @@
                 member,
                 _do_instances_vote(page.entries),
                 stopped_below=_stopped_below(tries.previous, epoch),
+                starts_recorded_from=_starts_recorded_from(tries.previous, epoch),
             )
             before = page.entries
             tries.records.append(record)
@@ -620,6 +629,7 @@
         previous.member if previous else "",
         previous.released if previous else False,
         previous.stopped_below if previous else 0,
+        record.starts_recorded_from,
     )
 
 
@@ -662,6 +672,13 @@
     return min(previous.leases_recorded_from, epoch)
 
 
+def _starts_recorded_from(previous: OwnerRecord | None, epoch: int) -> int:
+    """Return from which epoch on all owners heed records, up to a new one."""
+    if previous is None or previous.starts_recorded_from is None:
+        return epoch
+    return min(previous.starts_recorded_from, epoch)
+
+
 def offset_by_voter(entries: list[messages.Entry]) -> dict[str, int]:
     """Return the offsets of the records that name voters, by key."""
     return {
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -380,9 +380,11 @@
     """Return whether no unknown run of the task can exist.
 
     Until all runs of earlier owners are settled, this holds only for tasks
-    of jobs that no owner can have started.
+    of jobs that no owner can have started, and for long-running ones once
+    those of long-running tasks are settled.
     """
     return (
         shard.earlier_runs_settled
         or task.job.submission.job_id not in shard.earlier_job_ids
+        or (task.step.long_running and shard.long_running_settled)
     )
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -11,6 +11,7 @@
 
 from limpetstream import errors
 from limpetstream.executors import leases, messages, sending, tracking
+from limpetstream.leases import unsettled_starts
 from limpetstream.shard import (
     events,
     executor_records,
@@ -22,6 +23,7 @@
     state,
     status_reports,
 )
+from limpetstream.shard.settling import long_running
 from limpetstream.telemetry import logs
 
 # A quarter of ``leases.LEASE_S``, so that two renewals in a row may be lost.
@@ -106,6 +108,7 @@
         status_reports.apply_report(shard, executor, reply, sent_at, token)
         executor.lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
         _note_reply(shard, executor)
+        _settle_starts(shard, executor, sent_at)
         if proof.is_proven(shard):
             pacing.adjust(shard, executor)
     if executor.applied_end > executor.acked_end:
@@ -116,6 +119,23 @@
     await _pause(shard, executor)
 
 
+def _settle_starts(
+    shard: state.Shard, executor: tracking.Executor, sent_at: float
+) -> None:
+    """Settle starts by the answer to a poll, unless it may show a restart."""
+    if not executor.fenced or not executor.long_running_starts.call_by_number:
+        return
+    earlier_sent_by = _last_order_by(shard, shard.epoch - 1)
+    if executor.listing.executor_id in shard.removed_executors:
+        earlier_sent_by = max(earlier_sent_by, executor.first_answered_at)
+    unsettled_starts.settle(
+        executor.long_running_starts,
+        sent_at,
+        max_delay_s=restarts.MAX_CALL_DELAY_S,
+        earlier_sent_by=earlier_sent_by,
+    )
+
+
 async def _pause(shard: state.Shard, executor: tracking.Executor) -> None:
     """Let more ends come with the next answer while the owner is slow.
 
@@ -275,7 +295,9 @@
     return _earlier_leases_expire_at(shard, executor.listing.executor_id)
 
 
-def _earlier_leases_expire_at(shard: state.Shard, executor_id: str) -> float:
+def _earlier_leases_expire_at(
+    shard: state.Shard, executor_id: str, *, is_long_running: bool = False
+) -> float:
     """Return when every lease that earlier owners granted there has expired.
 
     After ``earlier_proofs_ended_at`` an earlier owner gets no new proof of its
@@ -283,7 +305,13 @@
     none for longer. One may extend leases for as long as its last proof is
     valid, and not after its process has ended. The last lease is at most
     ``leases.LEASE_S`` long on the executor's clock, or the longest one if the
-    executor had restarted shortly before.
+    executor had restarted shortly before. A long-running task holds the
+    longest one only where the record says that such a task may be there.
+
+    Args:
+        shard: Shard of the executor.
+        executor_id: Its id.
+        is_long_running: Whether only leases of long-running tasks count.
 
     Returns:
         Monotonic time; infinity before ``earlier_proofs_ended_at`` is set.
@@ -291,7 +319,10 @@
     lessor = executor_records.newest_lessor(shard, executor_id)
     usual_s = leases.longest_on_local_clock_s(leases.LEASE_S)
     expires_at = _last_order_by(shard, lessor) + usual_s
-    if executor_records.may_hold_longest_lease(shard, executor_id):
+    may_be_held = not is_long_running or long_running.may_be_on_inherited(
+        shard, executor_id
+    )
+    if may_be_held and executor_records.may_hold_longest_lease(shard, executor_id):
         # Owners since the one that the record names know the process.
         fencer = shard.lessor_by_executor.get(executor_id) or lessor
         longest_s = executor_records.longest_lease_s(shard)
@@ -439,12 +470,22 @@
     elif not shard.settling and not _may_be_leased(shard, now):
         shard.settling = True
         shard.spawn(_settle_once_confirmed(shard))
+    elif not (
+        shard.settling_long_running or _may_be_leased(shard, now, is_long_running=True)
+    ):
+        shard.settling_long_running = True
+        shard.spawn(_settle_long_running_once_confirmed(shard))
 
 
-def _may_be_leased(shard: state.Shard, now: float) -> bool:
+def _may_be_leased(
+    shard: state.Shard, now: float, *, is_long_running: bool = False
+) -> bool:
     """Return whether earlier leases may last where nobody has replied."""
     return any(
-        now <= _earlier_leases_expire_at(shard, executor_id)
+        now
+        <= _earlier_leases_expire_at(
+            shard, executor_id, is_long_running=is_long_running
+        )
         for executor_id in executor_records.unreached(shard)
     )
 
@@ -515,6 +556,20 @@
         _settle_earlier_runs(shard, executor_records.count_reached_or_gone(shard))
 
 
+async def _settle_long_running_once_confirmed(shard: state.Shard) -> None:
+    """Settle runs of long-running tasks, if this is still the owner."""
+    await proof.confirm(shard)
+    _log_awaited_leases(shard, shard.clock.monotonic())
+    shard.long_running_settled = True
+    shard.changed.set()
+    logs.emit(
+        events.LONG_RUNNING_LOCATED,
+        shard=shard.number,
+        epoch=shard.epoch,
+        after_ms=round((shard.clock.monotonic() - shard.claimed_at) * 1000),
+    )
+
+
 def _settle_earlier_runs(shard: state.Shard, reached: int) -> None:
     _log_awaited_leases(shard, shard.clock.monotonic())
     shard.earlier_runs_settled = True
--- /dev/null
+++ b/limpetstream/shard/settling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides when tasks that earlier owners may have started run again."""
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -221,6 +221,7 @@
             ),
             proof_ends=self._proof_ends_of(number),
             leases_recorded_from=claim.leases_recorded_from,
+            starts_recorded_from=claim.starts_recorded_from,
             offset_by_voter=claim.offset_by_voter,
             previous_epoch=claim.previous_epoch,
             previous_member=claim.previous_member,
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -1,6 +1,7 @@
 """Sends the requests that start runs."""
 
 import math
+from collections.abc import Callable
 
 from limpetstream import errors
 from limpetstream.executors import (
@@ -8,8 +9,10 @@
     sending,
     tracking,
 )
+from limpetstream.leases import unsettled_starts
 from limpetstream.shard import (
     events,
+    executor_records,
     jobs,
     pacing,
     proof,
@@ -54,6 +57,8 @@
     window, slots = shard.send_window, executor.start_slots
     with window.unsent_start(priority) as note_turn:
         await _record_job(shard, run.task.job)
+        if run.task.step.long_running:
+            await executor_records.admit_long_running(shard, executor)
         # Starts that wait for the link hold no slot of their executor, so that
         # more urgent ones are sent before them.
         async with window.turn(size, rank):
@@ -161,6 +166,8 @@
         return "no append since the executor's first answer"
     if not executor.fenced:
         return "calls to the executor's former process may take effect"
+    if run.task.step.long_running and executor.record_bars_long_running:
+        return "the executor's record says that no long-running task is there"
     if not is_sent and run.start_requested_at < executor.doubted_at:
         return "an earlier start there has no answer"
     return ""
@@ -272,6 +279,7 @@
     run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     task = run.task
     timeout_s = shard.send_window.time_limit_s(START_TIMEOUT_S)
+    note_answer = _note_long_running(shard, executor, run, sent_at)
     reply = await shard.executor_client.start(
         executor.listing,
         executor_messages.StartRequest(
@@ -284,11 +292,30 @@
         ),
         timeout_s=min(timeout_s, max(MIN_TIMEOUT_S, given_up_at - sent_at)),
     )
+    note_answer()
     if reply.clock_ms is not None:
         lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
     return reply
 
 
+def _note_long_running(
+    shard: state.Shard,
+    executor: tracking.Executor,
+    run: workflow_state.Run,
+    sent_at: float,
+) -> Callable[[], None]:
+    """Note the start of a long-running task; return what notes its answer."""
+    if not run.task.step.long_running:
+        return lambda: None
+    starts = executor.long_running_starts
+    number = unsettled_starts.note_sent(starts, sent_at)
+
+    def note_answer() -> None:
+        unsettled_starts.note_answered(starts, number, shard.clock.monotonic())
+
+    return note_answer
+
+
 def _apply_reply(
     shard: state.Shard,
     executor: tracking.Executor,
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -121,6 +121,11 @@
         leases_recorded_from: Lowest epoch from which on every owner before
             this one recorded an executor under its epoch before it extended a
             lease there; None if that is not known of any.
+        starts_recorded_from: Lowest epoch from which on no owner before this
+            one started a long-running task on an executor whose record said
+            that none runs there; None if that is not known of any.
+        without_long_running: Ids of the inherited executors whose records say
+            that no long-running task runs there.
         offset_by_voter: Offsets of the records of executors and instances
             that the journal held at the claim, by key.
         previous_epoch: Epoch of the owner before; 0 if its claim is unknown.
@@ -158,6 +163,10 @@
         earlier_runs_settled: Whether every run of earlier owners is known or
             the lease on its executor has expired.
         settling: Whether earlier runs are settled once an append is confirmed.
+        long_running_settled: Whether every run of a long-running task by
+            earlier owners is known or its lease has expired.
+        settling_long_running: Whether these are settled once an append is
+            confirmed.
         next_occurrence_by_job: Number of the next occurrence of each
             scheduled job, by job id.
         interference_model: Learned effect of best-effort images on serving
@@ -214,6 +223,8 @@
         default_factory=proof_ends_module.ProofEnds
     )
     leases_recorded_from: int | None = None
+    starts_recorded_from: int | None = None
+    without_long_running: set[str] = dataclasses.field(default_factory=set)
     offset_by_voter: dict[str, int] = dataclasses.field(default_factory=dict)
     previous_epoch: int = 0
     previous_member: str = ""
@@ -242,6 +253,8 @@
     unreadable_job_ids: set[str] = dataclasses.field(default_factory=set)
     earlier_runs_settled: bool = False
     settling: bool = False
+    long_running_settled: bool = False
+    settling_long_running: bool = False
     next_occurrence_by_job: dict[str, int] = dataclasses.field(default_factory=dict)
     interference_model: interference.InterferenceModel = dataclasses.field(
         default_factory=interference.InterferenceModel
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -535,6 +535,66 @@
         "shard/tests/test_recorded_leases.py::"
         "test_a_first_answer_of_another_process_tells_of_the_longest_lease[2-True]",
     ),
+    removed_checks.Removal(
+        "long-running-recorded",
+        INCARNATION,
+        f"{SHARD}.executor_records",
+        "note_inherited",
+        "may_run = record.long_running or not record.longest_lease",
+        "may_run = False",
+        "shard/settling/tests/test_long_running_safety.py::"
+        "test_no_task_runs_twice_that_was_placed_on_a_restarted_executor",
+    ),
+    removed_checks.Removal(
+        "long-running-admitted",
+        INCARNATION,
+        f"{SHARD}.executor_records",
+        "admit_long_running",
+        "    if executor.record_bars_long_running:\n",
+        "    if False:\n",
+        "",
+    ),
+    removed_checks.Removal(
+        "long-running-barred",
+        INCARNATION,
+        f"{SHARD}.starts",
+        "_obstacle",
+        "run.task.step.long_running and executor.record_bars_long_running",
+        "False",
+        "shard/settling/tests/test_long_running_safety.py::"
+        "test_no_task_runs_twice_that_was_placed_on_a_restarted_executor",
+        also=("long-running-admitted",),
+    ),
+    removed_checks.Removal(
+        "long-running-unsettled",
+        INCARNATION,
+        f"{SHARD}.settling.long_running",
+        "may_be_on",
+        "if executor.long_running_starts.call_by_number:",
+        "if False:",
+        "shard/settling/tests/test_long_running_safety.py::"
+        "test_no_task_runs_twice_where_a_late_start_meets_the_next_process",
+    ),
+    removed_checks.Removal(
+        "long-running-earlier-starts",
+        INCARNATION,
+        f"{SHARD}.settling.long_running",
+        "note_added",
+        "if is_removed or may_be_on_inherited(shard, executor_id):",
+        "if False:",
+        "shard/settling/tests/test_long_running_safety.py::"
+        "test_no_task_runs_twice_where_a_start_of_the_owner_before_is_late",
+    ),
+    removed_checks.Removal(
+        "long-running-earlier-version",
+        INCARNATION,
+        f"{SHARD}.settling.long_running",
+        "may_be_on_inherited",
+        "recorded_from is None or epoch < recorded_from",
+        "False",
+        "shard/settling/tests/test_long_running_safety.py::"
+        "test_an_owner_of_an_earlier_version_may_have_ignored_the_record[4-5-True]",
+    ),
     removed_checks.Removal(
         "restart-kept",
         INCARNATION,
--- a/limpetstream/shard/tests/test_unserved_claims.py
+++ b/limpetstream/shard/tests/test_unserved_claims.py
@@ -163,7 +163,9 @@
         return stored_claim(store)
 
     claim = virtual_time.run(scenario(), loop=virtual_time.Loop())
-    assert claim == ownership.OwnerRecord(7, "m7", True, None, known)
+    assert claim == ownership.OwnerRecord(
+        7, "m7", True, None, known, starts_recorded_from=7
+    )
 
 
 @pytest.mark.parametrize("lost", [0, 1])
@@ -195,7 +197,9 @@
 
     claim = virtual_time.run(scenario(), loop=virtual_time.Loop())
     epoch = 7 + lost
-    assert claim == ownership.OwnerRecord(epoch, "m7", True, 1, epoch, True)
+    assert claim == ownership.OwnerRecord(
+        epoch, "m7", True, 1, epoch, True, starts_recorded_from=epoch
+    )
 
 
 def test_a_cancelled_claim_releases_no_claim_of_another_member():
--- a/limpetstream/workflow/best_effort.py
+++ b/limpetstream/workflow/best_effort.py
@@ -222,6 +222,8 @@
         score -= eligibility.FAILURE_PENALTY_CORES * executor.failure_score
         if eligibility.is_in_doubt(executor, now):
             score -= eligibility.IN_DOUBT_PENALTY_CORES
+        elif eligibility.has_longest_lease(executor, step, now):
+            score -= eligibility.LONGEST_LEASE_PENALTY_CORES
         yield _Candidate(score, executor, pace, expected)
 
 
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -4,7 +4,12 @@
 from collections.abc import Collection
 
 from limpetstream.executors import messages as executor_messages, tracking
-from limpetstream.workflow import capacity_forecast, interference, state
+from limpetstream.workflow import (
+    capacity_forecast,
+    interference,
+    messages,
+    state,
+)
 
 DATA_RACK_BONUS_CORES = 1000.0  # Off the data's rack a task takes far_x as long.
 FULL_PACE_BONUS_CORES = 500.0  # Best-effort work prefers to keep its full speed.
@@ -13,6 +18,8 @@
 CHECKS_PER_SCORE = 16
 # More than all bonuses: an executor in doubt comes after every other one.
 IN_DOUBT_PENALTY_CORES = 10_000.0
+# Less than that: such an executor comes before those in doubt.
+LONGEST_LEASE_PENALTY_CORES = 5_000.0
 # Longer than a start in doubt may hold its task (design.md, 11.8).
 IN_DOUBT_S = 10.0
 
@@ -99,6 +106,22 @@
     return now - executor.doubted_at < IN_DOUBT_S
 
 
+def has_longest_lease(
+    executor: tracking.Executor, step: messages.Step, now: float
+) -> bool:
+    """Return whether a long-running task there may hold the longest lease.
+
+    After a change of owner, it would wait for that lease if the executor could
+    not be reached. Such tasks go there only if no other executor suits them.
+    """
+    return step.long_running and now < executor.longest_lease_expires_at
+
+
+def is_avoided(executor: tracking.Executor, step: messages.Step, now: float) -> bool:
+    """Return whether a task goes there only if no other executor suits it."""
+    return is_in_doubt(executor, now) or has_longest_lease(executor, step, now)
+
+
 def meets_constraints(executor: tracking.Executor, task: state.Task) -> bool:
     """Return whether an executor satisfies the task's placement constraints.
 
--- a/limpetstream/workflow/placement.py
+++ b/limpetstream/workflow/placement.py
@@ -44,7 +44,7 @@
     batches: Iterable[list[tracking.Executor]] = [executors]
     if not _has_few_candidates(task.step):
         batches = candidate_batches(executors, task.name, context.now)
-    in_doubt = None
+    avoided: list[tracking.Executor] = []
     with_room: list[tracking.Executor] = []
     scored_before = context.scored_count
     for number, batch in enumerate(batches):
@@ -67,12 +67,22 @@
             )
         if chosen is None:
             continue
-        if not eligibility.is_in_doubt(chosen, context.now):
+        if not eligibility.is_avoided(chosen, task.step, context.now):
             return chosen
-        in_doubt = in_doubt or chosen
-    if in_doubt is None and task.step.fills:
+        avoided.append(chosen)
+    if not avoided and task.step.fills:
         return best_effort.choose_over_target(with_room, task, context)
-    return in_doubt if accepts_doubt else None
+    return _choose_avoided(avoided, context.now, accepts_doubt=accepts_doubt)
+
+
+def _choose_avoided(
+    executors: list[tracking.Executor], now: float, *, accepts_doubt: bool
+) -> tracking.Executor | None:
+    """Return the first executor that is not in doubt, or else the first."""
+    for executor in executors:
+        if not eligibility.is_in_doubt(executor, now):
+            return executor
+    return executors[0] if executors and accepts_doubt else None
 
 
 def candidate_batches(
@@ -150,6 +160,8 @@
         score += SAME_RACK_BONUS_CORES * shared
     if eligibility.is_in_doubt(executor, now):
         score -= eligibility.IN_DOUBT_PENALTY_CORES
+    elif eligibility.has_longest_lease(executor, step, now):
+        score -= eligibility.LONGEST_LEASE_PENALTY_CORES
     return score - eligibility.FAILURE_PENALTY_CORES * executor.failure_score
 
 
--- a/search/restart_draws.py
+++ b/search/restart_draws.py
@@ -38,6 +38,25 @@
     return schedule
 
 
+def draw_long_running(seed: int) -> schedules.Schedule:
+    """Draw such a schedule with tasks that run until they are stopped.
+
+    Args:
+        seed: Seed of all draws.
+    """
+    schedule = draw(seed)
+    generator = random.Random(f"long-running restarts {seed}")
+    at = generator.uniform(0.0, 1.0)
+    while at < LAST_SUBMISSION_S:
+        job = schedules.chain(
+            at, generator.randint(1, 3), [0.0], generator.choice([1000, 2000, 4000])
+        )
+        queue = dataclasses.replace(job.queue, max_attempts=kind_draws.MAX_ATTEMPTS)
+        schedule.jobs.append(dataclasses.replace(job, queue=queue))
+        at += generator.uniform(0.8, 3.0)
+    return schedule
+
+
 def _long_job(generator: random.Random, at: float) -> schedules.Job:
     """Return a job whose tasks go on for longer than a lease."""
     return schedules.chain(
