Search restarts with late starts of long-running tasks

The draws of restarts had no tasks that run until they are stopped, so nothing in the search relied on a record that excludes them. draw_long_running adds such jobs, and restarts of an executor whose starts are late, with a cut before it is fenced and an end of its owner. Schedules of draw are unchanged.

--- a/bench/overlapping_schedules.py
+++ b/bench/overlapping_schedules.py
@@ -50,6 +50,7 @@
             ("planned stops", play_stops),
             ("cancels", play_cancels),
             ("restarts", play_restarts),
+            ("long-running restarts", play_long_running_restarts),
         ):
             outcomes = list(pool.map(function, seeds, chunksize=10))
             breaches_by_seed = {
@@ -117,6 +118,13 @@
     return plays.play(restart_draws.draw(seed))
 
 
+def play_long_running_restarts(seed: int) -> plays.Outcome:
+    """Play such a schedule with tasks that run until they are stopped."""
+    _prepare_process()
+    gc.collect()
+    return plays.play(restart_draws.draw_long_running(seed))
+
+
 def play(seed: int, first: str = "") -> plays.Outcome:
     """Play the schedule of a seed; ``first`` names its first fault."""
     _prepare_process()
--- a/search/kept_schedules.py
+++ b/search/kept_schedules.py
@@ -46,6 +46,11 @@
     "restart-token": 488,
 }
 
+# The same for ``restart_draws.draw_long_running``.
+RED_LONG_RUNNING_SEED_BY_REMOVAL = {
+    "long-running-recorded": 14,
+}
+
 
 def restart_after_isolated_successor() -> schedules.Schedule:
     """Return the reduced schedule of seed 282.
--- a/search/restart_draws.py
+++ b/search/restart_draws.py
@@ -54,6 +54,13 @@
         queue = dataclasses.replace(job.queue, max_attempts=kind_draws.MAX_ATTEMPTS)
         schedule.jobs.append(dataclasses.replace(job, queue=queue))
         at += generator.uniform(0.8, 3.0)
+    for _ in range(generator.randint(0, 2)):
+        fault = draws.draw_fault(
+            generator, restart_faults.restart_at_late_start.__name__
+        )
+        fault.trigger = generator.choice(["RUN_ORDERED", "START_IN_DOUBT"])
+        fault.skip, fault.delay_s = generator.choice([0, 0, 1, 3]), 0.0
+        schedule.faults.append(fault)
     return schedule
 
 
--- a/search/restart_faults.py
+++ b/search/restart_faults.py
@@ -67,6 +67,33 @@
     world.watch("EXECUTOR_REPLACED", react)
 
 
+def restart_at_late_start(
+    world: World, generator: random.Random, member: str, executor: str
+) -> None:
+    """Restart an executor while starts there are late, and cut it off.
+
+    It is cut off about when its owner notices the restart, mostly before it
+    rejects late calls. Its owner ends soon afterwards.
+    """
+    ids = list(world.cluster.executor_by_id)
+    chosen = executor if executor in ids else generator.choice(ids)
+    late_s = generator.uniform(0.3, 1.5)
+    world.hold(late_s, (former_calls.LATE_CALLS, chosen))
+    _restart_later(world, generator, chosen, generator.uniform(0.0, 0.6))
+    cut_after_s = generator.choice([0.0, generator.uniform(0.0, 0.03), 0.3])
+    end_after_s = cut_after_s + generator.uniform(0.05, 1.0)
+
+    def react(owner: str, restarted: str) -> bool:
+        if restarted != chosen:
+            return False
+        seconds = generator.uniform(9.0, 16.0)
+        world.later(cut_after_s, lambda: world.hold(seconds, ("executor", chosen)))
+        world.later(end_after_s, lambda: _end_owner(world, generator, owner))
+        return True
+
+    world.watch("EXECUTOR_REPLACED", react)
+
+
 def late_calls(
     world: World, generator: random.Random, member: str, executor: str
 ) -> None:
@@ -144,5 +171,6 @@
         (restart_and_end_owner, 6),
         (end_owner_at_restart, 3),
         (late_calls, 1),
+        (restart_at_late_start, 0),  # Drawn by ``draw_long_running`` only.
     )
 }
--- a/search/tests/test_former_calls.py
+++ b/search/tests/test_former_calls.py
@@ -38,6 +38,27 @@
     assert any("still runs" in breach for breach in breaches)
 
 
+def test_a_short_search_with_long_running_tasks_breaks_nothing():
+    """Guards against two runs of a task that waits for no longest lease."""
+    breaches_by_seed = {}
+    for seed in SEEDS:
+        outcome = plays.play(restart_draws.draw_long_running(seed))
+        assert outcome.starts
+        if outcome.breaches:
+            breaches_by_seed[seed] = outcome.breaches
+    assert not breaches_by_seed
+
+
+@pytest.mark.parametrize("name", kept_schedules.RED_LONG_RUNNING_SEED_BY_REMOVAL)
+def test_the_search_finds_a_removed_check_of_long_running_tasks(name):
+    """Guards against a search in which no such task holds a longest lease."""
+    seed = kept_schedules.RED_LONG_RUNNING_SEED_BY_REMOVAL[name]
+    assert not plays.play(restart_draws.draw_long_running(seed)).breaches
+    with removals.removed(name):
+        breaches = plays.play(restart_draws.draw_long_running(seed)).breaches
+    assert any("still runs" in breach for breach in breaches)
+
+
 def test_next_processes_get_calls_to_former_ones():
     """Guards against a search in which no such call arrives."""
     traces = [
