--- /dev/null
+++ b/limpetstream/leases/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what may run on an executor unseen."""
--- a/search/restart_draws.py
+++ b/search/restart_draws.py
@@ -8,6 +8,8 @@
 BASES = (draws.draw, draws.draw, kind_draws.draw)
 MAX_LEASES_MS = (6000, 10_000)  # Of the two deployments.
 LAST_SUBMISSION_S = 10.0
+# After the faults; tasks that last would keep others from ending.
+CANCELLED_AT_S = 40.0
 
 
 def draw(seed: int) -> schedules.Schedule:
@@ -49,7 +51,11 @@
     at = generator.uniform(0.0, 1.0)
     while at < LAST_SUBMISSION_S:
         job = schedules.chain(
-            at, generator.randint(1, 3), [0.0], generator.choice([1000, 2000, 4000])
+            at,
+            generator.randint(1, 3),
+            [0.0],
+            generator.choice([1000, 2000, 4000]),
+            CANCELLED_AT_S,
         )
         queue = dataclasses.replace(job.queue, max_attempts=kind_draws.MAX_ATTEMPTS)
         schedule.jobs.append(dataclasses.replace(job, queue=queue))
