--- a/search/restart_draws.py
+++ b/search/restart_draws.py
@@ -8,6 +8,8 @@
 BASES = (draws.draw, draws.draw, kind_draws.draw)
 MAX_LEASES_MS = (6000, 10_000)  # Of the two deployments.
 LAST_SUBMISSION_S = 10.0
+# After the faults; tasks that last would keep others from ending.
+CANCELLED_AT_S = 40.0
 
 
 def draw(seed: int) -> schedules.Schedule:
@@ -38,6 +40,36 @@
     return schedule
 
 
+def draw_long_running(seed: int) -> schedules.Schedule:
+    """Draw such a schedule with tasks that run until they are stopped.
+
+    Args:
+        seed: Seed of all draws.
+    """
+    schedule = draw(seed)
+    generator = random.Random(f"long-running restarts {seed}")
+    at = generator.uniform(0.0, 1.0)
+    while at < LAST_SUBMISSION_S:
+        job = schedules.chain(
+            at,
+            generator.randint(1, 3),
+            [0.0],
+            generator.choice([1000, 2000, 4000]),
+            CANCELLED_AT_S,
+        )
+        queue = dataclasses.replace(job.queue, max_attempts=kind_draws.MAX_ATTEMPTS)
+        schedule.jobs.append(dataclasses.replace(job, queue=queue))
+        at += generator.uniform(0.8, 3.0)
+    for _ in range(generator.randint(0, 2)):
+        fault = draws.draw_fault(
+            generator, restart_faults.restart_at_late_start.__name__
+        )
+        fault.trigger = generator.choice(["RUN_ORDERED", "START_IN_DOUBT"])
+        fault.skip, fault.delay_s = generator.choice([0, 0, 1, 3]), 0.0
+        schedule.faults.append(fault)
+    return schedule
+
+
 def _long_job(generator: random.Random, at: float) -> schedules.Job:
     """Return a job whose tasks go on for longer than a lease."""
     return schedules.chain(
