Keep a part of a busy service free for organisations below their share

The order by shares alone does not keep an organisation with 7.5 times its usual load from making others wait: it fills the service, and each of their tasks waits for the end of a run. An organisation above twice its share now leaves 3% of the service free. Its tasks then have no turn, so they preempt nothing.

--- a/limpetstream/organisations/reports.py
+++ b/limpetstream/organisations/reports.py
@@ -9,6 +9,7 @@
     limits,
     owner_events,
     settings,
+    shares,
     usage as usage_module,
 )
 from limpetstream.shard import state
@@ -66,18 +67,6 @@
     return busy
 
 
-def dominant_share(used: amounts.Amount, capacity: amounts.Amount) -> float:
-    """Return the largest of the shares of the resources that there are.
-
-    >>> dominant_share((4000, 1024, 0), (16_000, 16_384, 0))
-    0.25
-    """
-    return max(
-        (part / whole for part, whole in zip(used, capacity, strict=True) if whole),
-        default=0.0,
-    )
-
-
 def _choose(names: frozenset[str], waiting_by_name: dict[str, Waiting]) -> list[str]:
     """Return the names to report, those with the longest waits first."""
     chosen = heapq.nsmallest(
@@ -101,7 +90,7 @@
     capacity: amounts.Amount,
 ) -> dict[str, Any]:
     used, limit = usage.of(organisation.name), organisation.limit
-    share = dominant_share(usage.short_of(organisation.name), capacity)
+    share = shares.dominant_share(usage.short_of(organisation.name), capacity)
     return {
         "organisation": organisation.name or NO_ORGANISATION,
         "weight": organisation.weight,
--- a/limpetstream/organisations/shares.py
+++ b/limpetstream/organisations/shares.py
@@ -77,6 +77,18 @@
         first = end
 
 
+def dominant_share(use: amounts.Amount, capacity: amounts.Amount) -> float:
+    """Return the largest of the shares of the resources that there are.
+
+    >>> dominant_share((4000, 1024, 0), (16_000, 16_384, 0))
+    0.25
+    """
+    return max(
+        (part / whole for part, whole in zip(use, capacity, strict=True) if whole),
+        default=0.0,
+    )
+
+
 def _fill(
     tasks: list[state.Task],
     filling_by_name: dict[str, "_Filling"],
@@ -92,13 +104,13 @@
         filling = filling_by_name[task.job.submission.organisation]
         levels.append(filling.level)
         if filling.counted < MAX_COUNTED_TASKS and (
-            largest_free is None or _may_fit(task.step, largest_free)
+            largest_free is None or may_fit(task.step, largest_free)
         ):
             filling.add(task.step)
     return [tasks[index] for index in sorted(range(len(tasks)), key=levels.__getitem__)]
 
 
-def _may_fit(step: messages.Step, largest_free: amounts.Amount) -> bool:
+def may_fit(step: messages.Step, largest_free: amounts.Amount) -> bool:
     """Return whether an executor may have room for a task of a step.
 
     Best-effort tasks need no free CPU.
--- a/limpetstream/organisations/usage.py
+++ b/limpetstream/organisations/usage.py
@@ -47,6 +47,13 @@
             self.of(organisation), self.long_running_of(organisation)
         )
 
+    def long_running_in_all(self) -> amounts.Amount:
+        """Return what the known long-running runs of all jobs hold."""
+        total = amounts.ZERO
+        for held in self._long_running_by_organisation.values():
+            total = amounts.add(total, held)
+        return total
+
     def at_most(self, organisation: str) -> amounts.Amount:
         """Return an upper bound of what its runs hold, known or not."""
         unseen = self.unseen_by_organisation.get(organisation)
--- a/limpetstream/organisations/wait_reasons.py
+++ b/limpetstream/organisations/wait_reasons.py
@@ -2,12 +2,13 @@
 
 from typing import Any
 
-from limpetstream.organisations import limits, reports, settings
-from limpetstream.shard import state
+from limpetstream.organisations import limits, reports, settings, shares
+from limpetstream.shard import state, turn_order
 from limpetstream.workflow import state as workflow_state
 
 LIMIT = "limit"  # The task would bring its organisation over its limit.
-# Other organisations wait that use less of the service for their weight.
+# Other organisations wait that use less of the service for their weight, or it
+# is far above its share and leaves the headroom free.
 SHARE = "share"
 
 
@@ -30,7 +31,9 @@
     held_by = ""
     if not limits.allows(shard, task):
         held_by = LIMIT
-    elif _waits_for_others(shard, name, by_name):
+    elif turn_order.is_over_share(shard, name) or _waits_for_others(
+        shard, name, by_name
+    ):
         held_by = SHARE
     return {"organisation": name or reports.NO_ORGANISATION, "held_by": held_by}
 
@@ -45,7 +48,7 @@
 
     def weighted_share(each: str) -> float:
         weight = by_name[each].weight if each in by_name else 1.0
-        share = reports.dominant_share(shard.usage.short_of(each), capacity)
+        share = shares.dominant_share(shard.usage.short_of(each), capacity)
         return share / weight if weight > 0 else float("inf")
 
     own_share = weighted_share(name)
--- a/limpetstream/shard/tests/test_shares.py
+++ b/limpetstream/shard/tests/test_shares.py
@@ -3,7 +3,7 @@
 import loguru
 import pytest
 
-from limpetstream.organisations import settings
+from limpetstream.organisations import settings, wait_reasons
 from limpetstream.shard import preemption, scheduling, searches, turn_order
 from limpetstream.shard.tests import builders
 from standins import virtual_time
@@ -125,7 +125,7 @@
     shard.searches.available = {"x0"}
     for task in make_tasks(shard, "other", 9):
         builders.start_run(shard.executor_by_id["x0"], task)
-    assert turn_order._capacity(shard)[1][0] == 10_000
+    assert turn_order._measure_room(shard).largest_free[0] == 10_000
 
 
 def test_the_priority_of_a_queue_comes_first():
@@ -166,3 +166,22 @@
     shard.searches = searches.Searches()
     scheduling.run_pass(shard)
     assert {run.phase for run in executor.run_by_task.values()} == {"working"}
+
+
+def test_a_backlog_leaves_the_headroom_and_its_tasks_say_why():
+    """Guards against tasks of others that wait for the end of a run."""
+    names = ("desk", "press", "archive", "mill")
+    shard = make_shard(executors=10, names=names)
+    shard.usage.change(make_tasks(shard, "desk", 1)[0], 60)
+    for executor in shard.executor_by_id.values():
+        executor.reserved_millicores = 62_000
+    hot, others = make_tasks(shard, "desk", 2), make_tasks(shard, "press", 2)
+    step = builders.copy_step(builders.SHORT, cpu_millicores=1500)
+    small = make_tasks(shard, "desk", 1, step=step) + make_tasks(
+        shard, "mill", 1, step=step
+    )
+    assert turn_order.is_over_share(shard, "desk")
+    assert not turn_order.is_over_share(shard, "mill")
+    assert turn_order.sort(shard, hot + others + small, 0.0) == [*others, small[1]]
+    fields = wait_reasons.fields(shard, small[0])
+    assert fields["held_by"] == wait_reasons.SHARE
--- a/limpetstream/shard/turn_order.py
+++ b/limpetstream/shard/turn_order.py
@@ -4,10 +4,11 @@
 their weights.
 """
 
+import dataclasses
 from collections.abc import Callable
 
 from limpetstream import amounts
-from limpetstream.organisations import shares
+from limpetstream.organisations import headroom, shares
 from limpetstream.shard import objectives, state, victims
 from limpetstream.workflow import placement, state as workflow_state
 
@@ -88,32 +89,77 @@
     due: list[workflow_state.Task],
     key_of: Callable[[workflow_state.Task], shares.Key],
 ) -> list[workflow_state.Task]:
-    """Return due tasks in the order of the shares of their organisations."""
-    configuration = shard.view.configuration
-    assert configuration is not None
-    capacity, largest_free = _capacity(shard)
-    return shares.order(
+    """Return due tasks in the order of the shares of their organisations.
+
+    Those that would use up the headroom of the service are left out.
+    """
+    names = {task.job.submission.organisation for task in due}
+    room, use_by_organisation = _measure_room(shard), _short_use(shard, names)
+    ordered = shares.order(
         due,
         key_of,
-        {
-            name: organisation.weight
-            for name, organisation in configuration.organisation_by_name.items()
-        },
-        {
-            name: shard.usage.short_of(name)
-            for name in {task.job.submission.organisation for task in due}
-        },
-        capacity,
-        largest_free,
+        _weights(shard),
+        use_by_organisation,
+        room.capacity,
+        room.largest_free,
+    )
+    kept_free = _headroom(shard, room, use_by_organisation)
+    return headroom.leave(ordered, kept_free, room.largest_free)
+
+
+def is_over_share(shard: state.Shard, organisation: str) -> bool:
+    """Return whether an organisation has to leave the headroom free."""
+    use_by_organisation = _short_use(shard, {organisation})
+    kept_free = _headroom(shard, _measure_room(shard), use_by_organisation)
+    return kept_free.is_over_share(organisation)
+
+
+def _weights(shard: state.Shard) -> dict[str, float]:
+    configuration = shard.view.configuration
+    assert configuration is not None
+    return {
+        name: organisation.weight
+        for name, organisation in configuration.organisation_by_name.items()
+    }
+
+
+def _short_use(shard: state.Shard, names: set[str]) -> dict[str, amounts.Amount]:
+    """Return what runs use that are not long-running, by organisation."""
+    return {name: shard.usage.short_of(name) for name in names}
+
+
+def _headroom(
+    shard: state.Shard,
+    room: "_Room",
+    use_by_organisation: dict[str, amounts.Amount],
+) -> headroom.Headroom:
+    return headroom.Headroom(
+        room.capacity,
+        room.free,
+        _weights(shard),
+        use_by_organisation,
+        shard.usage.long_running_in_all(),
     )
 
 
-def _capacity(shard: state.Shard) -> tuple[amounts.Amount, amounts.Amount]:
-    """Return the capacity of all executors, and the most that one has free.
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """Room on the executors.
 
-    Only executors that may get new tasks count as free.
+    Args:
+        capacity: Capacity of all executors.
+        free: What is free on those that may get new tasks.
+        largest_free: Most of each resource that is free on one of them.
     """
-    cpu = memory = accelerators = free_cpu = free_memory = free_accelerators = 0
+
+    capacity: amounts.Amount
+    free: amounts.Amount
+    largest_free: amounts.Amount
+
+
+def _measure_room(shard: state.Shard) -> _Room:
+    cpu = memory = accelerators = 0
+    free_rows = []
     available = shard.searches.available
     for executor_id, executor in shard.executor_by_id.items():
         each = executor.listing.capacity
@@ -121,12 +167,17 @@
         memory += each.memory_mb
         accelerators += each.accelerators
         if executor_id in available:
-            free_cpu = max(free_cpu, each.cpu_millicores - executor.reserved_millicores)
-            free_memory = max(free_memory, each.memory_mb - executor.reserved_memory_mb)
-            free_accelerators = max(
-                free_accelerators, each.accelerators - executor.reserved_accelerators
+            free_rows.append(
+                (
+                    max(0, each.cpu_millicores - executor.reserved_millicores),
+                    max(0, each.memory_mb - executor.reserved_memory_mb),
+                    max(0, each.accelerators - executor.reserved_accelerators),
+                )
             )
-    return (
+    free_rows.append(amounts.ZERO)
+    columns = list(zip(*free_rows, strict=True))
+    return _Room(
         (cpu, memory, accelerators),
-        (free_cpu, free_memory, free_accelerators),
+        (sum(columns[0]), sum(columns[1]), sum(columns[2])),
+        (max(columns[0]), max(columns[1]), max(columns[2])),
     )
