--- a/limpetstream/organisations/headroom.py
+++ b/limpetstream/organisations/headroom.py
@@ -15,8 +15,8 @@
 
 # Part of each resource of the service. Runs of 2 s free as much in 0.06 s.
 HEADROOM_SHARE = 0.03
-# With a factor of 1, use that varies about the share is held back, and the waits
-# of all get longer (bench organisation_shares).
+# A factor of 1 holds back use that varies about the share, and the waits of
+# all get longer (bench organisation_shares).
 OVER_SHARE_FACTOR = 2.0
 
 
