Change the usage of organisations in place

It is part of each start, also where the configuration names no organisation, and counts work without one since the shares need it. Tests of organisations pass.

--- a/limpetstream/organisations/usage.py
+++ b/limpetstream/organisations/usage.py
@@ -14,32 +14,33 @@
     """
 
     __slots__ = (
-        "_by_organisation",
+        "_held_by_organisation",
         "_long_running_by_organisation",
         "unseen_at",
         "unseen_by_organisation",
     )
 
     def __init__(self) -> None:
-        self._by_organisation: dict[str, amounts.Amount] = {}
-        self._long_running_by_organisation: dict[str, amounts.Amount] = {}
+        # Lists that change in place: each start bears the cost.
+        self._held_by_organisation: dict[str, list[int]] = {}
+        self._long_running_by_organisation: dict[str, list[int]] = {}
         self.unseen_by_organisation: dict[str, amounts.Amount] = {}
         self.unseen_at = float("-inf")
 
     def change(self, task: state.Task, sign: int) -> None:
         """Add a run of a task, or remove it with a ``sign`` of -1."""
-        name = task.job.submission.organisation
-        _change(self._by_organisation, name, task.step, sign)
-        if task.step.long_running:
-            _change(self._long_running_by_organisation, name, task.step, sign)
+        name, step = task.job.submission.organisation, task.step
+        _change(self._held_by_organisation, name, step, sign)
+        if step.long_running:
+            _change(self._long_running_by_organisation, name, step, sign)
 
     def of(self, organisation: str) -> amounts.Amount:
         """Return what the known runs of an organisation hold."""
-        return self._by_organisation.get(organisation, amounts.ZERO)
+        return _amount(self._held_by_organisation.get(organisation))
 
     def long_running_of(self, organisation: str) -> amounts.Amount:
         """Return what its known long-running runs hold."""
-        return self._long_running_by_organisation.get(organisation, amounts.ZERO)
+        return _amount(self._long_running_by_organisation.get(organisation))
 
     def short_of(self, organisation: str) -> amounts.Amount:
         """Return what its other known runs hold."""
@@ -51,7 +52,7 @@
         """Return what the known long-running runs of all jobs hold."""
         total = amounts.ZERO
         for held in self._long_running_by_organisation.values():
-            total = amounts.add(total, held)
+            total = amounts.add(total, _amount(held))
         return total
 
     def at_most(self, organisation: str) -> amounts.Amount:
@@ -72,18 +73,18 @@
 
 
 def _change(
-    by_organisation: dict[str, amounts.Amount],
+    held_by_organisation: dict[str, list[int]],
     name: str,
     step: messages.Step,
     sign: int,
 ) -> None:
-    cpu, memory, accelerators = by_organisation.get(name, amounts.ZERO)
-    changed = (
-        cpu + sign * step.cpu_millicores,
-        memory + sign * step.memory_mb,
-        accelerators + sign * step.accelerators,
-    )
-    if changed == amounts.ZERO:
-        by_organisation.pop(name, None)
-    else:
-        by_organisation[name] = changed
+    held = held_by_organisation.get(name)
+    if held is None:
+        held = held_by_organisation[name] = [0, 0, 0]
+    held[0] += sign * step.cpu_millicores
+    held[1] += sign * step.memory_mb
+    held[2] += sign * step.accelerators
+
+
+def _amount(held: list[int] | None) -> amounts.Amount:
+    return amounts.ZERO if held is None else (held[0], held[1], held[2])
