--- a/tests/test_organisation_keys.py
+++ b/tests/test_organisation_keys.py
@@ -120,7 +120,7 @@
 
 
 def not_ready_s(*, lost_share=0.0, late_s=0.0, seconds, seed=0):
-    """Return for how long an instance is not ready while the store is faulty."""
+    """Return for how long an instance is not ready at a faulty store."""
 
     async def scenario(scene):
         client = scene.client
@@ -286,6 +286,45 @@
     assert (organisation.weight, organisation.limit) == (1.0, (0, 0, 0))
 
 
+NORTH = '{"name":"north","api_keys":["a","b"],"weight":1}'
+READABLE = f'{{"version":1,"routes":[],"services":[],"tenants":[{NORTH}]}}'
+CHANGED = READABLE.replace('"b"', '"c"')
+
+
+@pytest.mark.parametrize(
+    ("value", "valid_keys"),
+    [
+        (CHANGED.replace('"weight":1', '"weight":[]'), "ac"),
+        (CHANGED.replace('"routes":[]', '"routes":3'), "ac"),
+        (CHANGED.replace('"name":"north"', '"name":"south","weight":""'), ""),
+        (READABLE.replace('"b"', "7"), "a"),
+        (READABLE.replace('["a","b"]', "null"), ""),
+        (READABLE.replace(NORTH, "").replace('"routes":[]', '"routes":3'), ""),
+        ("{", "ab"),  # Tells nothing of keys.
+        ('{"version":1,"tenants":3}', "ab"),
+    ],
+)
+def test_an_unreadable_part_does_not_keep_removed_keys_in_force(value, valid_keys):
+    """Guards against a removed key that is valid until the next configuration.
+
+    The other parts of the earlier configuration stay in force. An organisation
+    of which nothing else is known gets no keys.
+    """
+    view = state.DeploymentView()
+
+    def valid_after(raw):
+        entry = store_messages.Entry("config", raw.encode())
+        operator.apply(view, [entry], False)
+        table = view.configuration.keys
+        return "".join(key for key in "abc" if table.organisation_of(key))
+
+    assert valid_after(READABLE) == "ab"
+    assert valid_after(value) == "ab"  # Its version is not newer.
+    assert valid_after(value.replace('"version":1', '"version":2')) == valid_keys
+    assert list(view.configuration.organisation_by_name) == ["north"]
+    assert valid_after(CHANGED.replace('"version":1', '"version":3')) == "ac"
+
+
 def test_keys_are_checked_by_the_process(tmp_path):
     """Guards against a process that does not check keys or lets none pass."""
 
