Log refusals that no later refusal reports

Refusals within a second of the last line were counted, and logged only with a later refusal. The counts of a short burst of requests with a removed key, or of the last ones before a stop, never appeared. A background part now logs them within two seconds, and at the stop.

--- a/limpetstream/organisations/admissions.py
+++ b/limpetstream/organisations/admissions.py
@@ -84,12 +84,26 @@
             self._stale_since = None
         return is_fresh
 
+    async def run(self) -> None:
+        """Log refusals that no later one reports, until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep(REPORT_INTERVAL_S)
+                self._report_if_due()
+        finally:
+            self._report()
+
     def _note_refusal(self, reason: str) -> None:
         self._count_by_reason[reason] += 1
+        self._report_if_due()
+
+    def _report_if_due(self) -> None:
         now = self._clock.monotonic()
-        if now < self._reported_at + REPORT_INTERVAL_S:
-            return
-        self._reported_at = now
+        if self._count_by_reason and now >= self._reported_at + REPORT_INTERVAL_S:
+            self._reported_at = now
+            self._report()
+
+    def _report(self) -> None:
         for name, count in sorted(self._count_by_reason.items()):
             logs.emit(events.ADMISSION_REFUSED, reason=name, requests=count)
         self._count_by_reason.clear()
--- a/tests/key_builders.py
+++ b/tests/key_builders.py
@@ -87,7 +87,7 @@
         self.process = process_module.Process(settings, client, client, clock)
         self.process.store = self.client
         self.process._callers = callers.CallerApi(
-            self.jobs, self.process.view, clock, None, self.process._admissions
+            self.jobs, self.process.view, clock, None, self.process.admissions
         )
         self._http_client = client
         self._version = 0
--- a/tests/test_background_parts.py
+++ b/tests/test_background_parts.py
@@ -11,7 +11,7 @@
 from limpetstream import clock
 from limpetstream.border import stalls
 from limpetstream.entry import lifecycle
-from limpetstream.organisations import freshness, revocations
+from limpetstream.organisations import admissions, freshness, revocations
 from limpetstream.platform import http
 from limpetstream.shard import state
 from limpetstream.store import messages
@@ -55,6 +55,7 @@
         self.stalls = stalls.Stalls(clock.Clock())
         self.freshness = freshness.Freshness(5.0, is_strict=False)
         self.revocations = revocations.Revocations(5.0, is_strict=False)
+        self.admissions = admissions.Admissions(self.freshness, clock.Clock())
 
 
 def run_parts(instance, output, seconds):
--- a/tests/test_organisation_keys.py
+++ b/tests/test_organisation_keys.py
@@ -5,7 +5,7 @@
 import loguru
 import pytest
 
-from adapter import operator
+from adapter import operator, process
 from limpetstream.organisations import revocations
 from limpetstream.shard import job_api, peer_messages, state
 from limpetstream.store import messages as store_messages
@@ -260,6 +260,36 @@
     assert rows == [("unknown-key", 1), ("no-key", 2), ("unknown-key", 2)]
 
 
+def test_refusals_are_counted_that_no_other_one_follows():
+    """Guards against refused requests that no line tells, also at a stop."""
+    counts = []
+
+    def note(line):
+        if line.record["extra"]["event"] == 1600:
+            counts.append(line.record["extra"]["requests"])
+
+    async def scenario(scene):
+        loguru.logger.add(note)
+        parts = process.background_part_by_name(
+            scene.process, scene.client, scene.process._clock, None
+        )
+        reporting = asyncio.create_task(parts["admissions"]())
+        scene.configure(builders.KEY)
+        await asyncio.sleep(0.25)
+        for _ in range(3):
+            await scene.status("Bearer x")
+        await asyncio.sleep(3.0)
+        counts_after = [list(counts)]
+        await scene.status("Bearer x")
+        await scene.status("Bearer x")
+        reporting.cancel()
+        await asyncio.gather(reporting, return_exceptions=True)
+        return [*counts_after, list(counts)]
+
+    loguru.logger.remove()
+    assert builders.run(scenario) == [[1, 2], [1, 2, 1, 1]]
+
+
 def test_the_process_checks_what_others_have_admitted():
     """Guards against removals that are not passed on to the check."""
 
