--- a/limpetstream/organisations/freshness.py
+++ b/limpetstream/organisations/freshness.py
@@ -3,11 +3,13 @@
 # Part of the time allowed for revocation at which keys are no longer accepted.
 # The clocks of two machines differ in rate.
 LIMIT_SHARE = 0.8
-# Part of that limit at which a read no longer waits for changes. In calm, a
-# read begins at the age of the read before it, which is below this.
+# Part of that limit above which a read returns at once instead of waiting for
+# changes. Each answered read is younger when the next one is sent, so that no
+# read is added while the store answers.
 PROOF_SHARE = 0.5
-# Part of the time allowed for revocation that a read waits for changes at
-# most, so that two reads in a row stay below ``LIMIT_SHARE``.
+# Longest wait of a read for changes, as part of the time allowed for
+# revocation. The age before an answer is that of two waits, and the rest of
+# ``LIMIT_SHARE`` is left for repeating a read that is not answered.
 WAIT_SHARE = 0.2
 
 
@@ -63,13 +65,17 @@
         return not self.is_strict or self.age_s(now) <= self.limit_s
 
     def is_read_due(self, now: float) -> bool:
-        """Return whether the next read should not wait for changes."""
+        """Return whether a read should return at once instead of waiting."""
         if not self.is_strict:
             return False
         return self._has_failed or self.age_s(now) > self.limit_s * PROOF_SHARE
 
     def read_wait_s(self, usual_s: float) -> float:
-        """Return how long a read in calm waits for changes, in seconds."""
+        """Return how long a read waits for changes.
+
+        Args:
+            usual_s: Seconds for which it waits if no proof is needed.
+        """
         if not self.is_strict:
             return usual_s
         return min(usual_s, self._revoke_s * WAIT_SHARE)
--- a/tests/test_organisation_keys.py
+++ b/tests/test_organisation_keys.py
@@ -192,6 +192,25 @@
     assert (strict_calls[0], strict) == (calls[0], [503, 503, True])
 
 
+@pytest.mark.parametrize(("late_s", "cut"), [(0.24, False), (0.0, True)])
+def test_repeated_reads_are_few(late_s, cut):
+    """Guards against reads that are repeated at a store which only is slow.
+
+    Also against many reads by all instances of a store that does not answer.
+    """
+
+    async def scenario(scene):
+        scene.configure(builders.KEY)
+        scene.client.late_s, scene.client.faults.cut = late_s, cut
+        await asyncio.sleep(5.0)
+        calls = scene.client.calls
+        await asyncio.sleep(60.0)
+        return scene.client.calls - calls
+
+    usual = builders.run(scenario, is_strict=False)
+    assert builders.run(scenario) <= (120 if cut else usual)
+
+
 @pytest.mark.parametrize(
     ("authorization", "anonymous_status", "status"),
     [
