Read a large answer alone once it was cut off

Reads that are repeated while a proof is due went on beside the cut-off answer of a large configuration, so that the one with the long time limit began seconds later, on a link that they had shared.

--- a/limpetstream/store/follower.py
+++ b/limpetstream/store/follower.py
@@ -170,18 +170,19 @@
         """Read once; while a read is due, send more until one is answered.
 
         Raises:
-            PlatformUnavailable: None of the reads was answered.
+            PlatformUnavailable: None of the reads was answered, or an answer
+                was cut off.
         """
         # A read with records before it returns at once in any case.
         is_due = self.is_at_end and is_read_due()
         wait_s = 0.0 if is_due else self.wait_s
-        # Further reads would delay a large answer whose last one was cut off.
+        # Further reads would delay a large answer, once it was cut off.
         is_cut_off = self.read_margin_s == LONG_ANSWER_S
         max_reads = 1 if is_cut_off else MAX_READS
         due_margin_s = LONG_ANSWER_S if is_cut_off else self.due_timeout_s
         first = self.advance(wait_s=wait_s, margin_s=due_margin_s if is_due else None)
         reads, sent = {asyncio.create_task(first)}, 1
-        timeout_s, has_begun = wait_s + READ_INTERVAL_S, False
+        timeout_s = wait_s + READ_INTERVAL_S
         try:
             while True:
                 ended, reads = await asyncio.wait(
@@ -194,14 +195,11 @@
                 for error in failures:
                     if not isinstance(error, errors.PlatformUnavailable):
                         raise error
-                    has_begun |= error.answer_began
-                    if reads:
+                    if reads and not error.answer_began:
                         continue
                     if is_due or sent > 1:
                         # A store that answers late is reached in the end.
                         self.due_timeout_s = next_load_timeout_s(due_margin_s, error)
-                    if has_begun:
-                        self.read_margin_s = LONG_ANSWER_S
                     raise error
                 timeout_s = READ_INTERVAL_S
                 if sent < max_reads and is_read_due():
--- a/limpetstream/store/tests/test_follower.py
+++ b/limpetstream/store/tests/test_follower.py
@@ -68,13 +68,14 @@
     assert loaded_at
 
 
-def applied_at(*, load, transfer_s, seconds=8.0):
+def applied_at(*, load, transfer_s, seconds=8.0, due_at=None):
     """Return when a record is applied whose answer arrives slowly.
 
     Args:
         load: Whether it is there before the follower starts.
         transfer_s: Time from the first to the last byte of each answer.
         seconds: Virtual time after which the attempt ends.
+        due_at: Time from which reads are due; None for never.
     """
     loop = virtual_time.Loop()
     found = []
@@ -89,6 +90,7 @@
             virtual_time.make_clock(loop),
             lambda entries, complete: entries and found.append(loop.time()),
             wait_s=1.0,
+            is_read_due=None if due_at is None else lambda: loop.time() > due_at,
         )
         if not load:
             await topic_follower.load()
@@ -111,6 +113,11 @@
     assert applied_at(load=False, transfer_s=3.0) < 5.0
 
 
+def test_a_record_that_arrives_slowly_is_read_alone():
+    """Guards against repeated reads that delay one of a large configuration."""
+    assert applied_at(load=False, transfer_s=3.0, due_at=1.2) < 5.0
+
+
 def test_a_record_that_arrives_slowly_is_loaded():
     """Guards against an instance that is never ready on a slow link."""
     assert applied_at(load=True, transfer_s=3.0) < 4.0
