--- a/limpetstream/store/tests/test_follower.py
+++ b/limpetstream/store/tests/test_follower.py
@@ -114,7 +114,7 @@
 
 
 def test_a_record_that_arrives_slowly_is_read_alone():
-    """Guards against repeated reads that delay one of a large configuration."""
+    """Guards against repeated reads that delay that of a large value."""
     assert applied_at(load=False, transfer_s=3.0, due_at=1.2) < 5.0
 
 
