Keep known runs of completed jobs out of the bound of unseen runs

After a change of owner, the tasks of a completed job are not marked as done, as no progress is stored of final jobs. A known run of such a task was subtracted from the bound although the bound did not include it. The bound was too low then, and the organisation could exceed its limit by that amount while runs of its other jobs were out of reach.

--- a/limpetstream/organisations/tests/test_unseen.py
+++ b/limpetstream/organisations/tests/test_unseen.py
@@ -77,6 +77,22 @@
     assert bound(shard) == (8000, 2000, 0)
 
 
+def test_a_known_run_of_a_completed_job_does_not_lower_the_bound():
+    """Guards against starts beside unseen runs of other jobs.
+
+    A second run of a task that is done may still be listed.
+    """
+    shard = make_successor()
+    inherit(shard, count=2)
+    job = inherit(shard)[0].job
+    job.occurrence_by_number.clear()  # No progress is stored of final jobs.
+    job.outcome = messages.COMPLETED
+    task = workflow_state.find_task(job, 0, 0, 0)
+    shard.executor_by_id["x3"].unknown_runs = {(task.name, 1): None}
+    shard.executor_by_id["x3"].count_unknown_runs(lambda name: task)
+    assert bound(shard) == (8000, 2000, 0)
+
+
 def test_a_job_whose_progress_cannot_be_read_counts_whole():
     """Guards against its runs, which nothing else tells of."""
     shard = make_successor()
--- a/limpetstream/organisations/unseen.py
+++ b/limpetstream/organisations/unseen.py
@@ -101,7 +101,7 @@
             if count:
                 add(job, step, count)
     for task in _known_tasks(shard):
-        if task.step.gang or not task.done:
+        if _is_open(task):
             add(task.job, task.step, -1)
     return needs
 
@@ -131,6 +131,17 @@
     return step.count * occurrences - done
 
 
+def _is_open(task: workflow_state.Task) -> bool:
+    """Return whether ``_open_count`` includes a task.
+
+    The progress of final jobs is not stored, so the tasks of a completed one
+    need not be marked as done.
+    """
+    if task.step.gang:
+        return True
+    return not task.done and task.job.outcome != messages.COMPLETED
+
+
 def _known_tasks(shard: state.Shard) -> set[workflow_state.Task]:
     """Return the tasks of inherited jobs with a known run."""
     inherited = set(_inherited_jobs(shard))
