Preempt others only for as many tasks as a limit has room for

A task that preempts others reserves nothing while it waits for their ends. Every waiting task of an organisation with room for one could therefore stop runs of other organisations: eight long-running tasks stopped eight runs in one pass. Tasks that wait for such ends now come first in the check before a further preemption.

--- a/limpetstream/organisations/claims.py
+++ b/limpetstream/organisations/claims.py
@@ -32,12 +32,17 @@
 
 
 class Claims:
-    """The claims of all organisations, by their names."""
+    """The claims of all organisations, by their names.
 
-    __slots__ = ("_by_organisation",)
+    It also holds the waiting tasks of each for which runs are being stopped,
+    with the monotonic time until which they may wait for the ends.
+    """
+
+    __slots__ = ("_awaited_until_by_organisation", "_by_organisation")
 
     def __init__(self) -> None:
         self._by_organisation: dict[str, Claim] = {}
+        self._awaited_until_by_organisation: dict[str, dict[state.Task, float]] = {}
 
     def __len__(self) -> int:
         return len(self._by_organisation)
@@ -46,9 +51,24 @@
         """Drop claims of tasks that have a run, or no use for their room."""
         for name, claim in list(self._by_organisation.items()):
             task = claim.task
-            is_over = task.run is not None or task.done or bool(task.job.outcome)
-            if is_over or now - claim.held_at > CLAIM_S:
+            if not _is_waiting(task) or now - claim.held_at > CLAIM_S:
                 del self._by_organisation[name]
+        for name, until_by_task in list(self._awaited_until_by_organisation.items()):
+            for task, until in list(until_by_task.items()):
+                if not _is_waiting(task) or now > until:
+                    del until_by_task[task]
+            if not until_by_task:
+                del self._awaited_until_by_organisation[name]
+
+    def note_preemption(self, task: state.Task, until: float) -> None:
+        """Note that runs are being stopped for a waiting task."""
+        name = task.job.submission.organisation
+        self._awaited_until_by_organisation.setdefault(name, {})[task] = until
+
+    def preempting_tasks(self, organisation: str) -> list[state.Task]:
+        """Return the waiting tasks for which runs are being stopped."""
+        until_by_task = self._awaited_until_by_organisation.get(organisation, {})
+        return [task for task in until_by_task if _is_waiting(task)]
 
     def note_held(self, task: state.Task, need: amounts.Amount, now: float) -> None:
         """Note that there is no room for a task; it may get the claim."""
@@ -72,6 +92,10 @@
         return claim.need
 
 
+def _is_waiting(task: state.Task) -> bool:
+    return task.run is None and not task.done and not task.job.outcome
+
+
 def may_claim(task: state.Task, now: float) -> bool:
     """Return whether a task comes first: long-running, or waiting for long."""
     return task.step.long_running or now - task.ready_at > CLAIM_AFTER_S
--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -61,6 +61,39 @@
     return amounts.fits(_need(task), _at_least_zero(left))
 
 
+def allows_preemption(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether runs may be stopped for a task of the present turn.
+
+    The tasks for which others are being stopped need their room first. Without
+    that, every waiting task of an organisation with room for one would stop
+    runs of other organisations.
+    """
+    name = task.job.submission.organisation
+    free = _free(shard, name) if name else None
+    if free is None:
+        return True
+    need = _need(task)
+    for other in shard.claims.preempting_tasks(name):
+        if other is not task:
+            need = amounts.add(need, _need(other))
+    return amounts.fits(need, free)
+
+
+def note_preemption(
+    shard: state.Shard, task: workflow_state.Task, until: float
+) -> None:
+    """Note that runs are being stopped for a task.
+
+    Args:
+        shard: Shard of the task.
+        task: Task that waits for their ends.
+        until: Monotonic time until which they end.
+    """
+    name = task.job.submission.organisation
+    if name in _organisation_by_name(shard):
+        shard.claims.note_preemption(task, until)
+
+
 def allows_again(shard: state.Shard, task: workflow_state.Task) -> bool:
     """Return whether a task could start again once its run has ended."""
     free = _free(shard, task.job.submission.organisation, without=task)
--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -17,7 +17,7 @@
     wait_reports,
 )
 from limpetstream.shard.tests import builders as shard_builders
-from limpetstream.workflow import state as workflow_state, wait_reasons
+from limpetstream.workflow import messages, state as workflow_state, wait_reasons
 
 LIMIT = (10_000, 0, 0)  # Room for two short tasks.
 
@@ -173,6 +173,40 @@
     assert phases == {workflow_state.WORKING}
 
 
+def count_stopping(shard):
+    return sum(
+        run.phase == workflow_state.STOPPING
+        for executor in shard.executor_by_id.values()
+        for run in executor.run_by_task.values()
+    )
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_only_as_many_tasks_preempt_others_as_have_room(long_running):
+    """Guards against runs of others that stop for tasks without room."""
+    shard = builders.make_shard(acme=(13_000, 0, 0))
+    shard.run_s_by_queue["batch"] = 100.0
+    for executor_id in shard.executor_by_id:
+        step = {"count": 5, "cpu_millicores": 12_800, "long_running": not long_running}
+        for task in builders.make_tasks(shard, "", **step):
+            hold(shard, executor_id, task)
+    step = {"cpu_millicores": 12_000, "long_running": long_running}
+    tasks = builders.make_tasks(shard, count=8, waited_s=3.0, **step)
+    for _ in range(50):
+        run_pass(shard)
+    assert count_stopping(shard) == 1
+    (first,) = [task for task in tasks if task.preempted_others_at > 0]
+    shard.waiting_tasks.discard(first)
+    first.job.outcome = messages.CANCELLED
+    builders.make_tasks(shard, count=8, waited_s=3.0, **step)
+    run_pass(shard)
+    assert count_stopping(shard) == 2
+    shard.view.configuration = builders.make_configuration(acme=(0, 0, 0))
+    for _ in range(50):
+        run_pass(shard)
+    assert count_stopping(shard) > 2
+
+
 def startable_and_preemption(shard):
     now = shard.clock.monotonic()
     startable = limits.startable(shard, now)
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection, Hashable
 
 from limpetstream.executors import tracking
+from limpetstream.organisations import limits
 from limpetstream.shard import searches, state, stops, victims
 from limpetstream.workflow import eligibility, placement, state as workflow_state
 
@@ -34,10 +35,12 @@
     if workflow_state.waited_s(task, now) <= wait_s:
         return False
     # Runs that were stopped for it before need time to end.
-    return (
-        now - task.preempted_others_at
-        > shard.timing.max_stop_s + PREEMPT_RETRY_MARGIN_S
-    )
+    return now - task.preempted_others_at > _longest_end_s(shard)
+
+
+def _longest_end_s(shard: state.Shard) -> float:
+    """Return how long runs that are being stopped may keep their capacity."""
+    return shard.timing.max_stop_s + PREEMPT_RETRY_MARGIN_S
 
 
 def preempt_for(
@@ -119,6 +122,7 @@
         stops.stop_run(shard, executor, run, f"preempted for {task.name}")
     victims.forget(shard, executor)
     task.preempted_others_at = now
+    limits.note_preemption(shard, task, now + _longest_end_s(shard))
 
 
 def may_preempt_long_running(
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -336,7 +336,9 @@
         task.step.long_running or this_pass.may_preempt_long_running
     ):
         shape = placing.shape(task, context.service)
-        if preemption.preempt_for(shard, task, context, executors, shape):
+        if limits.allows_preemption(shard, task) and preemption.preempt_for(
+            shard, task, context, executors, shape
+        ):
             this_pass.may_preempt_long_running &= task.step.long_running
         elif (
             not accepts_doubt
