End a claim with the start of its task, and move no run for a claim

A claim stayed until the pass after the start of its task. In between, the need of that task counted twice, and other tasks of its organisation were held back although there was room.

A paused run was moved although another task claimed its room, so that its own task could not start again.

--- a/limpetstream/organisations/claims.py
+++ b/limpetstream/organisations/claims.py
@@ -87,7 +87,7 @@
         Of a gang one member has the claim, and it starts the others.
         """
         claim = self._by_organisation.get(task.job.submission.organisation)
-        if claim is None or claim.task is task:
+        if claim is None or claim.task is task or not _is_waiting(claim.task):
             return amounts.ZERO
         return claim.need
 
--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -54,11 +54,7 @@
 def allows(shard: state.Shard, task: workflow_state.Task) -> bool:
     """Return whether a task may start now, with its whole gang."""
     name = task.job.submission.organisation
-    free = _free(shard, name) if name else None
-    if free is None:
-        return True
-    left = amounts.subtract(free, shard.claims.kept_from(task))
-    return amounts.fits(_need(task), _at_least_zero(left))
+    return _is_allowed(shard, task, _free(shard, name) if name else None)
 
 
 def allows_preemption(shard: state.Shard, task: workflow_state.Task) -> bool:
@@ -97,7 +93,17 @@
 def allows_again(shard: state.Shard, task: workflow_state.Task) -> bool:
     """Return whether a task could start again once its run has ended."""
     free = _free(shard, task.job.submission.organisation, without=task)
-    return free is None or amounts.fits(_need(task), free)
+    return _is_allowed(shard, task, free)
+
+
+def _is_allowed(
+    shard: state.Shard, task: workflow_state.Task, free: amounts.Amount | None
+) -> bool:
+    """Return whether a task fits into free room beside a claim of another."""
+    if free is None:
+        return True
+    left = amounts.subtract(free, shard.claims.kept_from(task))
+    return amounts.fits(_need(task), _at_least_zero(left))
 
 
 def _organisation_by_name(shard: state.Shard) -> dict[str, settings.Organisation]:
--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -292,6 +292,16 @@
     assert (running(large), running(short)) == (1, 1)
 
 
+def test_a_claim_ends_within_the_pass_that_starts_its_task():
+    """Guards against tasks that are held back although there is room."""
+    shard = builders.make_shard(acme=LIMIT)
+    large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
+    shard.claims.note_held(large[0], (6000, 1000, 0), 0.0)
+    other = builders.make_tasks(shard, long_running=True)
+    run_pass(shard)
+    assert (running(large), running(other)) == (1, 1)
+
+
 def test_the_task_that_has_waited_longest_gets_the_room():
     """Guards against long-running tasks that take turns to lose their room."""
     shard = builders.make_shard(acme=LIMIT)
@@ -362,6 +372,23 @@
     assert run.phase == workflow_state.STOPPING
 
 
+def test_a_run_whose_room_another_task_claims_is_not_moved(monkeypatch):
+    """Guards against a claim that ends running work by moving it."""
+    shard = builders.make_shard(acme=LIMIT)
+    task = builders.make_tasks(shard, fills=True, checkpoints=True)[0]
+    run = hold(shard, "x0", task)
+    run.pace = 0
+    run.phase = workflow_state.WORKING
+    monkeypatch.setattr(
+        relocation.best_effort, "has_better_executor", lambda *args: True
+    )
+    builders.advance(shard, 20.0)
+    builders.make_tasks(shard, cpu_millicores=8000, long_running=True)
+    run_pass(shard)
+    relocation.relocate_paused_runs(shard)
+    assert run.phase == workflow_state.WORKING
+
+
 def test_a_wait_report_names_the_limit(monkeypatch):
     """Guards against operators that look for capacity instead."""
     shard = builders.make_shard(acme=(3000, 0, 0))
