Let long-running tasks keep their room while runs are stopped for them

A long-running task that finds no executor waits for runs to be stopped, and short tasks of its organisation used up its room meanwhile. It then waited for their ends, and its wait for preemption began again. It now has the claim in the first 2 s of its wait. That time does not begin again while other claims hold it back, so that two such tasks cannot keep the room from all others.

What a claim may use is computed once for each organisation in a pass.

--- a/limpetstream/organisations/claims.py
+++ b/limpetstream/organisations/claims.py
@@ -23,7 +23,8 @@
     Args:
         task: Task that has it.
         need: What the task needs, with its gang.
-        held_at: Monotonic time at which there was last no room for it.
+        held_at: Monotonic time at which there was last no room for it, or from
+            which it waits.
     """
 
     task: state.Task
@@ -70,16 +71,25 @@
         until_by_task = self._awaited_until_by_organisation.get(organisation, {})
         return [task for task in until_by_task if _is_waiting(task)]
 
-    def note_held(self, task: state.Task, need: amounts.Amount, now: float) -> None:
-        """Note that there is no room for a task; it may get the claim."""
+    def request(self, task: state.Task, need: amounts.Amount, held_at: float) -> None:
+        """Give a task the claim of its organisation, unless another is first.
+
+        Args:
+            task: Task that may have a claim.
+            need: What the task needs, with its gang.
+            held_at: Monotonic time at which there was last no room for it, or
+                from which it waits.
+        """
         name = task.job.submission.organisation
-        claim = self._by_organisation.get(name)
-        if not may_claim(task, now):
-            return
-        if claim is None or _rank(task) < _rank(claim.task):
-            self._by_organisation[name] = Claim(task, need, now)
-        elif claim.task is task:
-            claim.held_at = now
+        if self.is_first(task):
+            self._by_organisation[name] = Claim(task, need, held_at)
+
+    def is_first(self, task: state.Task) -> bool:
+        """Return whether a task has the claim, or comes before its holder."""
+        claim = self._by_organisation.get(task.job.submission.organisation)
+        if claim is None or claim.task is task:
+            return True
+        return _rank(task) < _rank(claim.task)
 
     def kept_from(self, task: state.Task) -> amounts.Amount:
         """Return how much of its organisation's room a task must leave.
@@ -97,9 +107,23 @@
 
 
 def may_claim(task: state.Task, now: float) -> bool:
-    """Return whether a task comes first: long-running, or waiting for long."""
+    """Return whether a held-back task comes first.
+
+    That is a long-running one, or one that has waited for long.
+    """
     return task.step.long_running or now - task.ready_at > CLAIM_AFTER_S
 
 
+def may_claim_with_room(task: state.Task, now: float) -> bool:
+    """Return whether a task keeps the room that there is for it.
+
+    Runs may have to be stopped before a long-running task finds an executor,
+    while short tasks find one at once and would use up its room. The time
+    counts from its last run, however often others have held it back.
+    """
+    step = task.step
+    return step.long_running and not step.fills and now - task.ready_at <= CLAIM_S
+
+
 def _rank(task: state.Task) -> tuple[bool, float]:
     return not task.step.long_running, task.ready_at
--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -27,20 +27,36 @@
     unseen.refresh(shard, now)
     shard.claims.drop_ended(now)
     free_by_organisation: dict[str, amounts.Amount | None] = {}
+    claimable_by_organisation: dict[str, amounts.Amount] = {}
     with_room = []
     for task in waiting:
         name = task.job.submission.organisation
         if name not in free_by_organisation:
             free_by_organisation[name] = _free(shard, name)
+            claimable_by_organisation[name] = _claimable(shard, name)
         free = free_by_organisation[name]
-        if free is None or amounts.fits(_need(task), free):
+        if free is None:
             with_room.append(task)
+            continue
+        need = _need(task)
+        if amounts.fits(need, free):
+            with_room.append(task)
+            may_claim, held_at = claims.may_claim_with_room(task, now), task.ready_at
         else:
             task.held_back_at = now
-            _note_held(shard, task, now)
+            may_claim, held_at = claims.may_claim(task, now), now
+        if may_claim and amounts.fits(need, claimable_by_organisation[name]):
+            shard.claims.request(task, need, held_at)
     if not shard.claims:
         return with_room
-    return [task for task in with_room if may_have_turn(shard, task, now)]
+    may_start = []
+    for task in with_room:
+        free = free_by_organisation[task.job.submission.organisation]
+        if _is_allowed(shard, task, free):
+            may_start.append(task)
+        else:
+            task.held_back_at = now
+    return may_start
 
 
 def may_have_turn(shard: state.Shard, task: workflow_state.Task, now: float) -> bool:
@@ -130,6 +146,19 @@
     return _at_least_zero(amounts.subtract(_bound(organisation.limit), held))
 
 
+def _claimable(shard: state.Shard, name: str) -> amounts.Amount:
+    """Return how much room ends of short runs can make, if tasks may claim it.
+
+    Before earlier runs are settled, the task itself may be running unseen.
+    """
+    organisation = _organisation_by_name(shard).get(name)
+    if organisation is None or not shard.earlier_runs_settled:
+        return amounts.ZERO
+    return amounts.subtract(
+        _bound(organisation.limit), shard.usage.long_running_of(name)
+    )
+
+
 def _bound(limit: amounts.Amount) -> amounts.Amount:
     """Return a limit, with a large amount of each resource without one."""
     return (limit[0] or sys.maxsize, limit[1] or sys.maxsize, limit[2] or sys.maxsize)
@@ -147,16 +176,3 @@
     """Return what a task needs, with the gang that starts with it."""
     need = usage.need_of(task.step)
     return usage.times(need, task.step.count) if task.step.gang else need
-
-
-def _note_held(shard: state.Shard, task: workflow_state.Task, now: float) -> None:
-    """Let a task claim room, if ends of short runs can make enough of it.
-
-    Before earlier runs are settled, the task itself may be running unseen.
-    """
-    if not shard.earlier_runs_settled or not claims.may_claim(task, now):
-        return
-    name, need = task.job.submission.organisation, _need(task)
-    bound = _bound(_organisation_by_name(shard)[name].limit)
-    if amounts.fits(need, amounts.subtract(bound, shard.usage.long_running_of(name))):
-        shard.claims.note_held(task, need, now)
--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -148,10 +148,10 @@
     assert not shard.changed.is_set()
 
 
-def fill(shard):
+def fill(shard, cpu_millicores=12_800):
     """Fill all executors with short work without an organisation."""
     for executor_id in shard.executor_by_id:
-        step = {"count": 5, "cpu_millicores": 12_800}
+        step = {"count": 5, "cpu_millicores": cpu_millicores}
         for task in builders.make_tasks(shard, "", **step):
             hold(shard, executor_id, task)
 
@@ -285,7 +285,7 @@
     """Guards against room that stays unused after the start."""
     shard = builders.make_shard(acme=LIMIT)
     large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
-    shard.claims.note_held(large[0], (6000, 1000, 0), 0.0)
+    shard.claims.request(large[0], (6000, 1000, 0), 0.0)
     run_pass(shard)
     short = builders.make_tasks(shard)
     run_pass(shard)
@@ -296,7 +296,7 @@
     """Guards against tasks that are held back although there is room."""
     shard = builders.make_shard(acme=LIMIT)
     large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
-    shard.claims.note_held(large[0], (6000, 1000, 0), 0.0)
+    shard.claims.request(large[0], (6000, 1000, 0), 0.0)
     other = builders.make_tasks(shard, long_running=True)
     run_pass(shard)
     assert (running(large), running(other)) == (1, 1)
@@ -334,7 +334,7 @@
         shard, cpu_millicores=9000, long_running=True, required_label="none"
     )
     short = builders.make_tasks(shard)
-    shard.claims.note_held(shard.waiting_tasks[0], (9000, 1000, 0), 0.0)
+    shard.claims.request(shard.waiting_tasks[0], (9000, 1000, 0), 0.0)
     run_pass(shard)
     assert not running(short)
     builders.advance(shard, claims.CLAIM_S)
@@ -353,6 +353,40 @@
     assert running(short) == 1
 
 
+@pytest.mark.parametrize("has_backlog", [False, True])
+def test_short_tasks_leave_room_for_a_long_running_one(has_backlog):
+    """Guards against a long-running task that waits for short ones to end.
+
+    It finds no executor before runs are stopped for it, while short tasks of
+    its organisation fit beside them.
+    """
+    shard = builders.make_shard(acme=(13_000, 0, 0))
+    shard.run_s_by_queue["batch"] = 100.0
+    fill(shard, cpu_millicores=12_000)
+    serving = builders.make_tasks(shard, long_running=True, cpu_millicores=13_000)
+    waited_s = 1.0 if has_backlog else 0.0
+    short = builders.make_tasks(shard, count=9, waited_s=waited_s, cpu_millicores=1000)
+    for _ in range(20):
+        run_pass(shard)
+    assert not running(short)
+    assert serving[0].preempted_others_at > 0
+
+
+def test_a_long_running_task_that_no_executor_suits_leaves_its_room():
+    """Guards against room that is kept although nobody can use it."""
+    shard = builders.make_shard(acme=LIMIT)
+    builders.make_tasks(
+        shard, cpu_millicores=10_000, long_running=True, required_label="none"
+    )
+    short = builders.make_tasks(shard)
+    run_pass(shard)
+    assert not running(short)
+    builders.advance(shard, claims.CLAIM_S)
+    run_pass(shard)
+    run_pass(shard)
+    assert running(short)
+
+
 def test_a_run_that_could_not_start_again_is_not_moved(monkeypatch):
     """Guards against a lowered limit that ends a run by moving it."""
     shard = builders.make_shard(acme=(4000, 0, 0))
