Compare the waits of tasks in passes without a further call

Passes ask for every waiting task whether it has waited long. With the time for which a limit held it back, that took a call and max() for each, also where nobody has a limit.

--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -70,7 +70,7 @@
 def allows(shard: state.Shard, task: workflow_state.Task) -> bool:
     """Return whether a task may start now, with its whole gang."""
     name = task.job.submission.organisation
-    return _is_allowed(shard, task, _free(shard, name) if name else None)
+    return not name or _is_allowed(shard, task, _free(shard, name))
 
 
 def allows_preemption(shard: state.Shard, task: workflow_state.Task) -> bool:
--- a/limpetstream/shard/preemption.py
+++ b/limpetstream/shard/preemption.py
@@ -140,7 +140,8 @@
         return False
     if not any(
         victims.is_short(task)
-        and workflow_state.waited_s(task, now) > SHORT_PREEMPT_AFTER_S
+        and now - task.ready_at > SHORT_PREEMPT_AFTER_S
+        and now - task.held_back_at > SHORT_PREEMPT_AFTER_S
         for task in startable
     ):
         return False
--- a/limpetstream/shard/victims.py
+++ b/limpetstream/shard/victims.py
@@ -29,8 +29,11 @@
     """Return whether a task is long-running and its longest wait is over."""
     if not task.step.long_running:
         return False
-    waited_s = workflow_state.waited_s(task, shard.clock.monotonic())
-    return waited_s > LONG_RUNNING_MAX_WAIT_S
+    now = shard.clock.monotonic()
+    return (
+        now - task.ready_at > LONG_RUNNING_MAX_WAIT_S
+        and now - task.held_back_at > LONG_RUNNING_MAX_WAIT_S
+    )
 
 
 def kind_of(shard: state.Shard, task: workflow_state.Task) -> str:
