Make no claim for room that best-effort runs hold

Best-effort runs may last for minutes, and while they are paused they make no progress. A task that could only run in their room had a claim for all that time, and smaller tasks of its organisation did not start although there was room for them. Such a task now gets a claim once these runs have ended.

--- a/limpetstream/organisations/limits.py
+++ b/limpetstream/organisations/limits.py
@@ -154,9 +154,7 @@
     organisation = _organisation_by_name(shard).get(name)
     if organisation is None or not shard.earlier_runs_settled:
         return amounts.ZERO
-    return amounts.subtract(
-        _bound(organisation.limit), shard.usage.long_running_of(name)
-    )
+    return amounts.subtract(_bound(organisation.limit), shard.usage.lasting_of(name))
 
 
 def _bound(limit: amounts.Amount) -> amounts.Amount:
--- a/limpetstream/organisations/usage.py
+++ b/limpetstream/organisations/usage.py
@@ -14,6 +14,7 @@
     """
 
     __slots__ = (
+        "_best_effort_by_organisation",
         "_by_organisation",
         "_long_running_by_organisation",
         "unseen_at",
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self._by_organisation: dict[str, amounts.Amount] = {}
         self._long_running_by_organisation: dict[str, amounts.Amount] = {}
+        self._best_effort_by_organisation: dict[str, amounts.Amount] = {}
         self.unseen_by_organisation: dict[str, amounts.Amount] = {}
         self.unseen_at = float("-inf")
 
@@ -32,6 +34,8 @@
         _change(self._by_organisation, name, task.step, sign)
         if task.step.long_running:
             _change(self._long_running_by_organisation, name, task.step, sign)
+        elif task.step.fills:
+            _change(self._best_effort_by_organisation, name, task.step, sign)
 
     def of(self, organisation: str) -> amounts.Amount:
         """Return what the known runs of an organisation hold."""
@@ -41,6 +45,16 @@
         """Return what its known long-running runs hold."""
         return self._long_running_by_organisation.get(organisation, amounts.ZERO)
 
+    def lasting_of(self, organisation: str) -> amounts.Amount:
+        """Return what its known runs hold that may last for minutes.
+
+        These are the long-running ones, and best-effort ones, which may pause.
+        """
+        return amounts.add(
+            self.long_running_of(organisation),
+            self._best_effort_by_organisation.get(organisation, amounts.ZERO),
+        )
+
     def short_of(self, organisation: str) -> amounts.Amount:
         """Return what its other known runs hold."""
         return amounts.subtract(
