--- a/limpetstream/organisations/claims.py
+++ b/limpetstream/organisations/claims.py
@@ -23,7 +23,8 @@
     Args:
         task: Task that has it.
         need: What the task needs, with its gang.
-        held_at: Monotonic time at which there was last no room for it.
+        held_at: Monotonic time at which there was last no room for it, or from
+            which it waits.
     """
 
     task: state.Task
@@ -32,12 +33,17 @@
 
 
 class Claims:
-    """The claims of all organisations, by their names."""
+    """The claims of all organisations, by their names.
 
-    __slots__ = ("_by_organisation",)
+    It also holds the waiting tasks of each for which runs are being stopped,
+    with the monotonic time until which they may wait for the ends.
+    """
+
+    __slots__ = ("_awaited_until_by_organisation", "_by_organisation")
 
     def __init__(self) -> None:
         self._by_organisation: dict[str, Claim] = {}
+        self._awaited_until_by_organisation: dict[str, dict[state.Task, float]] = {}
 
     def __len__(self) -> int:
         return len(self._by_organisation)
@@ -46,20 +52,44 @@
         """Drop claims of tasks that have a run, or no use for their room."""
         for name, claim in list(self._by_organisation.items()):
             task = claim.task
-            is_over = task.run is not None or task.done or bool(task.job.outcome)
-            if is_over or now - claim.held_at > CLAIM_S:
+            if not _is_waiting(task) or now - claim.held_at > CLAIM_S:
                 del self._by_organisation[name]
+        for name, until_by_task in list(self._awaited_until_by_organisation.items()):
+            for task, until in list(until_by_task.items()):
+                if not _is_waiting(task) or now > until:
+                    del until_by_task[task]
+            if not until_by_task:
+                del self._awaited_until_by_organisation[name]
+
+    def note_preemption(self, task: state.Task, until: float) -> None:
+        """Note that runs are being stopped for a waiting task."""
+        name = task.job.submission.organisation
+        self._awaited_until_by_organisation.setdefault(name, {})[task] = until
+
+    def preempting_tasks(self, organisation: str) -> list[state.Task]:
+        """Return the waiting tasks for which runs are being stopped."""
+        until_by_task = self._awaited_until_by_organisation.get(organisation, {})
+        return [task for task in until_by_task if _is_waiting(task)]
+
+    def request(self, task: state.Task, need: amounts.Amount, held_at: float) -> None:
+        """Give a task the claim of its organisation, unless another is first.
 
-    def note_held(self, task: state.Task, need: amounts.Amount, now: float) -> None:
-        """Note that there is no room for a task; it may get the claim."""
+        Args:
+            task: Task that may have a claim.
+            need: What the task needs, with its gang.
+            held_at: Monotonic time at which there was last no room for it, or
+                from which it waits.
+        """
         name = task.job.submission.organisation
-        claim = self._by_organisation.get(name)
-        if not may_claim(task, now):
-            return
-        if claim is None or _rank(task) < _rank(claim.task):
-            self._by_organisation[name] = Claim(task, need, now)
-        elif claim.task is task:
-            claim.held_at = now
+        if self.is_first(task):
+            self._by_organisation[name] = Claim(task, need, held_at)
+
+    def is_first(self, task: state.Task) -> bool:
+        """Return whether a task has the claim, or comes before its holder."""
+        claim = self._by_organisation.get(task.job.submission.organisation)
+        if claim is None or claim.task is task:
+            return True
+        return _rank(task) < _rank(claim.task)
 
     def kept_from(self, task: state.Task) -> amounts.Amount:
         """Return how much of its organisation's room a task must leave.
@@ -67,15 +97,33 @@
         Of a gang one member has the claim, and it starts the others.
         """
         claim = self._by_organisation.get(task.job.submission.organisation)
-        if claim is None or claim.task is task:
+        if claim is None or claim.task is task or not _is_waiting(claim.task):
             return amounts.ZERO
         return claim.need
 
 
+def _is_waiting(task: state.Task) -> bool:
+    return task.run is None and not task.done and not task.job.outcome
+
+
 def may_claim(task: state.Task, now: float) -> bool:
-    """Return whether a task comes first: long-running, or waiting for long."""
+    """Return whether a held-back task comes first.
+
+    That is a long-running one, or one that has waited for long.
+    """
     return task.step.long_running or now - task.ready_at > CLAIM_AFTER_S
 
 
+def may_claim_with_room(task: state.Task, now: float) -> bool:
+    """Return whether a task keeps the room that there is for it.
+
+    Runs may have to be stopped before a long-running task finds an executor,
+    while short tasks find one at once and would use up its room. The time
+    counts from its last run, however often others have held it back.
+    """
+    step = task.step
+    return step.long_running and not step.fills and now - task.ready_at <= CLAIM_S
+
+
 def _rank(task: state.Task) -> tuple[bool, float]:
     return not task.step.long_running, task.ready_at
--- a/limpetstream/organisations/tests/test_limits.py
+++ b/limpetstream/organisations/tests/test_limits.py
@@ -17,7 +17,7 @@
     wait_reports,
 )
 from limpetstream.shard.tests import builders as shard_builders
-from limpetstream.workflow import state as workflow_state, wait_reasons
+from limpetstream.workflow import messages, state as workflow_state, wait_reasons
 
 LIMIT = (10_000, 0, 0)  # Room for two short tasks.
 
@@ -148,10 +148,10 @@
     assert not shard.changed.is_set()
 
 
-def fill(shard):
+def fill(shard, cpu_millicores=12_800):
     """Fill all executors with short work without an organisation."""
     for executor_id in shard.executor_by_id:
-        step = {"count": 5, "cpu_millicores": 12_800}
+        step = {"count": 5, "cpu_millicores": cpu_millicores}
         for task in builders.make_tasks(shard, "", **step):
             hold(shard, executor_id, task)
 
@@ -173,6 +173,40 @@
     assert phases == {workflow_state.WORKING}
 
 
+def count_stopping(shard):
+    return sum(
+        run.phase == workflow_state.STOPPING
+        for executor in shard.executor_by_id.values()
+        for run in executor.run_by_task.values()
+    )
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_only_as_many_tasks_preempt_others_as_have_room(long_running):
+    """Guards against runs of others that stop for tasks without room."""
+    shard = builders.make_shard(acme=(13_000, 0, 0))
+    shard.run_s_by_queue["batch"] = 100.0
+    for executor_id in shard.executor_by_id:
+        step = {"count": 5, "cpu_millicores": 12_800, "long_running": not long_running}
+        for task in builders.make_tasks(shard, "", **step):
+            hold(shard, executor_id, task)
+    step = {"cpu_millicores": 12_000, "long_running": long_running}
+    tasks = builders.make_tasks(shard, count=8, waited_s=3.0, **step)
+    for _ in range(50):
+        run_pass(shard)
+    assert count_stopping(shard) == 1
+    (first,) = [task for task in tasks if task.preempted_others_at > 0]
+    shard.waiting_tasks.discard(first)
+    first.job.outcome = messages.CANCELLED
+    builders.make_tasks(shard, count=8, waited_s=3.0, **step)
+    run_pass(shard)
+    assert count_stopping(shard) == 2
+    shard.view.configuration = builders.make_configuration(acme=(0, 0, 0))
+    for _ in range(50):
+        run_pass(shard)
+    assert count_stopping(shard) > 2
+
+
 def startable_and_preemption(shard):
     now = shard.clock.monotonic()
     startable = limits.startable(shard, now)
@@ -251,13 +285,23 @@
     """Guards against room that stays unused after the start."""
     shard = builders.make_shard(acme=LIMIT)
     large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
-    shard.claims.note_held(large[0], (6000, 1000, 0), 0.0)
+    shard.claims.request(large[0], (6000, 1000, 0), 0.0)
     run_pass(shard)
     short = builders.make_tasks(shard)
     run_pass(shard)
     assert (running(large), running(short)) == (1, 1)
 
 
+def test_a_claim_ends_within_the_pass_that_starts_its_task():
+    """Guards against tasks that are held back although there is room."""
+    shard = builders.make_shard(acme=LIMIT)
+    large = builders.make_tasks(shard, cpu_millicores=6000, long_running=True)
+    shard.claims.request(large[0], (6000, 1000, 0), 0.0)
+    other = builders.make_tasks(shard, long_running=True)
+    run_pass(shard)
+    assert (running(large), running(other)) == (1, 1)
+
+
 def test_the_task_that_has_waited_longest_gets_the_room():
     """Guards against long-running tasks that take turns to lose their room."""
     shard = builders.make_shard(acme=LIMIT)
@@ -290,7 +334,7 @@
         shard, cpu_millicores=9000, long_running=True, required_label="none"
     )
     short = builders.make_tasks(shard)
-    shard.claims.note_held(shard.waiting_tasks[0], (9000, 1000, 0), 0.0)
+    shard.claims.request(shard.waiting_tasks[0], (9000, 1000, 0), 0.0)
     run_pass(shard)
     assert not running(short)
     builders.advance(shard, claims.CLAIM_S)
@@ -309,6 +353,62 @@
     assert running(short) == 1
 
 
+@pytest.mark.parametrize("has_backlog", [False, True])
+def test_short_tasks_leave_room_for_a_long_running_one(has_backlog):
+    """Guards against a long-running task that waits for short ones to end.
+
+    It finds no executor before runs are stopped for it, while short tasks of
+    its organisation fit beside them.
+    """
+    shard = builders.make_shard(acme=(13_000, 0, 0))
+    shard.run_s_by_queue["batch"] = 100.0
+    fill(shard, cpu_millicores=12_000)
+    serving = builders.make_tasks(shard, long_running=True, cpu_millicores=13_000)
+    waited_s = 1.0 if has_backlog else 0.0
+    short = builders.make_tasks(shard, count=9, waited_s=waited_s, cpu_millicores=1000)
+    for _ in range(20):
+        run_pass(shard)
+    assert not running(short)
+    assert serving[0].preempted_others_at > 0
+
+
+def test_a_long_running_task_that_no_executor_suits_leaves_its_room():
+    """Guards against room that is kept although nobody can use it."""
+    shard = builders.make_shard(acme=LIMIT)
+    builders.make_tasks(
+        shard, cpu_millicores=10_000, long_running=True, required_label="none"
+    )
+    short = builders.make_tasks(shard)
+    run_pass(shard)
+    assert not running(short)
+    builders.advance(shard, claims.CLAIM_S)
+    run_pass(shard)
+    run_pass(shard)
+    assert running(short)
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_best_effort_runs_keep_no_task_waiting_for_their_room(long_running):
+    """Guards against a claim that lasts while a best-effort run is paused."""
+    shard = builders.make_shard(acme=LIMIT)
+    task = builders.make_tasks(shard, fills=True, cpu_millicores=6000)[0]
+    run = hold(shard, "x0", task)
+    waited_s = 0.0 if long_running else claims.CLAIM_AFTER_S + 1
+    large = builders.make_tasks(
+        shard, cpu_millicores=7000, waited_s=waited_s, long_running=long_running
+    )
+    short = builders.make_tasks(shard)
+    run_pass(shard)
+    run_pass(shard)
+    assert running(short) == 1
+    builders.make_tasks(shard, count=9, cpu_millicores=1000)
+    shard.executor_by_id["x0"].release(run)
+    run_pass(shard)
+    shard.executor_by_id[short[0].run.executor_id].release(short[0].run)
+    run_pass(shard)
+    assert running(large) == 1
+
+
 def test_a_run_that_could_not_start_again_is_not_moved(monkeypatch):
     """Guards against a lowered limit that ends a run by moving it."""
     shard = builders.make_shard(acme=(4000, 0, 0))
@@ -328,6 +428,24 @@
     assert run.phase == workflow_state.STOPPING
 
 
+def test_a_run_whose_room_another_task_claims_is_not_moved(monkeypatch):
+    """Guards against a claim that ends running work by moving it."""
+    shard = builders.make_shard(acme=LIMIT)
+    task = builders.make_tasks(shard, fills=True, checkpoints=True)[0]
+    run = hold(shard, "x0", task)
+    run.pace = 0
+    run.phase = workflow_state.WORKING
+    monkeypatch.setattr(
+        relocation.best_effort, "has_better_executor", lambda *args: True
+    )
+    builders.advance(shard, 20.0)
+    hold(shard, "x1", builders.make_tasks(shard, cpu_millicores=3000)[0])
+    builders.make_tasks(shard, cpu_millicores=5000, long_running=True)
+    run_pass(shard)
+    relocation.relocate_paused_runs(shard)
+    assert run.phase == workflow_state.WORKING
+
+
 def test_a_wait_report_names_the_limit(monkeypatch):
     """Guards against operators that look for capacity instead."""
     shard = builders.make_shard(acme=(3000, 0, 0))
--- a/limpetstream/organisations/usage.py
+++ b/limpetstream/organisations/usage.py
@@ -14,6 +14,7 @@
     """
 
     __slots__ = (
+        "_best_effort_by_organisation",
         "_held_by_organisation",
         "_long_running_by_organisation",
         "unseen_at",
@@ -24,6 +25,7 @@
         # Lists that change in place: each start bears the cost.
         self._held_by_organisation: dict[str, list[int]] = {}
         self._long_running_by_organisation: dict[str, list[int]] = {}
+        self._best_effort_by_organisation: dict[str, list[int]] = {}
         self.unseen_by_organisation: dict[str, amounts.Amount] = {}
         self.unseen_at = float("-inf")
 
@@ -33,6 +35,8 @@
         _change(self._held_by_organisation, name, step, sign)
         if step.long_running:
             _change(self._long_running_by_organisation, name, step, sign)
+        elif step.fills:
+            _change(self._best_effort_by_organisation, name, step, sign)
 
     def of(self, organisation: str) -> amounts.Amount:
         """Return what the known runs of an organisation hold."""
@@ -42,6 +46,16 @@
         """Return what its known long-running runs hold."""
         return _amount(self._long_running_by_organisation.get(organisation))
 
+    def lasting_of(self, organisation: str) -> amounts.Amount:
+        """Return what its known runs hold that may last for minutes.
+
+        These are the long-running ones, and best-effort ones, which may pause.
+        """
+        return amounts.add(
+            self.long_running_of(organisation),
+            _amount(self._best_effort_by_organisation.get(organisation)),
+        )
+
     def short_of(self, organisation: str) -> amounts.Amount:
         """Return what its other known runs hold."""
         return amounts.subtract(
