Record executors that are back under the epoch of their owner

The record of an inherited executor keeps what the owner before has written until the executor has replied. That also held for one that this owner had removed and that was listed again. Its record then named the earlier epoch, no longest lease and perhaps no long-running task, although a start or a poll that this owner had sent before the removal could still reach the next process. A later owner that did not reach it waited for no such lease.

The new test fails without the change: the record had the epoch before (4 instead of 5).

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -220,7 +220,8 @@
     """Queue the record of an executor for the next append.
 
     Until an executor has replied, this owner can extend no lease on it, and
-    its record keeps what the owner that could has written.
+    its record keeps what the owner that could has written, unless this owner
+    has removed the executor, which is back.
 
     Returns:
         What is written, once it is encoded; it stays empty if the record is
@@ -237,7 +238,9 @@
             executor.born_ms or executor.listing.born_ms,
             executor.longest_lease_expires_at > shard.clock.monotonic(),
         )
-        may_extend = executor.reached or executor.recorded
+        # This owner may have sent calls to one that it has removed.
+        is_back = executor_id in shard.removed_executors
+        may_extend = executor.reached or executor.recorded or is_back
         record.long_running = not record.longest_lease or long_running.may_be_on(
             executor
         )
--- a/limpetstream/shard/settling/tests/test_long_running_safety.py
+++ b/limpetstream/shard/settling/tests/test_long_running_safety.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from limpetstream.shard import executor_records, names
+from limpetstream.shard import executor_list, executor_records, names
 from limpetstream.shard.settling import long_running
 from limpetstream.shard.tests import builders, schedules, test_former_processes
 from limpetstream.workflow import messages
@@ -203,3 +203,32 @@
     raw = msgspec.json.encode(fields)
     executor_records.note_inherited(shard, executor_records.decode(key, raw))
     assert long_running.may_be_on_inherited(shard, "x0")
+
+
+def test_the_record_of_an_executor_that_is_back_tells_of_this_owner(scene):
+    """Guards against a late start to an executor that was removed since.
+
+    The record that the owner has inherited does not tell of its own calls.
+    """
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    shard.starts_recorded_from = shard.leases_recorded_from = 1
+    shard.epoch = 5
+    executor.listing.address = "10.0.0.1:7000"
+    record = executor_records.ExecutorRecord(
+        executor.listing, True, 4, 2, longest_lease=True, long_running=False
+    )
+    executor_records.note_inherited(shard, record)
+    shard.longest_leased_executors.discard("x0")
+    shard.removed_executors.add("x0")
+    scene.client.fail = True
+    del shard.executor_by_id["x0"], shard.record_state_by_id["x0"]
+    executor_list.add_executor(shard, executor.listing, listed=True)
+    scene.advance(0.1)
+    entry = scene.store.newest(names.PROGRESS_TOPIC, 0)
+    key = names.EXECUTOR_KEY_PREFIX + "x0"
+    written = executor_records.decode(key, entry[key].value)
+    assert (written.epoch, written.longest_lease, written.long_running) == (
+        shard.epoch,
+        True,
+        True,
+    )
