Count the delay of a start from the end of its call

The longest delay of an unanswered start of a long-running task counted from the check before it was sent. Where the process was suspended between the two, the start could be settled, and the record of a restarted executor exclude long-running tasks, before the start was even sent. Now a start that is under way is not settled, and its delay counts from when its call has ended.

The new test of `_send` fails before: a start that is sent 20 s after the check was settled by then. The tests of unsettled_starts note the end of each call; they expect the same times as before.

--- a/limpetstream/leases/tests/test_unsettled_starts.py
+++ b/limpetstream/leases/tests/test_unsettled_starts.py
@@ -20,8 +20,9 @@
 def test_an_answered_start_is_settled_by_a_poll_after_its_answer(polled_at, is_settled):
     """Guards against an answer that the next process has given."""
     starts = unsettled_starts.UnsettledStarts()
-    number = unsettled_starts.note_sent(starts, 1.0)
+    number = unsettled_starts.note_begun(starts)
     unsettled_starts.note_answered(starts, number, 1.5)
+    unsettled_starts.note_ended(starts, number, 1.5)
     assert settle(starts, polled_at) == is_settled
 
 
@@ -29,16 +30,29 @@
 def test_an_unanswered_start_is_settled_after_the_longest_delay(polled_at, is_settled):
     """Guards against a start that is carried out later than expected."""
     starts = unsettled_starts.UnsettledStarts()
-    unsettled_starts.note_sent(starts, 1.0)
+    number = unsettled_starts.note_begun(starts)
+    unsettled_starts.note_ended(starts, number, 1.0)
     assert settle(starts, polled_at) == is_settled
 
 
+def test_a_start_that_is_under_way_is_not_settled():
+    """Guards against a start that is sent after its owner was suspended."""
+    starts = unsettled_starts.UnsettledStarts()
+    number = unsettled_starts.note_begun(starts)
+    assert not settle(starts, 100.0)
+    unsettled_starts.note_ended(starts, number, 100.0)
+    assert not settle(starts, 111.9)
+    assert settle(starts, 112.1)
+
+
 def test_an_answered_try_settles_no_other_try():
     """Guards against a first try that is carried out after the second one."""
     starts = unsettled_starts.UnsettledStarts()
-    unsettled_starts.note_sent(starts, 1.0)
-    number = unsettled_starts.note_sent(starts, 1.4)
+    first = unsettled_starts.note_begun(starts)
+    unsettled_starts.note_ended(starts, first, 1.4)
+    number = unsettled_starts.note_begun(starts)
     unsettled_starts.note_answered(starts, number, 1.5)
+    unsettled_starts.note_ended(starts, number, 1.5)
     assert not settle(starts, 2.0)
 
 
--- a/limpetstream/leases/unsettled_starts.py
+++ b/limpetstream/leases/unsettled_starts.py
@@ -18,11 +18,12 @@
     """One start request, or all those of earlier owners.
 
     Args:
-        sent_at: Monotonic time by which it was sent.
+        sent_by: Monotonic time by which it was sent; infinity while it is
+            under way.
         answered_at: Monotonic time of its answer; infinity before.
     """
 
-    sent_at: float
+    sent_by: float = math.inf
     answered_at: float = math.inf
 
 
@@ -39,13 +40,24 @@
     last_number: int = EARLIER_OWNERS
 
 
-def note_sent(starts: UnsettledStarts, now: float) -> int:
+def note_begun(starts: UnsettledStarts) -> int:
     """Note that a start is about to be sent; return the number of the call."""
     starts.last_number += 1
-    starts.call_by_number[starts.last_number] = _Call(now)
+    starts.call_by_number[starts.last_number] = _Call()
     return starts.last_number
 
 
+def note_ended(starts: UnsettledStarts, number: int, now: float) -> None:
+    """Note that a call is not sent any more, whether or not it was answered.
+
+    Its delay counts from then, as the process may have been suspended between
+    its last check and the sending.
+    """
+    call = starts.call_by_number.get(number)
+    if call is not None:
+        call.sent_by = now
+
+
 def note_answered(starts: UnsettledStarts, number: int, now: float) -> None:
     """Note that a call was answered, by whichever process."""
     call = starts.call_by_number.get(number)
@@ -55,7 +67,7 @@
 
 def note_earlier_owners(starts: UnsettledStarts) -> None:
     """Note that earlier owners may have sent starts, at unknown times."""
-    starts.call_by_number[EARLIER_OWNERS] = _Call(math.inf)
+    starts.call_by_number[EARLIER_OWNERS] = _Call()
 
 
 def settle(
@@ -77,7 +89,7 @@
     """
     for number, call in list(starts.call_by_number.items()):
         if number == EARLIER_OWNERS:
-            call.sent_at = min(call.sent_at, earlier_sent_by)
+            call.sent_by = min(call.sent_by, earlier_sent_by)
         is_answered = call.answered_at < polled_at
-        if is_answered or call.sent_at + max_delay_s < polled_at:
+        if is_answered or call.sent_by + max_delay_s < polled_at:
             del starts.call_by_number[number]
--- a/limpetstream/shard/settling/tests/test_long_running_safety.py
+++ b/limpetstream/shard/settling/tests/test_long_running_safety.py
@@ -10,7 +10,15 @@
 import msgspec
 import pytest
 
-from limpetstream.shard import executor_list, executor_records, names
+from limpetstream import errors
+from limpetstream.leases import unsettled_starts
+from limpetstream.shard import (
+    executor_list,
+    executor_records,
+    names,
+    restarts,
+    starts,
+)
 from limpetstream.shard.settling import long_running
 from limpetstream.shard.tests import builders, schedules, test_former_processes
 from limpetstream.workflow import messages
@@ -232,3 +240,27 @@
         True,
         True,
     )
+
+
+def test_a_start_of_a_suspended_owner_is_not_settled_before_it_is_sent(scene):
+    """Guards against a delay that counts from before the suspension."""
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    executor.lease.observe(1000, 0.0, 0.0)
+    task = builders.make_tasks(shard, builders.SERVING)[0]
+    run = builders.start_run(executor, task)
+
+    async def send_late(*_args, **_options):
+        await asyncio.sleep(20.0)
+        raise errors.PlatformUnavailable("no answer")
+
+    scene.client.start = send_late
+    shard.spawn(starts._send(shard, executor, run, 0.0, 1.0))
+    for now in (19.0, 31.0, 33.0):
+        scene.advance(now - scene.loop.time())
+        unsettled_starts.settle(
+            executor.long_running_starts,
+            now,
+            max_delay_s=restarts.MAX_CALL_DELAY_S,
+            earlier_sent_by=0.0,
+        )
+        assert bool(executor.long_running_starts.call_by_number) == (now < 32.0)
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -1,7 +1,8 @@
 """Sends the requests that start runs."""
 
+import contextlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from limpetstream import errors
 from limpetstream.executors import (
@@ -279,41 +280,41 @@
     run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     task = run.task
     timeout_s = shard.send_window.time_limit_s(START_TIMEOUT_S)
-    note_answer = _note_long_running(shard, executor, run, sent_at)
-    reply = await shard.executor_client.start(
-        executor.listing,
-        executor_messages.StartRequest(
-            task.name,
-            run.number,
-            task.job.submission.spec,
-            deadline_ms,
-            restarts.token_of(shard, executor),
-            task.checkpoint,
-        ),
-        timeout_s=min(timeout_s, max(MIN_TIMEOUT_S, given_up_at - sent_at)),
-    )
-    note_answer()
+    with _noted_start(shard, executor, run) as note_answer:
+        reply = await shard.executor_client.start(
+            executor.listing,
+            executor_messages.StartRequest(
+                task.name,
+                run.number,
+                task.job.submission.spec,
+                deadline_ms,
+                restarts.token_of(shard, executor),
+                task.checkpoint,
+            ),
+            timeout_s=min(timeout_s, max(MIN_TIMEOUT_S, given_up_at - sent_at)),
+        )
+        note_answer()
     if reply.clock_ms is not None:
         lease.observe(reply.clock_ms, shard.clock.monotonic(), sent_at)
     return reply
 
 
-def _note_long_running(
-    shard: state.Shard,
-    executor: tracking.Executor,
-    run: workflow_state.Run,
-    sent_at: float,
-) -> Callable[[], None]:
-    """Note the start of a long-running task; return what notes its answer."""
+@contextlib.contextmanager
+def _noted_start(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> Iterator[Callable[[], None]]:
+    """Note the start of a long-running task; yield what notes its answer."""
     if not run.task.step.long_running:
-        return lambda: None
+        yield lambda: None
+        return
     starts = executor.long_running_starts
-    number = unsettled_starts.note_sent(starts, sent_at)
-
-    def note_answer() -> None:
-        unsettled_starts.note_answered(starts, number, shard.clock.monotonic())
-
-    return note_answer
+    number = unsettled_starts.note_begun(starts)
+    try:
+        yield lambda: unsettled_starts.note_answered(
+            starts, number, shard.clock.monotonic()
+        )
+    finally:
+        unsettled_starts.note_ended(starts, number, shard.clock.monotonic())
 
 
 def _apply_reply(
