Admit several long-running tasks to an executor at once

Where two starts waited for the same record, the second one replaced what the first one had queued. The first one resumed before the second had noted that the record admits them, and was withdrawn. Its task, or its gang, had to be placed again.

The new test fails without the change: the first start found the record still barred.

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -15,6 +15,7 @@
 new owner therefore knows whose leases may last on one that it cannot reach.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Iterator
 from typing import Annotated
@@ -402,6 +403,9 @@
     """
     if executor.record_bars_long_running:
         await _write_under_epoch(shard, executor)
+        # A later write may have replaced this one. It has taken effect as
+        # well, and its own task notes that now.
+        await asyncio.sleep(0)
 
 
 def majority_polled_at(shard: state.Shard) -> float:
--- a/limpetstream/shard/settling/tests/test_long_running.py
+++ b/limpetstream/shard/settling/tests/test_long_running.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import math
 
 import loguru
 import pytest
 
-from limpetstream.shard.tests import schedules
+from limpetstream.shard import executor_records, state
+from limpetstream.shard.tests import builders, schedules
 from limpetstream.workflow import messages
 
 EXECUTORS = 6
@@ -112,3 +114,31 @@
         scenario, executors=EXECUTORS, max_lease_ms=MAX_LEASE_MS
     )
     assert not cluster.breaches.found
+
+
+def test_two_starts_at_once_are_both_admitted():
+    """Guards against a start that is withdrawn as another one is admitted.
+
+    Both queue the record, and only the later one is encoded.
+    """
+    scene = builders.JournaledShard(executors=1)
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    shard.record_state_by_id["x0"] = state.KEPT
+    executor.longest_lease_expires_at = math.inf
+    executor.fenced = executor.confirmed = True
+    shard.spawn(executor_records._write_under_epoch(shard, executor))
+    scene.advance(0.1)
+    assert executor.record_bars_long_running
+    barred = []
+
+    async def admit():
+        await executor_records.admit_long_running(shard, executor)
+        barred.append(executor.record_bars_long_running)
+
+    for task in builders.make_tasks(shard, builders.SERVING)[:1]:
+        builders.start_run(executor, task)
+    for _ in range(2):
+        shard.spawn(admit())
+    scene.advance(1.0)
+    scene.close()
+    assert barred == [False, False]
