Do not write the record of an executor again while it is deleted

The start of a long-running task writes the record of its executor again if that excludes such tasks.

The new test fails without the check, for an executor that was removed and one that was not.

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -189,9 +189,12 @@
 async def _write_under_epoch(shard: state.Shard, executor: tracking.Executor) -> None:
     """Write the record of an inherited executor under this owner's epoch.
 
-    The record exists all the while, and whether it votes is unchanged.
+    The record exists all the while, and whether it votes is unchanged. One
+    that is being deleted stays so: the next owner would count it as a voter.
     """
     executor_id = executor.listing.executor_id
+    if shard.record_state_by_id.get(executor_id) in (None, state.DROPPING):
+        return
     written = _put(shard, executor)
     await shard.journal.wait_until_durable()
     is_kept = shard.record_state_by_id.get(executor_id) == state.KEPT
--- a/limpetstream/shard/settling/tests/test_long_running.py
+++ b/limpetstream/shard/settling/tests/test_long_running.py
@@ -10,7 +10,7 @@
 import loguru
 import pytest
 
-from limpetstream.shard import executor_records, state
+from limpetstream.shard import executor_records, names, state
 from limpetstream.shard.tests import builders, schedules
 from limpetstream.workflow import messages
 
@@ -142,3 +142,30 @@
     scene.advance(1.0)
     scene.close()
     assert barred == [False, False]
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_no_start_writes_a_record_again_that_is_being_deleted(is_removed):
+    """Guards against a record that the owner does not count as a voter.
+
+    The next owner would count it, so that half of its voters need not include
+    any of the majority of this one.
+    """
+    scene = builders.JournaledShard(executors=1)
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    shard.record_state_by_id["x0"] = state.KEPT
+    executor.longest_lease_expires_at = math.inf
+    shard.spawn(executor_records._write_under_epoch(shard, executor))
+    scene.advance(0.1)
+    executor.silent_since = shard.clock.monotonic()
+    if is_removed:
+        del shard.executor_by_id["x0"]
+    shard.spawn(executor_records.delete(shard, executor))
+    scene.advance(0.0)
+    shard.spawn(executor_records.admit_long_running(shard, executor))
+    scene.advance(1.0)
+    scene.close()
+    assert not shard.record_state_by_id
+    entry = scene.store.newest(names.PROGRESS_TOPIC, 0)
+    key = names.EXECUTOR_KEY_PREFIX + "x0"
+    assert key not in entry or entry[key].value is None
