Name a share as the reason only within the service of a task

`task-waits` compared what organisations use of all executors, as the order by shares did before. With several services it named the share for a task that its organisation did not hold back, and left it out for one that it did.

The new test fails before (the reasons of both organisations were swapped).

--- a/limpetstream/organisations/reports.py
+++ b/limpetstream/organisations/reports.py
@@ -148,12 +148,13 @@
     return waiting_by_name
 
 
-def capacity_of(shard: state.Shard) -> amounts.Amount:
-    """Return what all listed executors have."""
+def capacity_of(shard: state.Shard, service: str | None = None) -> amounts.Amount:
+    """Return what all listed executors have, or those of one service."""
     total = amounts.ZERO
     for executor in shard.executor_by_id.values():
-        if executor.listed:
-            each = executor.listing.capacity
+        listing = executor.listing
+        if executor.listed and service in (None, listing.service):
+            each = listing.capacity
             total = amounts.add(
                 total, (each.cpu_millicores, each.memory_mb, each.accelerators)
             )
--- a/limpetstream/organisations/tests/test_reports.py
+++ b/limpetstream/organisations/tests/test_reports.py
@@ -154,3 +154,19 @@
     assert ('refusals_total{organisation="mill",reason="not-fresh"} 6') in observed(
         row, row
     )
+
+
+def test_the_share_of_another_service_is_no_reason(rows):
+    """Guards against a reason that the order of the tasks does not have."""
+    shard = builders.make_shard(
+        builders.organisation("mill"), builders.organisation("quay")
+    )
+    other = builders.make_tasks(shard, "quay", count=3)
+    other[0].job.submission.queue = other[0].job.submission.service = "other"
+    builders.run(shard, other)
+    builders.run(shard, builders.make_tasks(shard, "mill"))
+    for name in ("mill", "quay"):
+        builders.wait(shard, builders.make_tasks(shard, name), since=-9.0)
+    wait_reports.report_waiting_jobs(shard)
+    held_by = {fields["organisation"]: fields["held_by"] for _event, fields in rows}
+    assert held_by == {"mill": wait_reasons.SHARE, "quay": ""}
--- a/limpetstream/organisations/wait_reasons.py
+++ b/limpetstream/organisations/wait_reasons.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from limpetstream import amounts
 from limpetstream.organisations import limits, reports, settings
 from limpetstream.shard import state
 from limpetstream.workflow import state as workflow_state
@@ -30,24 +31,33 @@
     held_by = ""
     if not limits.allows(shard, task):
         held_by = LIMIT
-    elif _waits_for_others(shard, name, by_name):
+    elif _waits_for_others(shard, task, by_name):
         held_by = SHARE
     return {"organisation": name or reports.NO_ORGANISATION, "held_by": held_by}
 
 
 def _waits_for_others(
     shard: state.Shard,
-    name: str,
+    task: workflow_state.Task,
     by_name: dict[str, settings.Organisation],
 ) -> bool:
-    """Return whether an organisation with a smaller weighted share waits."""
-    capacity = reports.capacity_of(shard)
+    """Return whether an organisation with a smaller weighted share waits.
+
+    Only the service of the task counts.
+    """
+    service, name = shard.service_of(task.job), task.job.submission.organisation
+    capacity = reports.capacity_of(shard, service)
+    use_by_name = shard.usage.short_by_organisation(service)
 
     def weighted_share(each: str) -> float:
         weight = by_name[each].weight if each in by_name else 1.0
-        share = reports.dominant_share(shard.usage.short_of(each), capacity)
+        share = reports.dominant_share(use_by_name.get(each, amounts.ZERO), capacity)
         return share / weight if weight > 0 else float("inf")
 
     own_share = weighted_share(name)
-    names = {task.job.submission.organisation for task in shard.waiting_tasks}
+    names = {
+        waiting.job.submission.organisation
+        for waiting in shard.waiting_tasks
+        if shard.service_of(waiting.job) == service
+    }
     return any(weighted_share(other) < own_share for other in names - {name})
