Share the service also where only best-effort tasks wait

Shares took effect once a short task had waited. Where only best-effort tasks wait, as memory or pace is short, they had their turns by when their jobs are due, behind the whole backlog of another organisation. Now the wait of a best-effort task counts as well.

The new test fails before (the order was that of the due times).

--- a/limpetstream/shard/tests/test_shares.py
+++ b/limpetstream/shard/tests/test_shares.py
@@ -191,3 +191,15 @@
     tasks = make_tasks(shard, "desk", 3) + make_tasks(shard, "press", 3)
     ordered = turn_order.sort(shard, tasks, 0.0)
     assert organisations(ordered) == ["desk", "press"] * 3
+
+
+def test_organisations_share_what_is_left_for_best_effort_tasks():
+    """Guards against best-effort tasks behind the backlog of another one.
+
+    No other task waits, as only memory is short.
+    """
+    shard = make_shard()
+    step = builders.copy_step(builders.SHORT, fills=True)
+    hot, press = (make_tasks(shard, name, 3, step=step) for name in ("desk", "press"))
+    ordered = turn_order.sort(shard, hot + press, 0.0)
+    assert organisations(ordered) == ["desk", "press"] * 3
--- a/limpetstream/shard/turn_order.py
+++ b/limpetstream/shard/turn_order.py
@@ -31,7 +31,10 @@
         now: Monotonic time.
     """
     key_of = _key_function(shard, has_backlog=_has_short_wait(due, now, BACKLOG_WAIT_S))
-    if _has_organisations(shard) and _has_short_wait(due, now, SHARE_WAIT_S):
+    if _has_organisations(shard) and (
+        _has_short_wait(due, now, SHARE_WAIT_S)
+        or _has_best_effort_wait(due, now, SHARE_WAIT_S)
+    ):
         return _sort_by_shares(shard, due, key_of)
     return sorted(due, key=key_of)
 
@@ -71,11 +74,26 @@
     due: list[workflow_state.Task], now: float, longer_than_s: float
 ) -> bool:
     """Return whether a short task waits for longer than a time."""
+    return _has_waited(filter(victims.is_short, due), now, longer_than_s)
+
+
+def _has_best_effort_wait(
+    due: list[workflow_state.Task], now: float, longer_than_s: float
+) -> bool:
+    """Return whether a best-effort task waits for longer than a time."""
+    return _has_waited((task for task in due if task.step.fills), now, longer_than_s)
+
+
+def _has_waited(
+    tasks: Iterable[workflow_state.Task], now: float, longer_than_s: float
+) -> bool:
+    """Return whether one of the tasks waits for longer than a time.
+
+    Time for which a limit held it back does not count.
+    """
     return any(
-        victims.is_short(task)
-        and now - task.ready_at > longer_than_s
-        and now - task.held_back_at > longer_than_s
-        for task in due
+        now - task.ready_at > longer_than_s and now - task.held_back_at > longer_than_s
+        for task in tasks
     )
 
 
