--- a/limpetstream/organisations/headroom.py
+++ b/limpetstream/organisations/headroom.py
@@ -7,7 +7,7 @@
 by long-running runs.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from limpetstream import amounts
 from limpetstream.organisations import shares
@@ -21,36 +21,28 @@
 
 
 class Headroom:
-    """Decides which tasks of one pass leave enough of the service free.
+    """Decides which tasks of one pass leave enough of a service free.
 
     Args:
-        capacity: Capacity of all executors.
-        free: What is free on the executors that may get tasks.
+        pool: Executors of the service.
         weight_by_organisation: Weights, by name of the organisation.
-        use_by_organisation: What its runs use that are not long-running.
-        long_running_use: What all long-running runs use.
     """
 
-    __slots__ = ("_capacity", "_entitled", "_free", "_kept", "_use_by_organisation")
+    __slots__ = ("_entitled", "_free", "_kept", "_pool", "_use_by_organisation")
 
     def __init__(
-        self,
-        capacity: amounts.Amount,
-        free: amounts.Amount,
-        weight_by_organisation: Mapping[str, float],
-        use_by_organisation: Mapping[str, amounts.Amount],
-        long_running_use: amounts.Amount,
+        self, pool: shares.Pool, weight_by_organisation: Mapping[str, float]
     ) -> None:
-        self._capacity = capacity
-        self._free = free
-        self._kept = tuple(each * HEADROOM_SHARE for each in capacity)
-        self._use_by_organisation = dict(use_by_organisation)
-        names = weight_by_organisation.keys() | use_by_organisation.keys()
+        self._pool = pool
+        self._free = pool.free
+        self._kept = tuple(each * HEADROOM_SHARE for each in pool.capacity)
+        self._use_by_organisation = dict(pool.use_by_organisation)
+        names = weight_by_organisation.keys() | pool.use_by_organisation.keys()
         weights = {
             name: max(0.0, weight_by_organisation.get(name, shares.DEFAULT_WEIGHT))
             for name in names
         }
-        left = 1.0 - shares.dominant_share(long_running_use, capacity)
+        left = 1.0 - shares.dominant_share(pool.long_running_use, pool.capacity)
         total = sum(weights.values())
         self._entitled = {
             name: left * weight / total if total else left
@@ -60,11 +52,24 @@
     def is_over_share(self, organisation: str) -> bool:
         """Return whether an organisation is far above its share."""
         use = self._use_by_organisation.get(organisation, amounts.ZERO)
-        share = shares.dominant_share(use, self._capacity)
+        share = shares.dominant_share(use, self._pool.capacity)
         return share > OVER_SHARE_FACTOR * self._entitled.get(organisation, 0.0)
 
-    def admit(self, task: state.Task) -> bool:
-        """Return whether a task may have a turn; count it as started if so.
+    def may_have_turn(self, task: state.Task) -> bool:
+        """Return whether a task has a turn, in the order of turns.
+
+        A task that fits nowhere does not count as started; it has its turn,
+        since runs may be stopped for it, unless its organisation is far above
+        its share.
+        """
+        largest_free = self._pool.largest_free
+        if largest_free is None or shares.may_fit(task.step, largest_free):
+            return self._admit(task)
+        is_over = self.is_over_share(task.job.submission.organisation)
+        return task.step.long_running or not is_over
+
+    def _admit(self, task: state.Task) -> bool:
+        """Return whether a task leaves the headroom; count it if so.
 
         Long-running tasks have to run also on a full service, and best-effort
         tasks use what others leave.
@@ -88,27 +93,18 @@
 
 def leave(
     tasks: Iterable[state.Task],
-    headroom: Headroom,
-    largest_free: amounts.Amount,
+    service_of: Callable[[state.Task], str],
+    headroom_by_service: Mapping[str, Headroom],
 ) -> list[state.Task]:
     """Return the tasks, in their order, that leave the headroom free.
 
     Args:
         tasks: Tasks in the order of their turns.
-        headroom: Headroom of this pass.
-        largest_free: Most of each resource that is free on any one executor.
-            A larger task does not count as started; it has its turn, since
-            runs may be stopped for it, unless its organisation is over its
-            share.
+        service_of: Returns the service of a task.
+        headroom_by_service: Headroom of each service that has a task.
     """
-    kept = []
-    for task in tasks:
-        if shares.may_fit(task.step, largest_free):
-            may_have_turn = headroom.admit(task)
-        else:
-            may_have_turn = task.step.long_running or not headroom.is_over_share(
-                task.job.submission.organisation
-            )
-        if may_have_turn:
-            kept.append(task)
-    return kept
+    return [
+        task
+        for task in tasks
+        if headroom_by_service[service_of(task)].may_have_turn(task)
+    ]
--- a/limpetstream/organisations/tests/test_headroom.py
+++ b/limpetstream/organisations/tests/test_headroom.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from limpetstream.organisations import headroom
+from limpetstream.organisations import headroom, shares
 from limpetstream.organisations.tests import share_builders as builders
 
 # 100 cores, of which 3 are kept free.
@@ -11,18 +11,19 @@
 WEIGHTS = dict.fromkeys(("desk", "press", "archive", "mill"), 1.0)
 
 
-def make_headroom(*, free, desk=0, press=0, long_running=0):
+def make_headroom(
+    *, free, desk=0, press=0, long_running=0, largest_free=(64_000, 64_000, 0)
+):
     """Return the headroom of a pass; all amounts are in cores."""
-    return headroom.Headroom(
+    used = {"desk": desk, "press": press}
+    pool = shares.Pool(
+        {name: (cores * 1000, 0, 0) for name, cores in used.items()},
         CAPACITY,
+        largest_free,
         (free * 1000, free * 1000, 0),
-        WEIGHTS,
-        {
-            name: (used * 1000, 0, 0)
-            for name, used in (("desk", desk), ("press", press))
-        },
         (long_running * 1000, 0, 0),
     )
+    return headroom.Headroom(pool, WEIGHTS)
 
 
 def make_task(organisation, cores=2, **changes):
@@ -32,8 +33,8 @@
     return task
 
 
-def kept(tasks, room, largest_free=(64_000, 64_000, 0)):
-    return headroom.leave(tasks, room, largest_free)
+def kept(tasks, room):
+    return headroom.leave(tasks, lambda _task: "service", {"service": room})
 
 
 def test_an_organisation_over_its_share_leaves_the_headroom():
@@ -72,9 +73,10 @@
 
 def test_an_unused_resource_is_not_kept():
     """Guards against tasks that wait for memory that they do not need."""
-    room = headroom.Headroom(
-        CAPACITY, (50_000, 0, 0), WEIGHTS, {"desk": (50_001, 0, 0)}, (0, 0, 0)
+    pool = shares.Pool(
+        {"desk": (50_001, 0, 0)}, CAPACITY, (64_000, 0, 0), (50_000, 0, 0)
     )
+    room = headroom.Headroom(pool, WEIGHTS)
     task = builders.make_task("desk", (2000, 0, 0))
     assert kept([task], room) == [task]
 
@@ -82,15 +84,14 @@
 def test_a_task_that_fits_nowhere_does_not_count_as_started():
     """Guards against small tasks that starve behind a large one."""
     large, small = make_task("press", cores=6), make_task("press")
-    room = make_headroom(free=6, desk=54, press=46)
-    assert kept([large, small], room, (4000, 64_000, 0)) == [large, small]
+    room = make_headroom(free=6, desk=54, press=46, largest_free=(4000, 64_000, 0))
+    assert kept([large, small], room) == [large, small]
     assert not room.is_over_share("press")
 
 
 def test_a_large_task_of_an_organisation_over_its_share_stops_nothing():
     """Guards against runs that are stopped for one organisation's backlog."""
-    large = make_task("desk", cores=6)
-    assert not kept([large], make_headroom(free=8, desk=60), (4000, 64_000, 0))
+    room = make_headroom(free=8, desk=60, largest_free=(4000, 64_000, 0))
+    assert not kept([make_task("desk", cores=6)], room)
     lasting = make_task("desk", cores=6, long_running=True)
-    room = make_headroom(free=8, desk=60)
-    assert kept([lasting], room, (4000, 64_000, 0)) == [lasting]
+    assert kept([lasting], room) == [lasting]
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -15,6 +15,7 @@
 new owner therefore knows whose leases may last on one that it cannot reach.
 """
 
+import asyncio
 import dataclasses
 from collections.abc import Iterator
 from typing import Annotated
@@ -188,9 +189,12 @@
 async def _write_under_epoch(shard: state.Shard, executor: tracking.Executor) -> None:
     """Write the record of an inherited executor under this owner's epoch.
 
-    The record exists all the while, and whether it votes is unchanged.
+    The record exists all the while, and whether it votes is unchanged. One
+    that is being deleted stays so: the next owner would count it as a voter.
     """
     executor_id = executor.listing.executor_id
+    if shard.record_state_by_id.get(executor_id) in (None, state.DROPPING):
+        return
     written = _put(shard, executor)
     await shard.journal.wait_until_durable()
     is_kept = shard.record_state_by_id.get(executor_id) == state.KEPT
@@ -220,7 +224,8 @@
     """Queue the record of an executor for the next append.
 
     Until an executor has replied, this owner can extend no lease on it, and
-    its record keeps what the owner that could has written.
+    its record keeps what the owner that could has written, unless this owner
+    has removed the executor, which is back.
 
     Returns:
         What is written, once it is encoded; it stays empty if the record is
@@ -237,7 +242,9 @@
             executor.born_ms or executor.listing.born_ms,
             executor.longest_lease_expires_at > shard.clock.monotonic(),
         )
-        may_extend = executor.reached or executor.recorded
+        # This owner may have sent calls to one that it has removed.
+        is_back = executor_id in shard.removed_executors
+        may_extend = executor.reached or executor.recorded or is_back
         record.long_running = not record.longest_lease or long_running.may_be_on(
             executor
         )
@@ -399,6 +406,9 @@
     """
     if executor.record_bars_long_running:
         await _write_under_epoch(shard, executor)
+        # A later write may have replaced this one. It has taken effect as
+        # well, and its own task notes that now.
+        await asyncio.sleep(0)
 
 
 def majority_polled_at(shard: state.Shard) -> float:
--- a/limpetstream/shard/settling/tests/test_long_running_safety.py
+++ b/limpetstream/shard/settling/tests/test_long_running_safety.py
@@ -10,7 +10,15 @@
 import msgspec
 import pytest
 
-from limpetstream.shard import executor_records, names
+from limpetstream import errors
+from limpetstream.leases import unsettled_starts
+from limpetstream.shard import (
+    executor_list,
+    executor_records,
+    names,
+    restarts,
+    starts,
+)
 from limpetstream.shard.settling import long_running
 from limpetstream.shard.tests import builders, schedules, test_former_processes
 from limpetstream.workflow import messages
@@ -203,3 +211,56 @@
     raw = msgspec.json.encode(fields)
     executor_records.note_inherited(shard, executor_records.decode(key, raw))
     assert long_running.may_be_on_inherited(shard, "x0")
+
+
+def test_the_record_of_an_executor_that_is_back_tells_of_this_owner(scene):
+    """Guards against a late start to an executor that was removed since.
+
+    The record that the owner has inherited does not tell of its own calls.
+    """
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    shard.starts_recorded_from = shard.leases_recorded_from = 1
+    shard.epoch = 5
+    executor.listing.address = "10.0.0.1:7000"
+    record = executor_records.ExecutorRecord(
+        executor.listing, True, 4, 2, longest_lease=True, long_running=False
+    )
+    executor_records.note_inherited(shard, record)
+    shard.longest_leased_executors.discard("x0")
+    shard.removed_executors.add("x0")
+    scene.client.fail = True
+    del shard.executor_by_id["x0"], shard.record_state_by_id["x0"]
+    executor_list.add_executor(shard, executor.listing, listed=True)
+    scene.advance(0.1)
+    entry = scene.store.newest(names.PROGRESS_TOPIC, 0)
+    key = names.EXECUTOR_KEY_PREFIX + "x0"
+    written = executor_records.decode(key, entry[key].value)
+    assert (written.epoch, written.longest_lease, written.long_running) == (
+        shard.epoch,
+        True,
+        True,
+    )
+
+
+def test_a_start_of_a_suspended_owner_is_not_settled_before_it_is_sent(scene):
+    """Guards against a delay that counts from before the suspension."""
+    shard, executor = scene.shard, scene.shard.executor_by_id["x0"]
+    executor.lease.observe(1000, 0.0, 0.0)
+    task = builders.make_tasks(shard, builders.SERVING)[0]
+    run = builders.start_run(executor, task)
+
+    async def send_late(*_args, **_options):
+        await asyncio.sleep(20.0)
+        raise errors.PlatformUnavailable("no answer")
+
+    scene.client.start = send_late
+    shard.spawn(starts._send(shard, executor, run, 0.0, 1.0))
+    for now in (19.0, 31.0, 33.0):
+        scene.advance(now - scene.loop.time())
+        unsettled_starts.settle(
+            executor.long_running_starts,
+            now,
+            max_delay_s=restarts.MAX_CALL_DELAY_S,
+            earlier_sent_by=0.0,
+        )
+        assert bool(executor.long_running_starts.call_by_number) == (now < 32.0)
--- a/limpetstream/shard/turn_order.py
+++ b/limpetstream/shard/turn_order.py
@@ -4,10 +4,10 @@
 their weights.
 """
 
-import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 
 from limpetstream import amounts
+from limpetstream.executors import tracking
 from limpetstream.organisations import headroom, shares
 from limpetstream.shard import objectives, state, victims
 from limpetstream.workflow import placement, state as workflow_state
@@ -31,7 +31,10 @@
         now: Monotonic time.
     """
     key_of = _key_function(shard, has_backlog=_has_short_wait(due, now, BACKLOG_WAIT_S))
-    if _has_organisations(shard) and _has_short_wait(due, now, SHARE_WAIT_S):
+    if _has_organisations(shard) and (
+        _has_short_wait(due, now, SHARE_WAIT_S)
+        or _has_best_effort_wait(due, now, SHARE_WAIT_S)
+    ):
         return _sort_by_shares(shard, due, key_of)
     return sorted(due, key=key_of)
 
@@ -71,11 +74,26 @@
     due: list[workflow_state.Task], now: float, longer_than_s: float
 ) -> bool:
     """Return whether a short task waits for longer than a time."""
+    return _has_waited(filter(victims.is_short, due), now, longer_than_s)
+
+
+def _has_best_effort_wait(
+    due: list[workflow_state.Task], now: float, longer_than_s: float
+) -> bool:
+    """Return whether a best-effort task waits for longer than a time."""
+    return _has_waited((task for task in due if task.step.fills), now, longer_than_s)
+
+
+def _has_waited(
+    tasks: Iterable[workflow_state.Task], now: float, longer_than_s: float
+) -> bool:
+    """Return whether one of the tasks waits for longer than a time.
+
+    Time for which a limit held it back does not count.
+    """
     return any(
-        victims.is_short(task)
-        and now - task.ready_at > longer_than_s
-        and now - task.held_back_at > longer_than_s
-        for task in due
+        now - task.ready_at > longer_than_s and now - task.held_back_at > longer_than_s
+        for task in tasks
     )
 
 
@@ -91,27 +109,31 @@
 ) -> list[workflow_state.Task]:
     """Return due tasks in the order of the shares of their organisations.
 
-    Those that would use up the headroom of the service are left out.
+    Those that would use up the headroom of a service are left out.
     """
-    names = {task.job.submission.organisation for task in due}
-    room, use_by_organisation = _measure_room(shard), _short_use(shard, names)
-    ordered = shares.order(
-        due,
-        key_of,
-        _weights(shard),
-        use_by_organisation,
-        room.capacity,
-        room.largest_free,
-    )
-    kept_free = _headroom(shard, room, use_by_organisation)
-    return headroom.leave(ordered, kept_free, room.largest_free)
+    configuration = shard.view.configuration
+    assert configuration is not None
+    service_by_queue = {queue.name: queue.service for queue in configuration.queues}
+
+    def service_of(task: workflow_state.Task) -> str:
+        submission = task.job.submission
+        return service_by_queue.get(submission.queue, submission.service)
+
+    weights = _weights(shard)
+    pools = _pools(shard, {service_of(task) for task in due})
+    ordered = shares.order_by_service(due, key_of, weights, service_of, pools)
+    headroom_by_service = {
+        service: headroom.Headroom(pool, weights) for service, pool in pools.items()
+    }
+    return headroom.leave(ordered, service_of, headroom_by_service)
 
 
-def is_over_share(shard: state.Shard, organisation: str) -> bool:
-    """Return whether an organisation has to leave the headroom free."""
-    use_by_organisation = _short_use(shard, {organisation})
-    kept_free = _headroom(shard, _measure_room(shard), use_by_organisation)
-    return kept_free.is_over_share(organisation)
+def is_over_share(shard: state.Shard, task: workflow_state.Task) -> bool:
+    """Return whether a task's organisation has to leave the headroom free."""
+    service = shard.service_of(task.job)
+    pool = _pools(shard, {service})[service]
+    kept_free = headroom.Headroom(pool, _weights(shard))
+    return kept_free.is_over_share(task.job.submission.organisation)
 
 
 def _weights(shard: state.Shard) -> dict[str, float]:
@@ -123,50 +145,37 @@
     }
 
 
-def _short_use(shard: state.Shard, names: set[str]) -> dict[str, amounts.Amount]:
-    """Return what runs use that are not long-running, by organisation."""
-    return {name: shard.usage.short_of(name) for name in names}
-
-
-def _headroom(
-    shard: state.Shard,
-    room: "_Room",
-    use_by_organisation: dict[str, amounts.Amount],
-) -> headroom.Headroom:
-    return headroom.Headroom(
-        room.capacity,
-        room.free,
-        _weights(shard),
-        use_by_organisation,
-        shard.usage.long_running_in_all(),
-    )
+def _pools(shard: state.Shard, services: Collection[str]) -> dict[str, shares.Pool]:
+    """Return the executors of each service, with what their runs use."""
+    executors_by_service: dict[str, list[tracking.Executor]] = {
+        service: [] for service in services
+    }
+    for executor in shard.executor_by_id.values():
+        executors = executors_by_service.get(executor.listing.service)
+        if executors is not None:
+            executors.append(executor)
+    return {
+        service: _pool(shard, service, executors)
+        for service, executors in executors_by_service.items()
+    }
 
 
-@dataclasses.dataclass(slots=True)
-class _Room:
-    """Room on the executors.
+def _pool(
+    shard: state.Shard, service: str, executors: Iterable[tracking.Executor]
+) -> shares.Pool:
+    """Return the executors of a service, with what their runs use.
 
-    Args:
-        capacity: Capacity of all executors.
-        free: What is free on those that may get new tasks.
-        largest_free: Most of each resource that is free on one of them.
+    Only executors that may get new tasks count as free.
     """
-
-    capacity: amounts.Amount
-    free: amounts.Amount
-    largest_free: amounts.Amount
-
-
-def _measure_room(shard: state.Shard) -> _Room:
     cpu = memory = accelerators = 0
-    free_rows = []
+    free_rows = [amounts.ZERO]
     available = shard.searches.available
-    for executor_id, executor in shard.executor_by_id.items():
+    for executor in executors:
         each = executor.listing.capacity
         cpu += each.cpu_millicores
         memory += each.memory_mb
         accelerators += each.accelerators
-        if executor_id in available:
+        if executor.listing.executor_id in available:
             free_rows.append(
                 (
                     max(0, each.cpu_millicores - executor.reserved_millicores),
@@ -174,10 +183,11 @@
                     max(0, each.accelerators - executor.reserved_accelerators),
                 )
             )
-    free_rows.append(amounts.ZERO)
     columns = list(zip(*free_rows, strict=True))
-    return _Room(
+    return shares.Pool(
+        shard.usage.short_by_organisation(service),
         (cpu, memory, accelerators),
-        (sum(columns[0]), sum(columns[1]), sum(columns[2])),
         (max(columns[0]), max(columns[1]), max(columns[2])),
+        (sum(columns[0]), sum(columns[1]), sum(columns[2])),
+        shard.usage.long_running_in(service),
     )
