--- a/tests/stop_builders.py
+++ b/tests/stop_builders.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import os
+import types
+from collections.abc import Mapping
 
 import msgspec
 
@@ -126,6 +128,7 @@
     silent: frozenset[str] = frozenset(),
     other_member: str = "",
     organisations: tuple[deployment.Organisation, ...] = (),
+    limits: Mapping[str, float] = types.MappingProxyType({}),
 ):
     """Yield an instance that no group admits, so that no shard has an owner.
 
@@ -136,6 +139,7 @@
         other_member: Member of the group that the store names as the owner.
         organisations: Organisations in the configuration, whose keys are
             revoked strictly.
+        limits: Additional limits of the process, in its settings.
     """
     keyed = keyed_store.Store()
     deployment.configure(keyed, version=1, max_attempts=4, organisations=organisations)
@@ -164,6 +168,7 @@
         )
     )
     settings["thresholds"]["grace_s"] = grace_s
+    settings["limits"].update(limits)
     path = directory / "settings.json"
     path.write_bytes(msgspec.json.encode(settings))
     with processes.process_group("build/stops") as group:
