Bound connections and requests by the memory of the machine

Callers saw no answers, and a process ended by its memory, as clients sent many large or chunked bodies, long heads, or read no answers. Cause: each connection could hold 1 MB and what the kernel had received, heads were parsed into many times their text, and nothing bounded all of them or the time of a body; chunks of one byte kept the event loop busy; what was refused was freed by the cyclic collector only.

Servers count what their requests take. Above their memory the unfinished request that began first is refused (503, not run), above their connections the longest idle one is closed; kernel buffers have a fixed size; heads and bodies over a limit are refused at once; costly bodies take turns; nothing of a refused request refers to itself.

--- a/limpetstream/border/events.py
+++ b/limpetstream/border/events.py
@@ -9,3 +9,11 @@
     "A request failed with an unexpected error.",
     "Report the error text and the path; the reply had status 500.",
 )
+
+REQUESTS_REFUSED = events.declare(
+    1301,
+    "requests-refused",
+    "WARNING",
+    "A server has refused requests, or closed connections, at its bounds.",
+    "Look for clients that open many connections or send large bodies.",
+)
--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -5,16 +5,16 @@
 import dataclasses
 import math
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Mapping
 
 import msgspec
 from tornado import httpserver, httputil, iostream
 
-from limpetstream.border import events
+from limpetstream.border import bounded_server, events, request_memory
 from limpetstream.telemetry import logs
 
-MAX_BODY_BYTES = 1_048_576  # Four times the default limit of a caller's body.
-IDLE_TIMEOUT_S = 120.0
+# A response that its caller does not read is given up.
+WRITE_TIMEOUT_S = 10.0
 # Servers that close first read what their sockets hold. They end once nothing
 # was received for the first time, and in any case after the second.
 QUIET_S = 0.05
@@ -75,12 +75,18 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(address: str, answer: Responder) -> AsyncIterator[ServerState]:
+async def serve(
+    address: str,
+    answer: Responder,
+    *,
+    bounds: bounded_server.Bounds | None = None,
+) -> AsyncIterator[ServerState]:
     """Serve HTTP at an address while the context is open.
 
     Args:
         address: Host and port to listen on, such as ``127.0.0.1:8080``.
         answer: Returns the response to one request.
+        bounds: Bounds of the server; None for the default ones.
 
     Requests that lie in the sockets when the context is left are answered,
     too, if ``answer`` returns soon.
@@ -88,13 +94,15 @@
     Yields:
         State of the server.
     """
-    async with serve_all({address: answer}) as state_by_address:
+    bounds_by_address = {} if bounds is None else {address: bounds}
+    async with serve_all({address: answer}, bounds_by_address) as state_by_address:
         yield state_by_address[address]
 
 
 @contextlib.asynccontextmanager
 async def serve_all(
     responder_by_address: dict[str, Responder],
+    bounds_by_address: Mapping[str, bounded_server.Bounds] | None = None,
 ) -> AsyncIterator[dict[str, ServerState]]:
     """Serve HTTP at several addresses, as ``serve`` does at one.
 
@@ -103,6 +111,8 @@
 
     Args:
         responder_by_address: Returns the response to one request.
+        bounds_by_address: Bounds of the servers; the default ones for those
+            that are missing.
 
     Yields:
         States of the servers, by their addresses.
@@ -112,7 +122,8 @@
     try:
         for address, answer in responder_by_address.items():
             state_by_address[address] = ServerState()
-            servers.append(_listen(address, answer, state_by_address[address]))
+            bounds = (bounds_by_address or {}).get(address) or bounded_server.Bounds()
+            servers.append(_listen(address, answer, state_by_address[address], bounds))
         yield state_by_address
     finally:
         for state in state_by_address.values():
@@ -124,11 +135,80 @@
             await server.close_all_connections()
 
 
+class _Requests(httputil.HTTPServerConnectionDelegate):
+    """Passes complete requests to a function, with bodies as they are.
+
+    Tornado's own adapter decodes bodies that call themselves forms, which
+    takes many times their size.
+    """
+
+    def __init__(self, receive: Callable[[httputil.HTTPServerRequest], None]) -> None:
+        self._receive = receive
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return what collects the next request of a connection."""
+        return _RequestCollector(request_conn, self._receive)
+
+
+class _RequestCollector(httputil.HTTPMessageDelegate):
+    """Collects one request."""
+
+    def __init__(
+        self,
+        connection: httputil.HTTPConnection,
+        receive: Callable[[httputil.HTTPServerRequest], None],
+    ) -> None:
+        self._connection = connection
+        self._receive = receive
+        self._request: httputil.HTTPServerRequest | None = None
+        # Parts of one size reuse each other's memory, which bodies that grow
+        # side by side would scatter.
+        self._parts: list[bytes] = []
+        self._last_part = bytearray()
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Keep the headers."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._request = httputil.HTTPServerRequest(
+            connection=self._connection, start_line=start_line, headers=headers
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect a part of the body."""
+        self._last_part += chunk
+        if len(self._last_part) >= bounded_server.READ_BYTES:
+            self._parts.append(bytes(self._last_part))
+            self._last_part.clear()
+
+    def finish(self) -> None:
+        """Pass the request on."""
+        assert self._request is not None
+        self._request.body = b"".join([*self._parts, self._last_part])
+        self.on_connection_close()
+        self._receive(self._request)
+
+    def on_connection_close(self) -> None:
+        """Drop what was collected."""
+        self._parts.clear()
+        self._last_part.clear()
+
+
 def _listen(
-    address: str, answer: Responder, state: ServerState
+    address: str,
+    answer: Responder,
+    state: ServerState,
+    bounds: bounded_server.Bounds,
 ) -> httpserver.HTTPServer:
     async def respond(request: httputil.HTTPServerRequest) -> None:
         try:
+            if len(request.body) > request_memory.SMALL_REQUEST_BYTES:
+                await bounds.turns.take(len(request.body))
             response = await _answer_or_log(request, answer)
             await _write(request, response, state.closing)
         finally:
@@ -144,9 +224,7 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    server = httpserver.HTTPServer(
-        receive, max_body_size=MAX_BODY_BYTES, idle_connection_timeout=IDLE_TIMEOUT_S
-    )
+    server = bounded_server.BoundedServer(_Requests(receive), bounds=bounds)
     host, _, port = address.rpartition(":")
     server.listen(int(port), host)
     return server
@@ -202,11 +280,14 @@
         headers["Connection"] = "close"
     connection = request.connection
     try:
-        await connection.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", response.status, "-"),
-            headers,
-            response.body,
-        )
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await connection.write_headers(
+                httputil.ResponseStartLine("HTTP/1.1", response.status, "-"),
+                headers,
+                response.body,
+            )
         connection.finish()
+    except TimeoutError:
+        connection.close()
     except iostream.StreamClosedError:
         pass  # The caller disconnected; its work continues and can be queried.
