Count the steps of a job before they are decoded

A body of legal size with 21,000 steps took 0.15 s of the event loop and several MB to decode, 0.1 s more to convert and check, and its refusal listed every step. Steps are counted as they are in the text (1 to 4 ms), and labels, racks and images have at most 256 characters, as each job stays in the memory of its owner. The findings name the step. Both tests fail before.

--- a/limpetstream/settings/reference.py
+++ b/limpetstream/settings/reference.py
@@ -7,7 +7,9 @@
 import inspect
 from typing import Any, get_type_hints
 
+from limpetstream.border import bounded_server, simple_server
 from limpetstream.settings import schema
+from limpetstream.workflow import checks
 
 HEADER = """# Settings reference
 
@@ -33,6 +35,26 @@
 default.
 """
 
+BOUNDS_INTRO = """
+## Bounds of the servers
+
+They hold for each server of an instance (`border/bounded_server`). No client that
+stays within the limits of the interfaces meets them. How many connections, and how
+much memory of requests, depends on the machine: see "Memory of requests" in
+OPERATIONS.md.
+
+"""
+CLOSED = "the connection is closed"
+BOUNDS = (
+    ("headers of a request", bounded_server.MAX_HEADERS, "", "431"),
+    ("head of a request", bounded_server.MAX_HEADER_BYTES, "bytes", CLOSED),
+    ("time to receive a body", bounded_server.BODY_TIMEOUT_S, "s", CLOSED),
+    ("time to read an answer", simple_server.WRITE_TIMEOUT_S, "s", CLOSED),
+    ("time without a request", bounded_server.IDLE_TIMEOUT_S, "s", CLOSED),
+    ("steps of a job", checks.MAX_STEPS, "", "400"),
+    ("label, rack or image", checks.MAX_NAME_CHARACTERS, "characters", "400"),
+)
+
 
 def argument_texts(owner: type) -> dict[str, str]:
     """Return the description of each argument in the docstring of a class.
@@ -115,6 +137,9 @@
         ("`limits`", schema.Limits),
     ):
         parts.append(f"\n### {title}\n\n{render_table(owner)}")
+    parts.append(BOUNDS_INTRO)
+    parts.append("| bound | value | unit | what exceeds it |\n" + "| --- " * 4 + "|\n")
+    parts.extend(f"| {' | '.join(map(str, row))} |\n" for row in BOUNDS)
     return "".join(parts)
 
 
--- a/limpetstream/workflow/checks.py
+++ b/limpetstream/workflow/checks.py
@@ -7,6 +7,7 @@
 
 MAX_SPEC_BYTES = 4000  # Limit of the callers' interface.
 MAX_STEPS = 64  # Limits the cost of one request; the jobs in use need 5.
+MAX_NAME_CHARACTERS = 256  # Of labels, racks and images; limits the state of one job.
 MAX_TASKS = 4096  # Limits the state of one job; the jobs in use need 200.
 MAX_OCCURRENCES = 10_000  # Limits the state of one scheduled job.
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,6 +18,7 @@
 from limpetstream import errors
 from limpetstream.shard import state
 from limpetstream.store import messages as store_messages
+from limpetstream.workflow import checks
 from tests import platform_builders as builders
 
 JOB = {
@@ -145,6 +146,20 @@
     assert not job_api.submitted
 
 
+def test_steps_are_counted_before_they_are_decoded():
+    """Guards against the time and memory of thousands of decoded steps."""
+    steps = [{"count": 1}] * checks.MAX_STEPS + [{"count": "many"}]
+    body = msgspec.json.encode(JOB | {"steps": steps})
+    assert "length <= 64" in post(body).body["error"]
+
+
+def test_the_step_of_an_invalid_value_is_named():
+    """Guards against findings that do not tell the place."""
+    steps = [{"count": 1}, {"count": 1, "image": "x" * 257}]
+    body = msgspec.json.encode(JOB | {"steps": steps})
+    assert post(body).body["error"].startswith("steps.1: ")
+
+
 def test_ids_and_queues_are_checked():
     """Guards against invalid ids, and against a wrong status for a queue.
 
