Bound the requests that an entry instance receives

Callers saw: many large bodies, whole or unfinished, took all memory of an instance, and connections that stayed open up to `connections` shut out everyone else, as each new connection was closed at once.

Cause: a limit for each body (8 MiB for callers, 4 MiB for peers), but none for all requests of a port together. Bodies over the limit of their path were collected before they were refused, tiny chunks were kept as objects, and tornado decoded bodies that call themselves forms.

Change: both ports are served by BoundedServer. `request_bytes` (64 MiB) bounds the requests of the callers' port, 32 MiB those of the peer port; unfinished requests give way, the oldest first, and idle connections are closed above `connections`, which is at most half of the process's descriptors. Bodies of more than 262,144 bytes, except those of desk requests, get 413 before they are read. A request that gives way gets 503 with `Outcome: not-run`, or 504 with `unknown` if an earlier request with its id may have run. Finished requests no longer wait for the garbage collector to be freed.

The tests failed before and pass now.

--- a/limpetstream/batch/handlers.py
+++ b/limpetstream/batch/handlers.py
@@ -35,15 +35,24 @@
     )
 
 
-def routes(*, context: context.Context, ledger: Any) -> list[Any]:
+def routes(
+    *,
+    context: context.Context,
+    ledger: Any,
+    unknown_jobs: recent_ids.RecentIds | None = None,
+) -> list[Any]:
     """Return the URL rules of the caller port.
 
     Args:
         context: Dependencies from the rest of the process.
         ledger: Accounts of callers.
+        unknown_jobs: Collects the ids of jobs whose submission had an unknown
+            outcome.
     """
     workers = explain.make_global_fleet(context.state, context.tree, context.directory)
-    shared = {"shared": HandlerContext(context, ledger, workers)}
+    if unknown_jobs is None:
+        unknown_jobs = recent_ids.RecentIds()
+    shared = {"shared": HandlerContext(context, ledger, workers, unknown_jobs)}
     return [
         (r"/v1/jobs", JobsHandler, shared),
         (r"/v1/jobs/([A-Za-z0-9]{1,64})", JobHandler, shared),
--- a/limpetstream/border/bounded_server.py
+++ b/limpetstream/border/bounded_server.py
@@ -35,6 +35,28 @@
 BUSY = "too many requests are being received"
 
 
+@dataclasses.dataclass(slots=True)
+class Refusal:
+    """Answer to a request that is refused before it is complete.
+
+    Args:
+        status: HTTP status.
+        reason: Why it is refused.
+        headers: Headers besides those of the body and the connection.
+        body: Body in JSON.
+    """
+
+    status: int
+    reason: str
+    headers: dict[str, str]
+    body: bytes
+
+
+EncodeRefusal = Callable[
+    [httputil.RequestStartLine, httputil.HTTPHeaders, Refusal], None
+]
+
+
 @dataclasses.dataclass(slots=True)
 class Bounds:
     """Bounds of one server.
@@ -44,12 +66,15 @@
         max_memory_bytes: Most that its requests hold together.
         max_body_bytes: Returns the largest size of a body.
         turns: Shares the event loop between bodies that are costly to read.
+        encode_refusal: Changes the answer to a refused request, of which it
+            gets the start line and the headers; None to leave it.
     """
 
     max_connections: int = 4096
     max_memory_bytes: int = 64 * MAX_BODY_BYTES
     max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES
     turns: turns_module.Turns = dataclasses.field(default_factory=turns_module.Turns)
+    encode_refusal: EncodeRefusal | None = None
 
 
 class BoundedServer(httpserver.HTTPServer):
@@ -107,6 +132,17 @@
         self._idle_by_connection[server_conn] = request_conn
         return receipt
 
+    def max_body_bytes(self, path: str) -> int:
+        """Return the largest size of a body that is sent to a path."""
+        return self.bounds.max_body_bytes()
+
+    def note_complete(self, server_conn: object) -> None:
+        """Note that a request was received whole."""
+
+    def note_answered(self, server_conn: object) -> None:
+        """Free the memory of a request that may not have been read whole."""
+        self._release(server_conn)
+
     def note_busy(self, server_conn: object) -> None:
         """Note that a connection has begun a request."""
         self._idle_by_connection.pop(server_conn, None)
@@ -168,6 +204,8 @@
         self._delegate = delegate
         self._body_bytes = 0
         self._max_body_bytes = 0
+        self._start_line: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
         self._is_begun = False  # Whether the delegate has the headers.
         self._is_chunked = False
 
@@ -184,7 +222,9 @@
         """
         self._server.note_busy(self._server_conn)
         assert isinstance(start_line, httputil.RequestStartLine)
-        self._max_body_bytes = self._server.bounds.max_body_bytes()
+        self._start_line, self._headers = start_line, headers
+        path = start_line.path.partition("?")[0]
+        self._max_body_bytes = self._server.max_body_bytes(path)
         # Bodies over the limit are refused here, with a status that tells why.
         self._request_conn.set_max_body_size(2 * self._max_body_bytes)
         rows = list(headers.get_all())
@@ -235,6 +275,7 @@
     def finish(self) -> None:
         """Note that the request is complete."""
         self._server.memory.complete(self)
+        self._server.note_complete(self._server_conn)
         self._delegate.finish()
 
     def on_connection_close(self) -> None:
@@ -268,16 +309,21 @@
         self._end_delegate()
         self._server.note_closed(self._server_conn)
         body = msgspec.json.encode({"error": reason})
+        refusal = Refusal(status, reason, {}, body)
+        if retry_after_s:
+            refusal.headers["Retry-After"] = str(retry_after_s)
+        encode = self._server.bounds.encode_refusal
+        if encode is not None and self._start_line is not None:
+            encode(self._start_line, self._headers, refusal)
         headers = httputil.HTTPHeaders(
             {
+                **refusal.headers,
                 "Content-Type": "application/json",
-                "Content-Length": str(len(body)),
+                "Content-Length": str(len(refusal.body)),
                 "Connection": "close",
             }
         )
-        if retry_after_s:
-            headers["Retry-After"] = str(retry_after_s)
-        start_line = httputil.ResponseStartLine("HTTP/1.1", status, "-")
-        written = self._request_conn.write_headers(start_line, headers, body)
+        start_line = httputil.ResponseStartLine("HTTP/1.1", refusal.status, "-")
+        written = self._request_conn.write_headers(start_line, headers, refusal.body)
         written.add_done_callback(asyncio.Future.exception)  # It may have ended.
         self._request_conn.finish()
--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -10,7 +10,7 @@
 import msgspec
 from tornado import httpserver, httputil, iostream
 
-from limpetstream.border import bounded_server, events, request_memory
+from limpetstream.border import body_parts, bounded_server, events, request_memory
 from limpetstream.telemetry import logs
 
 # A response that its caller does not read is given up.
@@ -163,10 +163,7 @@
         self._connection = connection
         self._receive = receive
         self._request: httputil.HTTPServerRequest | None = None
-        # Parts of one size reuse each other's memory, which bodies that grow
-        # side by side would scatter.
-        self._parts: list[bytes] = []
-        self._last_part = bytearray()
+        self._body = body_parts.BodyParts()
 
     def headers_received(
         self,
@@ -181,22 +178,17 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Collect a part of the body."""
-        self._last_part += chunk
-        if len(self._last_part) >= bounded_server.READ_BYTES:
-            self._parts.append(bytes(self._last_part))
-            self._last_part.clear()
+        self._body.append(chunk)
 
     def finish(self) -> None:
         """Pass the request on."""
         assert self._request is not None
-        self._request.body = b"".join([*self._parts, self._last_part])
-        self.on_connection_close()
+        self._request.body = self._body.take()
         self._receive(self._request)
 
     def on_connection_close(self) -> None:
         """Drop what was collected."""
-        self._parts.clear()
-        self._last_part.clear()
+        self._body.clear()
 
 
 def _listen(
--- a/limpetstream/desk/handlers.py
+++ b/limpetstream/desk/handlers.py
@@ -9,7 +9,7 @@
 import tornado.web
 
 from limpetstream import errors
-from limpetstream.border import handler, identity, limits
+from limpetstream.border import body_parts, handler, identity, limits
 from limpetstream.desk import (
     at_most_once,
     generated_answers,
@@ -19,6 +19,7 @@
 from limpetstream.settings import schema
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:~-]{1,64}\Z")
+PREFIX = "/v1/desk/"
 MAX_DEADLINE_MS = 600_000
 LOOKUP_TIMEOUT_S = 0.5
 SINGLE_VALUE_HEADERS = (
@@ -38,8 +39,7 @@
         """Store the arguments that ``routes`` passes."""
         self.desk = desk
         self.limits = limits
-        self.body_chunks: list[bytes] = []
-        self.body_bytes = 0
+        self.body = body_parts.BodyParts()
         self.max_body_bytes = 0
 
     def prepare(self) -> None:
@@ -115,14 +115,18 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Collect the body, up to the limit of the service."""
-        self.body_bytes += len(chunk)
-        if self.body_bytes > self.max_body_bytes:
+        if self.body.size + len(chunk) > self.max_body_bytes:
             raise errors.Rejected(
                 413,
                 "body-too-large",
                 f"the body may have at most {self.max_body_bytes} bytes",
             )
-        self.body_chunks.append(chunk)
+        self.body.append(chunk)
+
+    def on_connection_close(self) -> None:
+        """Free the body of a request that does not get complete."""
+        self.body.clear()
+        super().on_connection_close()
 
     async def post(self, name: str) -> None:
         """Run the request and send its complete answer."""
@@ -131,7 +135,7 @@
 
     def _build_request(self, name: str) -> messages.Request:
         headers = self.request.headers
-        body = b"".join(self.body_chunks)
+        body = self.body.take()
         request_id = headers.get("Request-Id") or f"gen-{uuid.uuid4().hex}"
         priority = headers.get("Priority", "normal")
         if priority not in messages.PRIORITIES:
--- a/limpetstream/entry/process.py
+++ b/limpetstream/entry/process.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import msgspec
 
-from limpetstream import errors
+from limpetstream import errors, recent_ids
 from limpetstream.accounts import handlers as account_handlers
 from limpetstream.admin import handlers as admin_handlers
-from limpetstream.batch import handlers as batch_handlers
-from limpetstream.border import limits
+from limpetstream.batch import (
+    handlers as batch_handlers,
+    requests as batch_requests,
+)
+from limpetstream.border import bounded_server, limits
 from limpetstream.desk import handlers as desk_handlers, reconciliation
 from limpetstream.entry import (
     components as entry_components,
@@ -20,6 +24,7 @@
     health,
     lifecycle as lifecycles,
     operations,
+    refusals,
     servers,
 )
 from limpetstream.peers import handlers as peer_handlers
@@ -36,6 +41,10 @@
 DRAIN_MARGIN_S = 10.0
 LATENCY_PUBLISH_INTERVAL_S = 5.0
 MAX_SLICE_RECORD_BYTES = 200_000
+MAX_PEER_CONNECTIONS = 1000
+# The rest of the descriptors is for calls to executors and the platform.
+CALLERS_DESCRIPTOR_SHARE = 0.5
+PEERS_DESCRIPTOR_SHARE = 0.125
 
 
 def health_state(core: cores.Core, lifecycle: lifecycles.Lifecycle) -> str:
@@ -149,7 +158,9 @@
 
 
 def caller_routes(
-    components: entry_components.Components, lifecycle: lifecycles.Lifecycle
+    components: entry_components.Components,
+    lifecycle: lifecycles.Lifecycle,
+    unknown_jobs: recent_ids.RecentIds,
 ) -> list[Any]:
     """Return all routes of the caller port."""
     core = components.core
@@ -162,7 +173,9 @@
         ),
         *desk_handlers.routes(desk=components.desk, limits=core.settings.limits),
         *batch_handlers.routes(
-            context=components.scheduler.context, ledger=components.ledger
+            context=components.scheduler.context,
+            ledger=components.ledger,
+            unknown_jobs=unknown_jobs,
         ),
         *account_handlers.routes(components.ledger, core.tree.caller_by_key),
         *admin_handlers.routes(
@@ -181,6 +194,14 @@
     )
 
 
+def max_caller_body_bytes(path: str) -> int:
+    """Return the largest body of a caller's request to a path."""
+    if path.startswith(desk_handlers.PREFIX):
+        # The handler applies the limit of the service.
+        return int(schema.RANGE_BY_KEY["max_body_bytes"][1])
+    return max(admin_handlers.MAX_BODY_BYTES, batch_requests.MAX_BODY_BYTES)
+
+
 async def hand_over(components: entry_components.Components, resource: str) -> None:
     """Finish the work under a right before the right is released."""
     if resource.startswith("executors/"):
@@ -211,20 +232,39 @@
     )
     built.append(components)
     caller_limits = limits.server_arguments(settings.limits)
-    caller_limits["connections"] = settings.limits.connections
+    caller_limits["max_body_bytes"] = max_caller_body_bytes
+    unknown_jobs = recent_ids.RecentIds()
+    caller_bounds = bounded_server.Bounds(
+        max_connections=servers.max_connections(
+            settings.limits.connections, CALLERS_DESCRIPTOR_SHARE
+        ),
+        max_memory_bytes=settings.limits.request_bytes,
+        encode_refusal=functools.partial(
+            refusals.encode, desk=components.desk, unknown_jobs=unknown_jobs
+        ),
+    )
+    peer_bounds = bounded_server.Bounds(
+        max_connections=servers.max_connections(
+            MAX_PEER_CONNECTIONS, PEERS_DESCRIPTOR_SHARE
+        ),
+        max_memory_bytes=peer_handlers.MAX_REQUEST_BYTES,
+        max_body_bytes=lambda: peer_handlers.MAX_BODY_BYTES,
+    )
     peer_server = servers.serve(
         peer_routes(components),
         sockets=peer_sockets,
         tls=settings.peer_tls,
         clock=core.clock,
         arguments=peer_handlers.SERVER_LIMITS,
+        bounds=peer_bounds,
     )
     caller_server = servers.serve(
-        caller_routes(components, lifecycle),
+        caller_routes(components, lifecycle, unknown_jobs),
         sockets=caller_sockets,
         tls=settings.tls,
         clock=core.clock,
         arguments=caller_limits,
+        bounds=caller_bounds,
     )
     async with peer_server, caller_server:
         logs.emit(events.STARTING, caller_port=caller_port, peer_port=peer_port)
--- a/limpetstream/entry/servers.py
+++ b/limpetstream/entry/servers.py
@@ -1,17 +1,17 @@
 """HTTP servers for the caller port and the peer port of an entry instance."""
 
 import contextlib
+import resource
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 from tornado import httputil
 
 from limpetstream import clock
-from limpetstream.border import handler, simple_server
+from limpetstream.border import bounded_server, handler, simple_server
 from limpetstream.entry import lifecycle as lifecycles, tls as certificates
 from limpetstream.settings import schema
 
@@ -20,44 +20,68 @@
 MAX_ANSWER_S = 2.0
 
 
-class LimitedServer(tornado.httpserver.HTTPServer):
-    """HTTP server that closes new connections above a limit immediately.
+class Application(tornado.web.Application):
+    """Application that leaves the bodies of requests as they are.
+
+    Decoded forms take many times their size, and no handler reads forms.
+    """
+
+    def find_handler(
+        self, request: httputil.HTTPServerRequest, **kwargs: Any
+    ) -> httputil.HTTPMessageDelegate:
+        """Hide from tornado that a body calls itself a form."""
+        delegate = super().find_handler(request, **kwargs)
+        if not getattr(delegate, "stream_request_body", False):
+            request.headers.pop("Content-Type", None)
+        return delegate
+
+
+class LimitedServer(bounded_server.BoundedServer):
+    """Bounded HTTP server that counts its requests.
 
     Attributes:
         load: Counts the requests that were received and not answered yet.
     """
 
-    def initialize(self, *args: Any, connections: int = 0, **kwargs: Any) -> None:
-        """Store the connection limit; 0 means no limit."""
+    def initialize(
+        self,
+        *args: Any,
+        max_body_bytes: Callable[[str], int] | None = None,
+        **kwargs: Any,
+    ) -> None:
+        """Store the function that returns the largest body for a path."""
         super().initialize(*args, **kwargs)
-        self._max_connections = connections
+        self._max_body_bytes = max_body_bytes
         self.load = simple_server.ServerState()
 
-    def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
-    ) -> httputil.HTTPMessageDelegate:
-        """Count a request once it has been read whole."""
-        delegate = super().start_request(server_conn, request_conn)
-        finish = delegate.finish
+    def max_body_bytes(self, path: str) -> int:
+        """Return the largest size of a body that is sent to a path."""
+        if self._max_body_bytes is None:
+            return super().max_body_bytes(path)
+        return self._max_body_bytes(path)
 
-        def count_and_finish() -> None:
-            self.load.in_flight += 1
-            self.load.received += 1
-            finish()
-
-        delegate.finish = count_and_finish
-        return delegate
+    def note_complete(self, server_conn: object) -> None:
+        """Count a request that was received whole."""
+        self.load.in_flight += 1
+        self.load.received += 1
 
     def note_answer(self, handler: tornado.web.RequestHandler) -> None:
         """Count an answer; the application calls this as its log function."""
         self.load.in_flight -= 1
+        self.note_answered(handler.request.server_connection)
 
-    def handle_stream(self, stream: Any, address: Any) -> None:
-        """Serve a connection, or close it if the limit is reached."""
-        if self._max_connections and len(self._connections) >= self._max_connections:
-            stream.close()
-            return
-        super().handle_stream(stream, address)
+
+def max_connections(wanted: int, descriptor_share: float) -> int:
+    """Return how many connections a port may have.
+
+    Args:
+        wanted: Number that the settings allow.
+        descriptor_share: Share of the descriptors that the process may open.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return wanted
+    return max(1, min(wanted, int(soft_limit * descriptor_share)))
 
 
 def bind(host: str, port: int) -> tuple[list[socket.socket], int]:
@@ -81,6 +105,7 @@
     tls: schema.Tls | None,
     clock: clock.Clock,
     arguments: dict[str, Any],
+    bounds: bounded_server.Bounds | None = None,
 ) -> AsyncIterator[LimitedServer]:
     """Serve routes on bound sockets within the block.
 
@@ -91,6 +116,7 @@
             loaded without a restart.
         clock: Time source.
         arguments: Further arguments of the HTTP server.
+        bounds: Bounds of the server; None for the default ones.
 
     Raises:
         SettingsError: A certificate cannot be used.
@@ -101,12 +127,17 @@
         reload_task_by_name["certificate"] = lambda: certificates.reload_on_change(
             context, tls, clock
         )
-    application = tornado.web.Application(
+    application = Application(
         routes,
         default_handler_class=handler.NotFoundHandler,
         log_function=lambda request_handler: server.note_answer(request_handler),
     )
-    server = LimitedServer(application, ssl_options=context, **arguments)
+    server = LimitedServer(
+        application,
+        ssl_options=context,
+        bounds=bounds or bounded_server.Bounds(),
+        **arguments,
+    )
     server.add_sockets(sockets)
     try:
         async with lifecycles.run_in_background(clock, reload_task_by_name):
--- a/limpetstream/peers/handlers.py
+++ b/limpetstream/peers/handlers.py
@@ -12,6 +12,8 @@
 
 # The largest message is a copy of account entries for a witness.
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Memory of messages that are being received or answered.
+MAX_REQUEST_BYTES = 8 * MAX_BODY_BYTES
 SERVER_LIMITS: dict[str, Any] = {
     "max_body_size": MAX_BODY_BYTES,
     "max_buffer_size": 2 * MAX_BODY_BYTES,
--- a/limpetstream/settings/schema.py
+++ b/limpetstream/settings/schema.py
@@ -174,7 +174,11 @@
         header_bytes: Maximum size of a header block.
         header_timeout_s: Time for a caller to send all headers.
         body_timeout_s: Time for a caller to send its body.
-        connections: Maximum number of connections from callers.
+        connections: Maximum number of connections from callers, at most half
+            of the descriptors that the process may open; above it, idle ones
+            are closed first.
+        request_bytes: Memory for requests from callers that are being
+            received or answered.
         outage_bytes: Memory for account entries that are not in the log, as
             during an outage of the log.
         answer_bytes: Memory for cached answers that callers may fetch later.
@@ -184,6 +188,7 @@
     header_timeout_s: float = 5.0
     body_timeout_s: float = 10.0
     connections: int = 2000
+    request_bytes: int = 67_108_864
     outage_bytes: int = 67_108_864
     answer_bytes: int = 33_554_432
 
@@ -259,6 +264,7 @@
     "header_bytes": (256, 1_048_576),
     "header_timeout_s": (0.1, 600),
     "body_timeout_s": (0.1, 600),
+    "request_bytes": (1_048_576, 17_179_869_184),
     "outage_bytes": (1024, 17_179_869_184),
     "answer_bytes": (0, 17_179_869_184),
 }
