Count only answers to requests that were counted

Cause: an answer before the end of a body, such as 401 or 413 to a desk request, was subtracted from the requests in flight, but never counted. The number fell below zero, so that a planned stop took its whole time, or overlooked as many requests that were in flight.

The test got -1 before. A crowd that is refused early drove the number down by one a request.

--- a/limpetstream/entry/servers.py
+++ b/limpetstream/entry/servers.py
@@ -53,6 +53,8 @@
         super().initialize(*args, **kwargs)
         self._max_body_bytes = max_body_bytes
         self.load = simple_server.ServerState()
+        # Connections whose request was counted and has no answer yet.
+        self._counted_connections: set[object] = set()
 
     def max_body_bytes(self, path: str) -> int:
         """Return the largest size of a body that is sent to a path."""
@@ -62,13 +64,17 @@
 
     def note_complete(self, server_conn: object) -> None:
         """Count a request that was received whole."""
+        self._counted_connections.add(server_conn)
         self.load.in_flight += 1
         self.load.received += 1
 
     def note_answer(self, handler: tornado.web.RequestHandler) -> None:
         """Count an answer; the application calls this as its log function."""
-        self.load.in_flight -= 1
-        self.note_answered(handler.request.server_connection)
+        server_conn = handler.request.server_connection
+        if server_conn in self._counted_connections:
+            self._counted_connections.discard(server_conn)
+            self.load.in_flight -= 1
+        self.note_answered(server_conn)
 
 
 def max_connections(wanted: int, descriptor_share: float) -> int:
--- a/limpetstream/entry/tests/test_last_requests.py
+++ b/limpetstream/entry/tests/test_last_requests.py
@@ -70,3 +70,38 @@
     """Guards against a stop that waits for a caller that watches a job."""
     read, took_s = answer_at_close(takes_s=60.0, sends_late=False)
     assert read == b"" and took_s < servers.MAX_ANSWER_S + 1.0
+
+
+def test_answers_to_unfinished_requests_hide_no_other_request():
+    """Guards against a request in flight that a planned stop overlooks.
+
+    An answer before the end of the body was subtracted, but never counted.
+    """
+
+    @tornado.web.stream_request_body
+    class EarlyHandler(tornado.web.RequestHandler):
+        def prepare(self):
+            self.send_error(401)
+
+        def data_received(self, chunk):
+            pass
+
+    async def run():
+        sockets, port = servers.bind("127.0.0.1", 0)
+        async with servers.serve(
+            [("/early", EarlyHandler)],
+            sockets=sockets,
+            tls=None,
+            clock=clock.Clock(),
+            arguments={},
+        ) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(
+                b"POST /early HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"
+            )
+            answer = await reader.read()
+            writer.close()
+            return answer, server.load.in_flight
+
+    answer, in_flight = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 401") and in_flight == 0
