--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -157,7 +157,7 @@
     """Guards against findings that do not tell the place."""
     steps = [{"count": 1}, {"count": 1, "image": "x" * 257}]
     body = msgspec.json.encode(JOB | {"steps": steps})
-    assert post(body).body["error"].startswith("steps.1: ")
+    assert post(body).body["error"].startswith("invalid-job: steps.1: ")
 
 
 def test_ids_and_queues_are_checked():
