--- a/limpetstream/border/tests/test_turns.py
+++ b/limpetstream/border/tests/test_turns.py
@@ -46,6 +46,26 @@
     assert asyncio.run(run()) == [1, 20, 20, 300]
 
 
+def test_costly_work_is_not_held_up_by_cheaper_work():
+    """Guards against whole bodies that wait behind senders of tiny chunks."""
+
+    async def run():
+        shared = turns.Turns()
+
+        async def work_for_ever():
+            while True:
+                await shared.take(1)
+
+        senders = [asyncio.create_task(work_for_ever()) for _ in range(20)]
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await shared.take(100_000)
+        for sender in senders:
+            sender.cancel()
+
+    asyncio.run(run())
+
+
 def test_work_that_was_given_up_takes_no_turn():
     """Guards against turns that nobody uses and everybody waits for."""
 
