--- a/limpetstream/border/request_memory.py
+++ b/limpetstream/border/request_memory.py
@@ -1,5 +1,8 @@
 """Bounds the memory of requests that are being received or answered."""
 
+import itertools
+from collections.abc import Iterable, Iterator
+
 # Larger requests leave a part of the memory to smaller ones.
 SMALL_REQUEST_BYTES = 16_384
 SMALL_REQUEST_SHARE = 0.25
@@ -47,37 +50,59 @@
     def take(self, holder: Holder, count: int) -> bool:
         """Count further bytes of a request that is being received.
 
-        Other requests may have to give way.
+        Other requests give way if that makes enough room.
 
         Returns:
             Whether there is room; if not, nothing is counted.
         """
-        limit = self._max_bytes
+        excess = self.held_bytes + count - self._max_bytes
+        others: Iterable[Holder] = self._unfinished
         if holder.held_bytes + count > SMALL_REQUEST_BYTES:
-            limit -= int(limit * SMALL_REQUEST_SHARE)
-        while self.held_bytes + count > limit:
-            if not self.evict_oldest(sparing=holder):
-                return False
+            excess += int(self._max_bytes * SMALL_REQUEST_SHARE)
+            others = self._large_ones_first()
+        if excess > 0 and not self._evict(excess, others, sparing=holder):
+            return False
         self.held_bytes += count
         holder.held_bytes += count
         return True
 
-    def evict_oldest(self, sparing: Holder | None = None) -> bool:
-        """Make the request give way that has been received for the longest.
+    def _large_ones_first(self) -> Iterator[Holder]:
+        return itertools.chain(
+            (each for each in self._unfinished if _is_large(each)),
+            (each for each in self._unfinished if not _is_large(each)),
+        )
+
+    def _evict(self, excess: int, others: Iterable[Holder], *, sparing: Holder) -> bool:
+        """Make requests give way, in their order, if that frees enough."""
+        evicted = []
+        for each in others:
+            if excess <= 0:
+                break
+            if each is not sparing:
+                evicted.append(each)
+                excess -= each.held_bytes
+        if excess > 0:
+            return False
+        for each in evicted:
+            self._make_give_way(each)
+        return True
 
-        Args:
-            sparing: Request that stays.
+    def evict_oldest(self) -> bool:
+        """Make the request give way that has been received for the longest.
 
         Returns:
-            Whether there was such a request.
+            Whether there was one.
         """
-        oldest = next((each for each in self._unfinished if each is not sparing), None)
+        oldest = next(iter(self._unfinished), None)
         if oldest is None:
             return False
-        self.release(oldest)
-        oldest.give_way()
+        self._make_give_way(oldest)
         return True
 
+    def _make_give_way(self, holder: Holder) -> None:
+        self.release(holder)
+        holder.give_way()
+
     def complete(self, holder: Holder) -> None:
         """Note that a request was received whole, so that it stays."""
         self._unfinished.pop(holder, None)
@@ -87,3 +112,7 @@
         self._unfinished.pop(holder, None)
         self.held_bytes -= holder.held_bytes
         holder.held_bytes = 0
+
+
+def _is_large(holder: Holder) -> bool:
+    return holder.held_bytes > SMALL_REQUEST_BYTES
--- a/limpetstream/border/tests/test_request_memory.py
+++ b/limpetstream/border/tests/test_request_memory.py
@@ -43,6 +43,24 @@
     assert memory.begin(builders.Request(), size)
 
 
+def test_no_request_gives_way_in_vain():
+    """Guards against small requests that are refused for one that is, too."""
+    memory = request_memory.RequestMemory(1000)
+    whole, small = builders.make_requests(memory, 700, 200)
+    memory.complete(whole)
+    assert not memory.begin(builders.Request(), 400)
+    assert not small.has_given_way
+
+
+def test_large_requests_give_way_to_large_ones_first():
+    """Guards against small requests that are refused to serve large ones."""
+    size = request_memory.SMALL_REQUEST_BYTES
+    memory = request_memory.RequestMemory(8 * size)
+    small, first, _ = builders.make_requests(memory, size, 2 * size, 2 * size)
+    assert memory.begin(builders.Request(), 2 * size)
+    assert [small.has_given_way, first.has_given_way] == [False, True]
+
+
 def test_memory_is_freed_once():
     """Guards against a count below what is held, after two releases."""
     memory = request_memory.RequestMemory(1000)
