--- a/limpetstream/border/bounded_server.py
+++ b/limpetstream/border/bounded_server.py
@@ -28,9 +28,11 @@
 READ_BYTES = 4096
 # Memory of a request besides its text: its objects and those of its parser.
 REQUEST_BYTES = 8192
-# Memory of decoded headers and query arguments, relative to their text.
+# Memory of paths, headers and decoded query arguments, relative to their text.
+PATH_FACTOR = 4
 HEADER_FACTOR = 2
 QUERY_FACTOR = 64
+HEADER_BYTES = 256  # Objects of one header.
 RETRY_AFTER_S = 1  # Requests are received, or time out, within seconds.
 BUSY = "too many requests are being received"
 
@@ -223,7 +225,7 @@
         self._server.note_busy(self._server_conn)
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line, self._headers = start_line, headers
-        path = start_line.path.partition("?")[0]
+        path, _, query = start_line.path.partition("?")
         self._max_body_bytes = self._server.max_body_bytes(path)
         # Bodies over the limit are refused here, with a status that tells why.
         self._request_conn.set_max_body_size(2 * self._max_body_bytes)
@@ -234,7 +236,8 @@
         if announced.isascii() and announced.isdigit():
             if int(announced[:20]) > self._max_body_bytes:
                 self._refuse(413, self._body_limit())
-        count = REQUEST_BYTES + QUERY_FACTOR * len(start_line.path.partition("?")[2])
+        count = REQUEST_BYTES + PATH_FACTOR * len(path) + QUERY_FACTOR * len(query)
+        count += HEADER_BYTES * len(rows)
         count += HEADER_FACTOR * sum(len(name) + len(value) for name, value in rows)
         if not self._server.memory.begin(self, count):
             self._refuse(503, BUSY, RETRY_AFTER_S)
--- a/tests/crowd_builders.py
+++ b/tests/crowd_builders.py
@@ -328,6 +328,17 @@
     ]
 
 
+def long_paths() -> list[Client]:
+    """Return unfinished requests for long paths to two listeners."""
+    start = announced(250_000, path="/" + "p" * 19_500)
+    clients = [
+        *[Client([start, b" " * 28_000]) for _ in range(500)],
+        *[Client([start, b" " * 4000], port=deployment.PEER_PORT) for _ in range(500)],
+    ]
+    random.Random(61).shuffle(clients)
+    return clients
+
+
 def forms(count: int, **options) -> list[Client]:
     """Return clients that send whole forms with many fields."""
     body = b"&".join(b"f%d=1" % number for number in range(28_000))
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -97,6 +97,11 @@
     check(tmp_path, functools.partial(build, count))
 
 
+def test_requests_with_long_paths(tmp_path):
+    """Guards against paths that take memory and are not counted."""
+    check(tmp_path, crowd_builders.long_paths)
+
+
 def test_clients_that_read_no_answers(tmp_path):
     """Guards against answers that pile up because they are not read."""
     check(
