Answer HEAD requests without a body

A refusal of a HEAD request had a body, so that Tornado closed the connection and raised an error. Answers that are not refusals raised the same error.

--- a/limpetstream/border/bounded_server.py
+++ b/limpetstream/border/bounded_server.py
@@ -295,6 +295,9 @@
         """Refuse a request that is not complete."""
         self._send_refusal(503, BUSY, RETRY_AFTER_S)
 
+    def _may_have_body(self) -> bool:
+        return self._start_line is None or self._start_line.method != "HEAD"
+
     def _body_limit(self) -> str:
         return f"a body may have at most {self._max_body_bytes} bytes"
 
@@ -327,6 +330,7 @@
             }
         )
         start_line = httputil.ResponseStartLine("HTTP/1.1", refusal.status, "-")
-        written = self._request_conn.write_headers(start_line, headers, refusal.body)
+        chunk = refusal.body if self._may_have_body() else None
+        written = self._request_conn.write_headers(start_line, headers, chunk)
         written.add_done_callback(asyncio.Future.exception)  # It may have ended.
         self._request_conn.finish()
--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -276,7 +276,7 @@
             await connection.write_headers(
                 httputil.ResponseStartLine("HTTP/1.1", response.status, "-"),
                 headers,
-                response.body,
+                None if request.method == "HEAD" else response.body,
             )
         connection.finish()
     except TimeoutError:
--- /dev/null
+++ b/limpetstream/border/tests/server_builders.py
@@ -0,0 +1,57 @@
+"""Builders of bounded servers and of connections to them."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+from limpetstream.border import bounded_server, simple_server
+
+LOOPBACK = "127.0.0.1"
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+def head(method: str, *lines: str) -> bytes:
+    """Return the head of a request."""
+    rows = [f"{method} / HTTP/1.1", "Host: localhost", *lines]
+    return "".join(f"{row}\r\n" for row in [*rows, ""]).encode()
+
+
+def unused_port() -> int:
+    """Return a port on which nothing listens."""
+    with socket.socket() as listener:
+        listener.bind((LOOPBACK, 0))
+        return listener.getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    bounds: bounded_server.Bounds | None = None, *, body: bytes = b"{}"
+) -> AsyncIterator[tuple[str, int]]:
+    """Serve one body for all requests; yield the address."""
+
+    async def answer(_):
+        return simple_server.Response(200, body)
+
+    port = unused_port()
+    async with simple_server.serve(f"{LOOPBACK}:{port}", answer, bounds=bounds):
+        yield LOOPBACK, port
+
+
+@contextlib.asynccontextmanager
+async def connected(address: tuple[str, int]) -> AsyncIterator[Streams]:
+    """Open a connection; close it at once when the context is left."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        yield reader, writer
+    finally:
+        writer.transport.abort()
+
+
+async def status_of(address: tuple[str, int]) -> int:
+    """Return the status of the answer to a new request; 0 for none."""
+    async with connected(address) as (reader, writer):
+        writer.write(head("GET"))
+        first_line = await reader.readline()
+        return int(first_line.split()[1]) if first_line else 0
--- /dev/null
+++ b/limpetstream/border/tests/test_bounded_server.py
@@ -0,0 +1,49 @@
+"""Tests of the bounds of a server, with connections on loopback addresses."""
+
+import asyncio
+
+import pytest
+
+from limpetstream.border import bounded_server
+from limpetstream.border.tests import server_builders
+
+HEAD_OVER_THE_LIMIT = server_builders.head(
+    "HEAD", f"Content-Length: {bounded_server.MAX_BODY_BYTES + 1}"
+)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        pytest.param(HEAD_OVER_THE_LIMIT, 413, id="refused"),
+        pytest.param(server_builders.head("HEAD"), 200, id="answered"),
+    ],
+)
+def test_answers_to_head_requests_have_no_body(request_bytes, status):
+    """Guards against answers to HEAD that end with an error of the server."""
+
+    async def run():
+        async with server_builders.serving() as address:
+            async with server_builders.connected(address) as (reader, writer):
+                writer.write(request_bytes)
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write_eof()
+                return head, await reader.read()
+
+    head, rest = asyncio.run(run())
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert rest == b""
+
+
+def test_a_head_request_gives_way_without_harm_to_others():
+    """Guards against a request that fails since an unfinished one is refused."""
+    bounds = bounded_server.Bounds(max_memory_bytes=12_000)
+
+    async def run():
+        async with server_builders.serving(bounds) as address:
+            async with server_builders.connected(address) as (_, writer):
+                writer.write(server_builders.head("HEAD", "Content-Length: 2"))
+                await asyncio.sleep(0.1)
+                return await server_builders.status_of(address)
+
+    assert asyncio.run(run()) == 200
