Give new connections the places of ones that read nothing

A connection whose request is complete could not be closed for others. A connection whose answer has not been read for 1 s is closed first. Where all are being answered, some end after their answers, and as many more are open meanwhile.

--- a/limpetstream/border/bounded_server.py
+++ b/limpetstream/border/bounded_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import socket
 import typing
 from collections.abc import Awaitable, Callable
@@ -33,6 +34,12 @@
 HEADER_FACTOR = 2
 QUERY_FACTOR = 64
 HEADER_BYTES = 256  # Objects of one header.
+# Connections whose answers are not read are closed: after the first time if
+# others need their places, and in any case after the second.
+UNREAD_S = 1.0
+WRITE_TIMEOUT_S = 10.0
+# Connections above their number, while as many others have their last answers.
+EXCESS_SHARE = 0.125
 RETRY_AFTER_S = 1  # Requests are received, or time out, within seconds.
 BUSY = "too many requests are being received"
 
@@ -82,8 +89,10 @@
 class BoundedServer(httpserver.HTTPServer):
     """HTTP server that refuses requests or closes connections at its bounds.
 
-    Above the number of connections, the connection that has been idle for the
-    longest is closed, then that whose request began first and is not complete.
+    Above the number of connections, one is closed whose answer is not being
+    read, else that which has been idle for the longest, else that whose
+    request began first and is not complete. Where all are being answered, some
+    end after their answers.
     """
 
     def initialize(  # type: ignore[override]
@@ -103,6 +112,10 @@
         self._idle_by_connection: dict[object, httputil.HTTPConnection] = {}
         # Connections that were closed here and have not ended yet.
         self._closed_connections: set[object] = set()
+        # Connections that are closed after the answers to their requests.
+        self._last_answers: set[object] = set()
+        # When a write of the connections was first seen to wait.
+        self._unread_since_by_connection: dict[object, float] = {}
         self._port = 0
 
     def add_sockets(self, sockets: Any) -> None:
@@ -117,7 +130,8 @@
     def handle_stream(self, stream: Any, address: Any) -> None:
         """Serve a connection, in place of another one above their number."""
         open_count = len(self._connections) - len(self._closed_connections)
-        if open_count >= self.bounds.max_connections and not self._make_room():
+        excess = open_count - self.bounds.max_connections
+        if excess >= 0 and not self._make_room() and not self._end_one(excess):
             self.reports.note("connection")
             stream.close()
             return
@@ -128,6 +142,8 @@
     ) -> httputil.HTTPMessageDelegate:
         """Bound the next request of a connection, whose last one has ended."""
         self._release(server_conn)
+        if server_conn in self._last_answers:
+            server_conn.stream.close()  # type: ignore[attr-defined]
         delegate = super().start_request(server_conn, request_conn)
         receipt = _Receipt(self, server_conn, request_conn, delegate)
         self._receipt_by_connection[server_conn] = receipt
@@ -158,7 +174,9 @@
         """Forget a connection that has ended."""
         self._release(server_conn)
         self._idle_by_connection.pop(server_conn, None)
+        self._unread_since_by_connection.pop(server_conn, None)
         self._closed_connections.discard(server_conn)
+        self._last_answers.discard(server_conn)
         super().on_close(server_conn)
 
     async def close_all_connections(self) -> None:
@@ -180,7 +198,9 @@
         }
 
     def _make_room(self) -> bool:
-        """Close a connection that nothing is lost with."""
+        """Close a connection with which the least is lost."""
+        if self._close_unread():
+            return True
         for server_conn, request_conn in self._idle_by_connection.items():
             del self._idle_by_connection[server_conn]
             self.reports.note("idle connection")
@@ -189,6 +209,41 @@
             return True
         return self.memory.evict_oldest()
 
+    def _end_one(self, excess: int) -> bool:
+        """Let a connection end after its answer, beside the new one.
+
+        Args:
+            excess: Number of connections above the bound, of which there are
+                a few more until their answers are sent.
+
+        Returns:
+            Whether there is one.
+        """
+        busy = self._connections - self._closed_connections - self._last_answers
+        if excess >= self.bounds.max_connections * EXCESS_SHARE or not busy:
+            return False
+        self.reports.note("busy connection")
+        self._last_answers.add(random.choice(list(busy)))
+        return True
+
+    def _close_unread(self) -> bool:
+        """Close the connection whose answer has waited longest to be read."""
+        now = asyncio.get_running_loop().time()
+        waiting = {
+            server_conn: self._unread_since_by_connection.get(server_conn, now)
+            for server_conn in self._connections
+            if server_conn not in self._closed_connections
+            and server_conn.stream.writing()
+        }
+        self._unread_since_by_connection = waiting
+        oldest = min(waiting, key=waiting.__getitem__, default=None)
+        if oldest is None or now - waiting[oldest] < UNREAD_S:
+            return False
+        self.reports.note("unread answer")
+        self.note_closed(oldest)
+        oldest.stream.close()
+        return True
+
 
 class _Receipt(request_memory.Holder, httputil.HTTPMessageDelegate):
     """Receives one request for a delegate, within the bounds of its server."""
--- a/limpetstream/border/simple_server.py
+++ b/limpetstream/border/simple_server.py
@@ -13,8 +13,6 @@
 from limpetstream.border import body_parts, bounded_server, events, request_memory
 from limpetstream.telemetry import logs
 
-# A response that its caller does not read is given up.
-WRITE_TIMEOUT_S = 10.0
 # Servers that close first read what their sockets hold. They end once nothing
 # was received for the first time, and in any case after the second.
 QUIET_S = 0.05
@@ -272,7 +270,7 @@
         headers["Connection"] = "close"
     connection = request.connection
     try:
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
+        async with asyncio.timeout(bounded_server.WRITE_TIMEOUT_S):
             await connection.write_headers(
                 httputil.ResponseStartLine("HTTP/1.1", response.status, "-"),
                 headers,
--- a/limpetstream/border/tests/server_builders.py
+++ b/limpetstream/border/tests/server_builders.py
@@ -8,6 +8,7 @@
 from limpetstream.border import bounded_server, simple_server
 
 LOOPBACK = "127.0.0.1"
+SMALL_BUFFER_BYTES = 4096
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -27,11 +28,15 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    bounds: bounded_server.Bounds | None = None, *, body: bytes = b"{}"
+    bounds: bounded_server.Bounds | None = None,
+    *,
+    body: bytes = b"{}",
+    answer_s: float = 0.0,
 ) -> AsyncIterator[tuple[str, int]]:
-    """Serve one body for all requests; yield the address."""
+    """Serve one body for all requests, after a time; yield the address."""
 
     async def answer(_):
+        await asyncio.sleep(answer_s)
         return simple_server.Response(200, body)
 
     port = unused_port()
@@ -42,13 +47,27 @@
 @contextlib.asynccontextmanager
 async def connected(address: tuple[str, int]) -> AsyncIterator[Streams]:
     """Open a connection; close it at once when the context is left."""
-    reader, writer = await asyncio.open_connection(*address)
+    reader, writer = await asyncio.open_connection(*address, limit=SMALL_BUFFER_BYTES)
     try:
         yield reader, writer
     finally:
         writer.transport.abort()
 
 
+@contextlib.asynccontextmanager
+async def not_reading(
+    address: tuple[str, int], count: int
+) -> AsyncIterator[list[Streams]]:
+    """Open connections that send a request each and read no answers."""
+    async with contextlib.AsyncExitStack() as stack:
+        connections = []
+        for _ in range(count):
+            connections.append(await stack.enter_async_context(connected(address)))
+            connections[-1][1].write(head("GET"))
+        await asyncio.sleep(0.1)
+        yield connections
+
+
 async def status_of(address: tuple[str, int]) -> int:
     """Return the status of the answer to a new request; 0 for none."""
     async with connected(address) as (reader, writer):
--- a/limpetstream/border/tests/test_bounded_server.py
+++ b/limpetstream/border/tests/test_bounded_server.py
@@ -7,6 +7,7 @@
 from limpetstream.border import bounded_server
 from limpetstream.border.tests import server_builders
 
+LARGE_BODY = b"x" * 4_000_000
 HEAD_OVER_THE_LIMIT = server_builders.head(
     "HEAD", f"Content-Length: {bounded_server.MAX_BODY_BYTES + 1}"
 )
@@ -36,7 +37,7 @@
 
 
 def test_a_head_request_gives_way_without_harm_to_others():
-    """Guards against a request that fails since an unfinished one is refused."""
+    """Guards against requests that fail because others are refused."""
     bounds = bounded_server.Bounds(max_memory_bytes=12_000)
 
     async def run():
@@ -47,3 +48,33 @@
                 return await server_builders.status_of(address)
 
     assert asyncio.run(run()) == 200
+
+
+def test_connections_with_unread_answers_make_room():
+    """Guards against clients that read nothing and take all connections."""
+    bounds = bounded_server.Bounds(max_connections=3)
+
+    async def run():
+        async with (
+            server_builders.serving(bounds, body=LARGE_BODY) as address,
+            server_builders.not_reading(address, bounds.max_connections),
+        ):
+            await server_builders.status_of(address)
+            await asyncio.sleep(bounded_server.UNREAD_S + 0.1)
+            return await server_builders.status_of(address)
+
+    assert asyncio.run(run()) == 200
+
+
+def test_busy_connections_make_room():
+    """Guards against clients that take all connections and are never idle."""
+    bounds = bounded_server.Bounds(max_connections=4)
+
+    async def run():
+        async with (
+            server_builders.serving(bounds, answer_s=0.5) as address,
+            server_builders.not_reading(address, bounds.max_connections),
+        ):
+            return await server_builders.status_of(address)
+
+    assert asyncio.run(run()) == 200
--- a/limpetstream/settings/reference.py
+++ b/limpetstream/settings/reference.py
@@ -7,7 +7,7 @@
 import inspect
 from typing import Any, get_type_hints
 
-from limpetstream.border import bounded_server, simple_server
+from limpetstream.border import bounded_server
 from limpetstream.settings import schema
 from limpetstream.workflow import checks
 
@@ -49,7 +49,7 @@
     ("headers of a request", bounded_server.MAX_HEADERS, "", "431"),
     ("head of a request", bounded_server.MAX_HEADER_BYTES, "bytes", CLOSED),
     ("time to receive a body", bounded_server.BODY_TIMEOUT_S, "s", CLOSED),
-    ("time to read an answer", simple_server.WRITE_TIMEOUT_S, "s", CLOSED),
+    ("time to read an answer", bounded_server.WRITE_TIMEOUT_S, "s", CLOSED),
     ("time without a request", bounded_server.IDLE_TIMEOUT_S, "s", CLOSED),
     ("steps of a job", checks.MAX_STEPS, "", "400"),
     ("label, rack or image", checks.MAX_NAME_CHARACTERS, "characters", "400"),
