Close connections whose answers are not read, on all servers

SETTINGS.md gives 10 s to read an answer, but only simple_server watched its writes: the handlers of limpetstream-entry await none, so that clients that read nothing kept their connections and the unsent answers. The kernel now ends such a connection (TCP_USER_TIMEOUT, on the listener). The test fails on the commit before.

--- a/limpetstream/border/bounded_server.py
+++ b/limpetstream/border/bounded_server.py
@@ -124,6 +124,11 @@
         for listener in sockets:  # Connections inherit the sizes.
             for option, size in BUFFER_BYTES_BY_OPTION.items():
                 listener.setsockopt(socket.SOL_SOCKET, option, size)
+            listener.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(1000 * WRITE_TIMEOUT_S),
+            )
         self._port = sockets[0].getsockname()[1]
         super().add_sockets(sockets)
 
--- a/limpetstream/border/tests/server_builders.py
+++ b/limpetstream/border/tests/server_builders.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import AsyncIterator
 
+from tornado import httputil
+
 from limpetstream.border import bounded_server, simple_server
 
 LOOPBACK = "127.0.0.1"
@@ -44,6 +46,26 @@
         yield LOOPBACK, port
 
 
+@contextlib.asynccontextmanager
+async def serving_without_waiting(body: bytes) -> AsyncIterator[tuple[str, int]]:
+    """Serve one body for all requests by a server that awaits no write."""
+
+    def answer(request: httputil.HTTPServerRequest) -> None:
+        start_line = httputil.ResponseStartLine("HTTP/1.1", 200, "-")
+        headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
+        request.connection.write_headers(start_line, headers, body)
+        request.connection.finish()
+
+    port = unused_port()
+    server = bounded_server.BoundedServer(answer, bounds=bounded_server.Bounds())
+    server.listen(port, LOOPBACK)
+    try:
+        yield LOOPBACK, port
+    finally:
+        server.stop()
+        await server.close_all_connections()
+
+
 @contextlib.asynccontextmanager
 async def connected(address: tuple[str, int]) -> AsyncIterator[Streams]:
     """Open a connection; close it at once when the context is left."""
@@ -74,3 +96,12 @@
         writer.write(head("GET"))
         first_line = await reader.readline()
         return int(first_line.split()[1]) if first_line else 0
+
+
+async def count_received(reader: asyncio.StreamReader) -> int:
+    """Return how many bytes are received until a connection ends or pauses."""
+    count = 0
+    with contextlib.suppress(OSError, TimeoutError):
+        while piece := await asyncio.wait_for(reader.read(SMALL_BUFFER_BYTES), 1):
+            count += len(piece)
+    return count
--- a/limpetstream/border/tests/test_bounded_server.py
+++ b/limpetstream/border/tests/test_bounded_server.py
@@ -78,3 +78,18 @@
             return await server_builders.status_of(address)
 
     assert asyncio.run(run()) == 200
+
+
+def test_an_answer_that_is_not_read_ends_its_connection(monkeypatch):
+    """Guards against answers that are kept as the server awaits no write."""
+    monkeypatch.setattr(bounded_server, "WRITE_TIMEOUT_S", 0.5)
+
+    async def run():
+        async with (
+            server_builders.serving_without_waiting(LARGE_BODY) as address,
+            server_builders.not_reading(address, 1) as connections,
+        ):
+            await asyncio.sleep(3)
+            return await server_builders.count_received(connections[0][0])
+
+    assert asyncio.run(run()) < len(LARGE_BODY)
