Tell where a late start is open once an entry expires

The new owner waits for it only while the executor's entry is listed. An executor that is cut off loses its entry after three heartbeat intervals (4.5 s), is taken for gone, and the task starts again while the executor may still carry out the former start.

The wait is not extended: an executor that has crashed for good looks alike.

--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -339,7 +339,8 @@
 def _may_start_late(shard: state.Shard, executor_id: str) -> bool:
     """Return whether an executor may carry out a start to a former process.
 
-    One that the list does not contain any more has left, and runs nothing.
+    One that the list does not contain any more is taken for gone. It may still
+    run if only its heartbeats are lost, but looks like one that has crashed.
     """
     executor = shard.executor_by_id.get(executor_id)
     if executor is None or _is_unlisted(shard, executor):
--- a/limpetstream/shard/settling/tests/builders.py
+++ b/limpetstream/shard/settling/tests/builders.py
@@ -11,6 +11,7 @@
 RUN_S = 60.0  # Beyond each lease, so that only a lapse ends a run.
 RECORDED_S = 0.3  # Beyond the notice of a restart, and the record of it.
 LATE_S = 11.5  # Within the longest delay of a call.
+UNLISTED_S = 4.5  # Three heartbeat intervals without a heartbeat.
 # Beyond a change of owner, that delay and the longest lease.
 SETTLED_S = 32.0
 
@@ -48,25 +49,39 @@
         cluster.list_executor(executor)
 
 
-async def end_owner_before_notice(cluster, *, long_running=False, is_listed=True):
-    """Restart x0 and end its owner; then x0 carries out a start."""
+async def sleep_until(at):
+    await asyncio.sleep(at - asyncio.get_running_loop().time())
+
+
+async def end_owner_before_notice(
+    cluster, *, long_running=False, is_listed=True, is_unlisted=False
+):
+    """Restart x0 and end its owner; then x0 carries out a start.
+
+    If it is to be unlisted, its entry expires, as its heartbeats are lost.
+    """
     await start_instances(cluster)
     executor = cluster.executor_by_id["x0"]
     with test_former_processes.kept_calls(cluster) as calls:
         await hold_start(cluster, calls, long_running=long_running)
         await restart_out_of_reach(cluster, executor, is_listed=is_listed)
+        cut_at = asyncio.get_running_loop().time()
         await cluster.kill("m0")
     cluster.add_executor("x1")
     await asyncio.sleep(3.0)
     executor.start(calls.start, is_late=True)
+    if is_unlisted:
+        await sleep_until(cut_at + UNLISTED_S)
+        cluster.unlist_executor("x0")
     await asyncio.sleep(SETTLED_S)
     assert cluster.executor_by_id["x1"].run_by_task
 
 
-async def end_owner_before_fence(cluster, *, long_running=False):
+async def end_owner_before_fence(cluster, *, long_running=False, is_unlisted=False):
     """End the owner of x0 as it has noticed a restart and not fenced x0.
 
-    Shortly before the longest delay is over, x0 carries out a start.
+    Shortly before the longest delay is over, x0 carries out a start. If it is
+    to be unlisted, its entry expires before, as its heartbeats are lost.
     """
     await start_instances(cluster)
     executor = cluster.executor_by_id["x0"]
@@ -79,12 +94,16 @@
         while shard.executor_by_id["x0"].fenced:
             await asyncio.sleep(0.001)
         executor.cut = True
+        cut_at = asyncio.get_running_loop().time()
         await asyncio.sleep(RECORDED_S)
         record = test_long_running_safety.stored_record(cluster, "x0")
         assert record.longest_lease
     cluster.add_executor("x1")
     await cluster.kill("m0")
-    await asyncio.sleep(sent_at + LATE_S - asyncio.get_running_loop().time())
+    if is_unlisted:
+        await sleep_until(cut_at + UNLISTED_S)
+        cluster.unlist_executor("x0")
+    await sleep_until(sent_at + LATE_S)
     executor.start(calls.start, is_late=True)
     await asyncio.sleep(SETTLED_S - LATE_S)
     assert cluster.executor_by_id["x1"].run_by_task
--- a/limpetstream/shard/settling/tests/test_unbounded_starts.py
+++ b/limpetstream/shard/settling/tests/test_unbounded_starts.py
@@ -38,6 +38,25 @@
     assert not builders.run_cluster(scenario).breaches.found
 
 
+def test_no_task_runs_twice_where_the_entry_of_an_unfenced_process_expires():
+    """Guards against an executor that is cut off and taken for gone.
+
+    The record tells of the restart, and the executor leaves the list before
+    its late start.
+    """
+    scenario = functools.partial(builders.end_owner_before_fence, is_unlisted=True)
+    assert not builders.run_cluster(scenario).breaches.found
+
+
+def test_no_task_runs_twice_where_the_entry_expires_after_the_owner_has_ended():
+    """Guards against an executor that is cut off and taken for gone.
+
+    Only the list tells of the restart, until the entry expires.
+    """
+    scenario = functools.partial(builders.end_owner_before_notice, is_unlisted=True)
+    assert not builders.run_cluster(scenario).breaches.found
+
+
 @pytest.mark.parametrize("long_running", [False, True])
 def test_no_task_runs_twice_where_its_owner_does_not_notice_a_restart(long_running):
     """Guards against a late start to an executor that has been given up."""
