List a late start of which only a damaged record told

A record that cannot be read gets the wait for the longest lease, and none for late starts: if it told of a restart and no fence, the task runs twice.

--- a/limpetstream/shard/settling/tests/builders.py
+++ b/limpetstream/shard/settling/tests/builders.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+from limpetstream.shard import names
 from limpetstream.shard.settling.tests import test_long_running_safety
-from limpetstream.shard.tests import schedules, test_former_processes
+from limpetstream.shard.tests import (
+    schedules,
+    test_forgotten_restarts,
+    test_former_processes,
+)
 from limpetstream.workflow import messages
 from standins import shard_cluster
 
@@ -77,11 +82,14 @@
     assert cluster.executor_by_id["x1"].run_by_task
 
 
-async def end_owner_before_fence(cluster, *, long_running=False, is_unlisted=False):
+async def end_owner_before_fence(
+    cluster, *, long_running=False, is_unlisted=False, change_record=None
+):
     """End the owner of x0 as it has noticed a restart and not fenced x0.
 
     Shortly before the longest delay is over, x0 carries out a start. If it is
     to be unlisted, its entry expires before, as its heartbeats are lost.
+    ``change_record`` returns what the next owner reads for its record.
     """
     await start_instances(cluster)
     executor = cluster.executor_by_id["x0"]
@@ -98,6 +106,11 @@
         await asyncio.sleep(RECORDED_S)
         record = test_long_running_safety.stored_record(cluster, "x0")
         assert record.longest_lease
+        if change_record:
+            key = names.EXECUTOR_KEY_PREFIX + "x0"
+            entry = cluster.store.newest(names.PROGRESS_TOPIC, 0)[key]
+            raw = change_record(entry.value)
+            test_forgotten_restarts.damage(cluster, key, raw)
     cluster.add_executor("x1")
     await cluster.kill("m0")
     if is_unlisted:
--- a/limpetstream/shard/settling/tests/test_unbounded_starts.py
+++ b/limpetstream/shard/settling/tests/test_unbounded_starts.py
@@ -48,6 +48,16 @@
     assert not builders.run_cluster(scenario).breaches.found
 
 
+def test_no_task_runs_twice_where_the_record_of_an_unfenced_process_is_damaged():
+    """Guards against a late start of which only a damaged record told."""
+
+    def damage(raw):
+        return raw[:1]
+
+    scenario = functools.partial(builders.end_owner_before_fence, change_record=damage)
+    assert not builders.run_cluster(scenario).breaches.found
+
+
 def test_no_task_runs_twice_where_the_entry_expires_after_the_owner_has_ended():
     """Guards against an executor that is cut off and taken for gone.
 
