Wait for late starts where a record tells of no process

Callers saw one task run twice: an owner had noticed a restart, its record had no fields for that, as an owner of an earlier version writes it, and a start to the former process was carried out after the next owner had started the task again.

Cause: a record without process_born_ms counts as one that may hold the longest lease, since it excludes no restart, but not as one of an unfenced executor. The same lack of knowledge allows a late start.

Change: both follow from the same condition. The record says whether the executor is fenced; one without that field counts as unfenced. It is passed on if the next owner writes the record without having reached the executor.

test_no_task_runs_twice_where_a_record_does_not_tell_of_its_process failed before (two runs at once) and passes.

--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -92,10 +92,10 @@
     shard.process_born_ms_by_executor[executor_id] = record.process_born_ms
     if record.longest_lease or record.process_born_ms is None:
         shard.longest_leased_executors.add(executor_id)
+        if record.unfenced:
+            shard.unfenced_executors.add(executor_id)
     may_run = record.long_running or not record.longest_lease
     long_running.note_recorded(shard, executor_id, may_run=may_run)
-    if record.longest_lease and record.unfenced:
-        shard.unfenced_executors.add(executor_id)
     if record.votes:
         shard.inherited_voters.add(executor_id)
     else:
--- a/limpetstream/shard/settling/late_starts.py
+++ b/limpetstream/shard/settling/late_starts.py
@@ -3,6 +3,7 @@
 The next process under an executor's id carries out starts that were meant for
 the former one, also seconds later. A new owner may not reach that executor,
 and may know of the restart by the executor's record or by the platform's list.
+A record without the process, by an owner of an earlier version, excludes none.
 A start there then counts as under way for the longest delay of a call, and its
 run as lasting for the longest lease.
 
--- a/limpetstream/shard/settling/tests/test_late_starts.py
+++ b/limpetstream/shard/settling/tests/test_late_starts.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import functools
 
 import loguru
+import msgspec
 import pytest
 
 from limpetstream.shard.settling import late_starts
@@ -35,6 +37,26 @@
     assert not cluster.breaches.found
 
 
+def without_process(raw):
+    """Return a record as a version wrote it that does not tell the process."""
+    fields = msgspec.json.decode(raw)
+    for name in ("process_born_ms", "longest_lease", "long_running", "unfenced"):
+        del fields[name]
+    return msgspec.json.encode(fields)
+
+
+def test_no_task_runs_twice_where_a_record_does_not_tell_of_its_process():
+    """Guards against a late start for which a record has no field.
+
+    An owner of an earlier version has written the record, so the executor may
+    have restarted and not been fenced.
+    """
+    scenario = functools.partial(
+        builders.end_owner_before_fence, change_record=without_process
+    )
+    assert not builders.run_cluster(scenario).breaches.found
+
+
 def test_no_task_runs_twice_where_the_owner_ended_before_it_noticed_a_restart():
     """Guards against a late start that the next owner takes for expired.
 
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -144,7 +144,7 @@
             tell that a call to a former process may have granted the longest
             lease, or cannot be read, or do not tell.
         unfenced_executors: Ids of the inherited executors whose records tell
-            that the executor had restarted and was not fenced.
+            that the executor had restarted and was not fenced, or do not tell.
         token_raises: By how much the highest fencing token of this owner
             exceeds its epoch. It is raised when an executor restarts.
         removed_executors: Ids of executors that this owner has removed. One
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -632,11 +632,21 @@
         INCARNATION,
         f"{SHARD}.executor_records",
         "note_inherited",
-        "if record.longest_lease and record.unfenced:",
+        "if record.unfenced:",
         "if False:",
         "shard/settling/tests/test_late_starts.py::"
         "test_no_task_runs_twice_where_a_noticed_process_was_not_fenced",
     ),
+    removed_checks.Removal(
+        "late-start-untold",
+        INCARNATION,
+        f"{SHARD}.executor_records",
+        "note_inherited",
+        "if record.unfenced:",
+        "if record.longest_lease and record.unfenced:",
+        "shard/settling/tests/test_late_starts.py::"
+        "test_no_task_runs_twice_where_a_record_does_not_tell_of_its_process",
+    ),
     removed_checks.Removal(
         "late-start-listed",
         INCARNATION,
