Tell repeats of stored jobs that give way 504 instead of 503

Callers saw 503 with Retry-After for a repeat of a job that this instance had stored, when the repeat was not received whole and gave way to other requests. 503 promises that the job was not accepted and never runs (rule REFUSED).

Cause: the server refuses such a request before it reaches JobApi.submit, which answers 504 for jobs that are or may be stored.

Evidence: a job was submitted (200), its repeat lacked its end, and a crowd of 120 unfinished bodies took its memory. The new test in test_crowds got "HTTP/1.1 503 - Retry-After: 1" for the repeat before, and gets 504 without Retry-After now; the request for a job that is not stored beside it still gets 503. It now waits for the interim answer 100.

Why it works: JobApi.may_be_stored is the one place that tells whether a refusal may promise anything, for submit and for the server. It also counts submissions under way, which may store the job after the refusal. If several submissions of a job are under way, the first to fail says 504, too.

--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -1,6 +1,7 @@
 """Serves callers at any instance: stores jobs and asks the shards' owners."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -124,6 +125,7 @@
         self._probe_at = float("-inf")
         self._stored_jobs = recent_ids.RecentIds()
         self._possibly_stored_jobs = recent_ids.RecentIds()
+        self._submission_count_by_job: collections.Counter[str] = collections.Counter()
         self._carried_cancels = carried_cancels.CarriedCancels(
             self._cancel_once, self._hand_over, clock
         )
@@ -167,14 +169,42 @@
         if submission.job_id in self._stored_jobs:
             return  # The request has come before.
         attempts = submission_attempts.Attempts(self._clock)
+        with self._counting_submission(submission.job_id):
+            try:
+                async with self._closing.bounded():
+                    tries = await self._store_job(
+                        submission, wait_s, is_wanted, attempts, admission
+                    )
+            except TimeoutError:
+                self._raise_failure(submission, attempts, CLOSING)
+            self._note_stored(submission, tries)
+
+    def may_be_stored(self, job_id: str, *, own_submissions: int = 0) -> bool:
+        """Return whether a submission of a job here has or may have stored it.
+
+        Submissions under way may store it yet. A refusal of another request
+        for the job would then be a wrong promise.
+
+        Args:
+            job_id: Id of the job.
+            own_submissions: Submissions under way that are not counted.
+        """
+        return (
+            job_id in self._stored_jobs
+            or job_id in self._possibly_stored_jobs
+            or self._submission_count_by_job[job_id] > own_submissions
+        )
+
+    @contextlib.contextmanager
+    def _counting_submission(self, job_id: str) -> Iterator[None]:
+        """Count a submission as under way while the context is open."""
+        self._submission_count_by_job[job_id] += 1
         try:
-            async with self._closing.bounded():
-                tries = await self._store_job(
-                    submission, wait_s, is_wanted, attempts, admission
-                )
-        except TimeoutError:
-            self._raise_failure(submission, attempts, CLOSING)
-        self._note_stored(submission, tries)
+            yield
+        finally:
+            self._submission_count_by_job[job_id] -= 1
+            if not self._submission_count_by_job[job_id]:
+                del self._submission_count_by_job[job_id]
 
     def _note_stored(self, submission: messages.Submission, tries: int) -> None:
         self._stored_jobs.add(submission.job_id)
@@ -584,9 +614,9 @@
         reason: str,
     ) -> NoReturn:
         job_id = submission.job_id
-        # Another request for the job may have ended meanwhile.
-        earlier_request = not attempts.may_be_stored and (
-            job_id in self._possibly_stored_jobs or job_id in self._stored_jobs
+        # Another request for it may be under way, or have ended meanwhile.
+        earlier_request = not attempts.may_be_stored and self.may_be_stored(
+            job_id, own_submissions=1
         )
         may_be_stored = attempts.may_be_stored or earlier_request
         logs.emit(
--- a/tests/crowd_builders.py
+++ b/tests/crowd_builders.py
@@ -533,6 +533,41 @@
     return [status for status, _ in answers]
 
 
+async def answers_of_repeat(directory: pathlib.Path) -> tuple[int, bytes, bytes]:
+    """Send two requests that give way to a crowd, one for a stored job.
+
+    Returns:
+        Status of the first request for the job, and the answers to the repeat
+        and to the request for another job.
+    """
+    limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+    async with stop_builders.running(
+        directory, grace_s=GRACE_S, limits=limits
+    ) as instance:
+        connection = await instance.connect()
+        first = await stop_builders.call(
+            connection, "POST", stop_builders.job_path(), stop_builders.job_body()
+        )
+        connection[1].close()
+        unfinished = []
+        for path in (stop_builders.job_path(), ""):
+            reader, writer = await instance.connect()
+            # The interim answer tells that the request began before the crowd.
+            writer.write(announced(LEGAL_BYTES, "Expect: 100-continue", path=path))
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                await reader.readuntil(b"\r\n\r\n")
+            writer.write(b" " * READ_BYTES)
+            await writer.drain()
+            unfinished.append((reader, writer))
+        await asyncio.to_thread(send, instance.ip, unfinished_announced(120))
+        answers = []
+        for reader, writer in unfinished:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                answers.append(await reader.read(READ_BYTES))
+            writer.close()
+    return first.status, answers[0], answers[1]
+
+
 def chunks_of(body: bytes, size: int) -> list[bytes]:
     """Return the parts of a body, all but the last of one size."""
     return [body[start : start + size] for start in range(0, len(body), size)]
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -18,7 +18,8 @@
 
     Tests set ``submit_error`` to make submissions fail, and ``state`` to the
     state of every job; None stands for an unknown job. ``admissions`` tells
-    how each call was admitted.
+    how each call was admitted. ``stored`` holds the ids of jobs that may be
+    stored.
     """
 
     def __init__(self) -> None:
@@ -26,6 +27,7 @@
         self.admissions: list[revocations.Admission] = []
         self.submit_error: errors.LimpetstreamError | None = None
         self.state: str | None = "running"
+        self.stored: set[str] = set()
 
     async def submit(
         self,
@@ -41,6 +43,10 @@
             raise self.submit_error
         self.submitted.append(submission)
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether the test counts a job as stored."""
+        return job_id in self.stored
+
     async def job_state(
         self, job_id: str, *, wait_s: float, admission: revocations.Admission
     ) -> str | None:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -133,6 +133,19 @@
     check(tmp_path, crowd_builders.mixed)
 
 
+def test_a_repeat_of_a_stored_job_that_gives_way_is_not_refused(tmp_path):
+    """Guards against 503 ("never runs") for a job that was accepted.
+
+    The repeat is not complete as a crowd needs its memory.
+    """
+    first, repeat, other = asyncio.run(crowd_builders.answers_of_repeat(tmp_path))
+    assert first == 200
+    assert repeat.startswith(b"HTTP/1.1 504 ")
+    assert b"Retry-After" not in repeat
+    assert other.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After" in other
+
+
 def test_single_requests_of_legal_size_are_served(tmp_path):
     """Guards against limits that refuse what the pages allow."""
     padded, small = crowd_builders.padded_body(), stop_builders.job_body()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,9 +13,11 @@
 import msgspec
 import pytest
 from hypothesis import strategies
+from tornado import httputil
 
 from adapter import callers, listing, operator, store
 from limpetstream import errors
+from limpetstream.border import bounded_server
 from limpetstream.shard import state
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import checks
@@ -193,6 +195,65 @@
     assert answer(status_request, job_api=job_api).status == 410
 
 
+def refuse(
+    method="POST",
+    path=f"/lohu/{builders.JOB_ID}",
+    *,
+    status=503,
+    host=builders.QUEUE.host,
+    stored=(builders.JOB_ID,),
+    configured=True,
+):
+    """Return the status and headers of a refusal as they are sent."""
+    job_api = builders.FakeJobApi()
+    job_api.stored.update(stored)
+    caller_api = callers.CallerApi(
+        job_api, builders.make_view(configured=configured), builders.make_clock()
+    )
+    refusal = bounded_server.Refusal(status, "busy", {"Retry-After": "1"}, b"{}")
+    start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
+    caller_api.encode_refusal(start_line, httputil.HTTPHeaders({"Host": host}), refusal)
+    assert (refusal.reason, refusal.body) == ("busy", b"{}")
+    return refusal.status, refusal.headers
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        {},
+        {"path": f"/lohu/{builders.JOB_ID}?a=1"},
+        {"host": f"{builders.QUEUE.host.upper()}:80"},
+    ],
+)
+def test_a_repeat_of_a_job_that_may_be_stored_is_not_refused(options):
+    """Guards against a promise that a stored job never runs (rule REFUSED)."""
+    assert refuse(**options) == (504, {})
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        {"stored": ()},
+        {"stored": ("5c0e7a21d94b36f9",)},
+        {"method": "GET"},
+        {"method": "DELETE"},
+        {"path": f"/other/{builders.JOB_ID}"},
+        {"path": "/lohu/"},
+        {"host": "other.example"},
+        {"host": "a, b"},
+        {"host": f"a:{'9' * 5000}"},
+    ],
+)
+def test_other_requests_are_refused_as_they_are(options):
+    """Guards against 504 without need, and errors in place of a refusal."""
+    assert refuse(**options) == (503, {"Retry-After": "1"})
+
+
+def test_other_statuses_of_refusals_stay():
+    """Guards against an unknown outcome in place of a refusal's reason."""
+    assert refuse(status=413) == (413, {"Retry-After": "1"})
+
+
 def test_records_are_encoded_and_decoded():
     """Guards against keys and values that are split at the wrong byte."""
     entries = [
--- a/tests/test_refused_submissions.py
+++ b/tests/test_refused_submissions.py
@@ -136,6 +136,44 @@
     asyncio.run(run())
 
 
+def test_jobs_that_are_or_may_be_stored_are_known():
+    """Guards against a repeat that is refused before it reaches ``submit``."""
+
+    async def run():
+        async with builders.open_system() as system:
+            assert await builders.submit(system) == "stored"
+            system.store.break_next = store_module.APPEND_PATH
+            assert await builders.submit(system, builders.OTHER_JOB_ID) == "unknown"
+            assert await builders.submit(system, builders.THIRD_JOB_ID) == "refused"
+            assert system.api.may_be_stored(builders.JOB_ID)
+            assert system.api.may_be_stored(builders.OTHER_JOB_ID)
+            assert not system.api.may_be_stored(builders.THIRD_JOB_ID)
+
+    asyncio.run(run())
+
+
+def test_a_job_may_be_stored_while_submissions_of_it_are_under_way():
+    """Guards against a repeat that is refused while the job is being stored.
+
+    Both submissions are refused in the end; the first one to end cannot know.
+    """
+
+    async def run():
+        async with builders.open_system() as system:
+            system.store.status = breaking_servers.REFUSED
+            first = asyncio.create_task(builders.submit(system))
+            second = asyncio.create_task(builders.submit(system, wait_s=0.1))
+            await asyncio.sleep(0)
+            assert system.api.may_be_stored(builders.JOB_ID)
+            assert not system.api.may_be_stored(builders.OTHER_JOB_ID)
+            assert await second == "unknown"
+            assert system.api.may_be_stored(builders.JOB_ID)
+            assert await first == "refused"
+            assert not system.api.may_be_stored(builders.JOB_ID)
+
+    asyncio.run(run())
+
+
 def test_an_empty_append_that_was_sent_twice_is_not_known_to_have_no_effect():
     """Guards against a second copy of an append that only sets the epoch."""
 
