--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -202,14 +202,11 @@
     status=503,
     host=builders.QUEUE.host,
     stored=(builders.JOB_ID,),
-    configured=True,
 ):
     """Return the status and headers of a refusal as they are sent."""
     job_api = builders.FakeJobApi()
     job_api.stored.update(stored)
-    caller_api = callers.CallerApi(
-        job_api, builders.make_view(configured=configured), builders.make_clock()
-    )
+    caller_api = callers.CallerApi(job_api, builders.make_view(), builders.make_clock())
     refusal = bounded_server.Refusal(status, "busy", {"Retry-After": "1"}, b"{}")
     start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
     caller_api.encode_refusal(start_line, httputil.HTTPHeaders({"Host": host}), refusal)
@@ -254,6 +251,21 @@
     assert refuse(status=413) == (413, {"Retry-After": "1"})
 
 
+@pytest.mark.parametrize("status", [413, 431, 503])
+def test_refusals_without_a_configuration_say_so(status):
+    """Guards against 413 by a limit that the configuration may raise."""
+    caller_api = callers.CallerApi(
+        builders.FakeJobApi(),
+        builders.make_view(configured=False),
+        builders.make_clock(),
+    )
+    refusal = bounded_server.Refusal(status, "a body is too large", {}, b"{}")
+    start_line = httputil.RequestStartLine("POST", "/a", "HTTP/1.1")
+    caller_api.encode_refusal(start_line, httputil.HTTPHeaders(), refusal)
+    assert (refusal.status, refusal.headers) == (503, {"Retry-After": "1"})
+    assert b"no configuration" in refusal.body
+
+
 def test_records_are_encoded_and_decoded():
     """Guards against keys and values that are split at the wrong byte."""
     entries = [
