--- a/tests/test_organisation_keys.py
+++ b/tests/test_organisation_keys.py
@@ -10,7 +10,7 @@
 from limpetstream.shard import job_api, peer_messages, state
 from limpetstream.store import messages as store_messages
 from limpetstream.workflow import records
-from tests import key_builders as builders, stop_builders
+from tests import key_builders as builders, platform_builders, stop_builders
 
 REVOKE_S = 5.0
 APPLY_S = 3.0
@@ -119,6 +119,27 @@
     assert builders.run(scenario) < max_age_s
 
 
+def test_a_repeat_of_a_stored_job_is_not_refused_without_freshness():
+    """Guards against 503 ("never runs") for a job that was accepted.
+
+    The instance cannot judge the key of the repeat.
+    """
+
+    async def scenario(scene):
+        scene.configure(builders.KEY)
+        await asyncio.sleep(APPLY_S)
+        statuses = [await scene.status()]
+        scene.set_faults(cut=True)
+        await asyncio.sleep(REVOKE_S)
+        statuses.append(await scene.status())
+        scene.jobs.stored.add(platform_builders.JOB_ID)
+        for call in builders.CALLS:
+            statuses.append(await scene.status(call=call))
+        return statuses
+
+    assert builders.run(scenario) == [200, 503, 504, 503, 503, 503]
+
+
 def not_ready_s(*, lost_share=0.0, late_s=0.0, seconds, seed=0):
     """Return for how long an instance is not ready at a faulty store."""
 
