--- a/review/kit_3/world.py
+++ b/review/kit_3/world.py
@@ -348,7 +348,8 @@
                         status = front.process.returncode
                         self.note(f"{front.name} has ended by itself: {status}")
                     front.ends_on_purpose = 0
-                    front.process, front.start_at = None, now + RESTART_S
+                    front.process = None
+                    front.start_at = max(front.start_at, now + RESTART_S)
                     front.ready, front.misses = False, 2
                     continue
                 used_kb = _resident_kb(front.process.pid)
