--- a/review/kit_3/executors.py
+++ b/review/kit_3/executors.py
@@ -11,12 +11,14 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from kit_3 import store as store_module, wire
 
 HEARTBEAT_S = 1.5
 TICK_S = 0.01
+NO_ANSWER_S = 30.0  # Longer than a caller waits.
 ROUND_TRIP_S = 0.0068  # 3.4 ms one way between zones.
 
 
@@ -103,6 +105,27 @@
         self.last_end = 0
         self.last_end_at_lapse = 0  # Ends up to it may be taken note of too late.
         self.changed = asyncio.Event()
+        self.is_down = False
+        # May take a call away; it then gets no answer.
+        self.take: Callable[[wire.Request], bool] = lambda request: False
+
+    def crash(self) -> None:
+        """End at once; nothing answers at the address until ``restart``."""
+        self.is_down = True
+        self.world.note(f"{self.id} crashes")
+        for run in list(self.run_by_task.values()):
+            self.world.note_end(self.id, run.task, run.number, "crashed")
+
+    def restart(self) -> None:
+        """Start again under the same id, without anything of before."""
+        self.is_down = False
+        self.sequence = 0
+        self.born_at, self.born = time.monotonic(), int(time.time() * 1000)
+        self.token = self.deadline_ms = 0
+        self.run_by_task, self.highest_by_task, self.ended = {}, {}, []
+        self.last_end = self.last_end_at_lapse = 0
+        self.world.note(f"{self.id} has started again")
+        self.beat()
 
     def clock_ms(self) -> int:
         """Return its steady clock."""
@@ -131,6 +154,9 @@
         beat_at = 0.0
         while True:
             now = time.monotonic()
+            if self.is_down:
+                await asyncio.sleep(TICK_S)
+                continue
             if now >= beat_at:
                 beat_at = now + HEARTBEAT_S
                 self.beat()
@@ -182,6 +208,15 @@
     async def handle(self, request: wire.Request) -> wire.Reply | None:
         """Answer one call."""
         await asyncio.sleep(ROUND_TRIP_S)
+        if self.is_down:
+            return None
+        if self.take(request):
+            await asyncio.sleep(NO_ANSWER_S)
+            return None
+        return await self.answer(request)
+
+    async def answer(self, request: wire.Request) -> wire.Reply | None:
+        """Carry a call out."""
         if request.headers.get("x-expected-instance") != self.id:
             return wire.as_json({}, 421)
         body = request.json()
