--- a/review/14/case.py
+++ b/review/14/case.py
@@ -42,6 +42,8 @@
     acked_at = time.monotonic()
     world.note(f"{ZONE} is to be emptied; {len(world.starts)} tasks have started")
     await asyncio.sleep(WATCHED_S)
+    last_s = max(at for at, _, _, _ in world.starts) - acked_at
+    world.note(f"the last one {last_s:.1f} s after the acknowledgement")
     zone_by_id = {executor.id: executor.zone for executor in world.executors}
     world.note(f"{len(world.starts)} tasks have started in all")
     for at, executor, task, number in world.starts:
