Wait for all ends of an executor before its tasks run again

Cause: the first reply of an executor counted as all that it knew. It lists all runs, but at most 500 ends.

Change: an executor counts as fully read once a reply has listed fewer ends, and an append that began afterwards is confirmed. Until then only tasks of earlier jobs that it may have run wait, by their label. The same premise is gone where an executor is fenced (runs that it did not list counted as lost), where the record of a leaving or silent executor is deleted, and where a silent executor is given up, which ends the wait. A full list is read on at once, without a pause.

The new tests cover kills of one owner, of two and of all, failed ends, a leaving, a returned and a silent executor; each check has an entry in the catalogue of removals, whose test fails without it. The simulated executors list 500 ends as well.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -31,6 +31,8 @@
             has answered a poll that acknowledged it.
         applied_end: Number of the last end that has been applied.
         reached: Whether it has answered a poll with this owner's token.
+        has_listed_all: Whether a reply of the present incarnation to this
+            owner has listed all its ends. A reply lists a limited number.
         first_answered_at: Monotonic time of the first answer of the present
             incarnation to a poll of this owner; minus infinity if there was
             none yet.
@@ -100,6 +102,7 @@
     dropped_end: int = 0
     applied_end: int = 0
     reached: bool = False
+    has_listed_all: bool = False
     first_answered_at: float = float("-inf")
     confirmed: bool = True
     polled_at: float = float("-inf")
--- a/limpetstream/shard/events.py
+++ b/limpetstream/shard/events.py
@@ -466,3 +466,17 @@
     "Only runs of tasks that are not long-running may still be unknown.",
     "None; shard-located follows once the longest leases have expired.",
 )
+ENDS_UNREAD = events.declare(
+    1574,
+    "ends-unread",
+    "INFO",
+    "The first answer of an executor lists as many ends as one answer may list.",
+    "None; tasks that may have ended there wait for ends-read.",
+)
+ENDS_READ = events.declare(
+    1575,
+    "ends-read",
+    "INFO",
+    "An executor has listed all ends of runs by earlier owners.",
+    "None; if it comes late, see journal-failing, as ends are stored first.",
+)
--- a/limpetstream/shard/executor_records.py
+++ b/limpetstream/shard/executor_records.py
@@ -370,16 +370,18 @@
 
 
 def is_emptied(executor: tracking.Executor) -> bool:
-    """Return whether an executor that will leave runs nothing any more.
+    """Return whether an executor that will leave holds nothing any more.
 
-    It has answered under this owner's token, so it takes no starts of earlier
-    owners, and this one starts nothing on an executor that will leave. Without
-    a record, the next owner does not wait for it once it has left.
+    It has listed all its ends. It has answered under this owner's token, so it
+    takes no starts of earlier owners, and this one starts nothing on an
+    executor that will leave. Without a record, the next owner does not wait
+    for it once it has left.
     """
     return (
         executor.listing.state == messages.DRAINING
         and executor.reached
         and executor.confirmed
+        and executor.has_listed_all
         and not executor.run_by_task
         and not executor.unknown_runs
     )
--- a/limpetstream/shard/restarts.py
+++ b/limpetstream/shard/restarts.py
@@ -24,6 +24,7 @@
     proof,
     state,
 )
+from limpetstream.shard.settling import listed_ends
 from limpetstream.telemetry import logs
 
 # An executor may carry out a call so long after it was sent, by the stand-ins;
@@ -65,6 +66,7 @@
     executor.born_ms = reply.born_ms
     executor.acked_end = executor.applied_end = 0
     executor.dropped_end = 0
+    executor.has_listed_all = False
     executor.lease = leases.Lease(executor.lease.duration_s)
     proof.confirm_incarnation(shard, executor)
     _begin_fencing(shard, executor)
@@ -118,16 +120,18 @@
     reply: messages.PollReply,
     token: int,
 ) -> bool:
-    """Note the first answer to a poll under the raised token.
+    """Note the first answer under the raised token that lists all ends.
 
-    It shows which runs of before are on a restarted executor; no other one can
-    start there any more.
+    It shows which runs of before are on a restarted executor, or have ended
+    there; no other one can start there any more.
 
     Returns:
         Whether the answer is that one.
     """
     if executor.fenced or token < shard.epoch + executor.required_token_raise:
         return False
+    if not listed_ends.has_all(reply):
+        return False
     now = shard.clock.monotonic()
     executor.fenced = True
     executor.earlier_leases_expire_at = now + executor_records.longest_lease_s(shard)
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -22,6 +22,7 @@
     turn_order,
     victims,
 )
+from limpetstream.shard.settling import listed_ends
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
     best_effort,
@@ -388,14 +389,16 @@
 
 
 def may_start(shard: state.Shard, task: workflow_state.Task) -> bool:
-    """Return whether no unknown run of the task can exist.
+    """Return whether no unknown run or end of the task can exist.
 
     Until all runs of earlier owners are settled, this holds only for tasks
     of jobs that no owner can have started, and for long-running ones once
     those of long-running tasks are settled.
     """
-    return (
-        shard.earlier_runs_settled
-        or task.job.submission.job_id not in shard.earlier_job_ids
-        or (task.step.long_running and shard.long_running_settled)
+    if task.job.submission.job_id not in shard.earlier_job_ids:
+        return True
+    if listed_ends.may_have_ended(shard, task):
+        return False
+    return shard.earlier_runs_settled or (
+        task.step.long_running and shard.long_running_settled
     )
--- a/limpetstream/shard/sessions.py
+++ b/limpetstream/shard/sessions.py
@@ -23,7 +23,7 @@
     state,
     status_reports,
 )
-from limpetstream.shard.settling import late_starts, long_running
+from limpetstream.shard.settling import late_starts, listed_ends, long_running
 from limpetstream.telemetry import logs
 
 # A quarter of ``leases.LEASE_S``, so that two renewals in a row may be lost.
@@ -139,9 +139,12 @@
 async def _pause(shard: state.Shard, executor: tracking.Executor) -> None:
     """Let more ends come with the next answer while the owner is slow.
 
+    There is no pause while the executor has more to list than an answer holds.
     A pause for the sake of the loop counts from the last answer, and the next
     poll can still acknowledge the ends.
     """
+    if not executor.has_listed_all:
+        return
     pause_s = shard.send_window.poll_pause_s
     late = shard.send_window.lateness
     if late.pause_s:
@@ -162,7 +165,7 @@
     unacknowledged = executor.applied_end > executor.acked_end
     wait_s = pacing.poll_wait_s(executor, POLL_WAIT_S)
     may_have_restarted = sent_at - executor.answered_at > MIN_RESTART_S
-    is_new = not executor.reached or not executor.fenced
+    is_new = not (executor.reached and executor.fenced and executor.has_listed_all)
     if unacknowledged or may_have_restarted or is_new:
         # The executor replies at once, and a missing reply is noticed sooner.
         wait_s = 0.0
@@ -373,8 +376,12 @@
 
     Its runs are lost, and it is removed if the list does not contain it.
     """
-    holds_runs = bool(executor.run_by_task) or executor.counts_unknown_runs
-    if executor.giving_up or (executor.listed and not holds_runs):
+    holds_work = (
+        bool(executor.run_by_task)
+        or executor.counts_unknown_runs
+        or executor.listing.executor_id in shard.unread_executor_by_id
+    )
+    if executor.giving_up or (executor.listed and not holds_work):
         return
     executor.giving_up = True
     shard.spawn(_give_up_once_confirmed(shard, executor))
@@ -414,6 +421,7 @@
         )
         status_reports.mark_all_runs_lost(shard, executor, "lapsed")
     executor.uncount_unknown_runs()
+    listed_ends.forget(shard, executor)
     if not executor.listed:
         _remove(shard, executor)
     elif _is_idle(shard, executor):
@@ -452,8 +460,10 @@
         return False
     if executor_id not in shard.inherited_executors:
         return True  # No earlier owner has started a run on it.
-    # Until the executor has replied, there may be runs of an earlier owner.
-    return executor.reached or _have_leases_expired(shard, executor)
+    # Until the executor has listed all, there may be runs or unread ends of an
+    # earlier owner.
+    has_told_all = executor.reached and executor.has_listed_all
+    return has_told_all or _have_leases_expired(shard, executor)
 
 
 def _remove(shard: state.Shard, executor: tracking.Executor) -> None:
@@ -462,6 +472,7 @@
         del shard.executor_by_id[executor_id]
         shard.removed_executors.add(executor_id)
         executor.detach_usage()
+        listed_ends.forget(shard, executor)
         shard.spawn(executor_records.delete(shard, executor))
     check_earlier_runs(shard)
 
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -95,6 +95,8 @@
         unreadable_executors: Ids of executors whose records cannot be read.
         nonvoting_executors: Ids of executors whose records do not belong to
             the quorum.
+        unread_executor_by_id: Executors that may hold ends of runs by earlier
+            owners that they have not listed yet.
         waiting_tasks: Tasks that wait for capacity.
         searches: What scheduling passes keep of earlier searches.
         changed: Set when a waiting task may have become placeable; starts a
@@ -206,6 +208,9 @@
     inherited_voters: set[str] = dataclasses.field(default_factory=set)
     unreadable_executors: set[str] = dataclasses.field(default_factory=set)
     nonvoting_executors: set[str] = dataclasses.field(default_factory=set)
+    unread_executor_by_id: dict[str, tracking.Executor] = dataclasses.field(
+        default_factory=dict
+    )
     waiting_tasks: waiting_tasks_module.WaitingTasks = dataclasses.field(
         default_factory=waiting_tasks_module.WaitingTasks
     )
--- a/limpetstream/shard/status_reports.py
+++ b/limpetstream/shard/status_reports.py
@@ -4,13 +4,13 @@
 
 from limpetstream.executors import messages, tracking
 from limpetstream.shard import events, jobs, pacing, proof, restarts, state, stops
+from limpetstream.shard.settling import listed_ends
 from limpetstream.telemetry import logs
 from limpetstream.workflow import (
     messages as workflow_messages,
     state as workflow_state,
 )
 
-MAX_LISTED_ENDS = 500  # Per reply; more ends may follow when the list is full.
 STOP_MARGIN_S = 0.3  # Beyond the longest stop, before a run counts as lost.
 
 
@@ -50,7 +50,8 @@
         shard.changed.set()
     executor.unknown_runs = unknown_runs
     executor.count_unknown_runs(functools.partial(jobs.find_task, shard))
-    if executor.fenced and len(reply.ended) < MAX_LISTED_ENDS:
+    listed_ends.note_reply(shard, executor, reply)
+    if executor.fenced and listed_ends.has_all(reply):
         _mark_vanished_runs_lost(shard, executor, listed, sent_at, reply.clock_ms)
 
 
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -123,7 +123,9 @@
         CAPACITY,
         (),
     )
-    return tracking.Executor(listing, recorded=True, reached=True, polled_at=0.0)
+    return tracking.Executor(
+        listing, recorded=True, reached=True, has_listed_all=True, polled_at=0.0
+    )
 
 
 def make_shard(loop: virtual_time.Loop, *, executors: int = 1) -> state.Shard:
--- a/limpetstream/shard/tests/removals_of_quorum.py
+++ b/limpetstream/shard/tests/removals_of_quorum.py
@@ -316,7 +316,7 @@
         RECORDED,
         f"{SHARD}.sessions",
         "_is_idle",
-        "return executor.reached or _have_leases_expired(shard, executor)",
+        "return has_told_all or _have_leases_expired(shard, executor)",
         "return True",
         "shard/tests/test_polls.py::"
         "test_an_executor_that_an_earlier_owner_used_is_not_idle_before_its_reply",
--- a/limpetstream/shard/tests/removals_of_runs.py
+++ b/limpetstream/shard/tests/removals_of_runs.py
@@ -17,7 +17,66 @@
 SETTLE = "settle runs of earlier owners by time"
 RESTART = "a restarted executor"
 
+UNREAD = "an executor lists more ends than one reply holds"
+UNREAD_TESTS = "shard/settling/tests/test_listed_ends.py::"
+
 REMOVALS = [
+    removed_checks.Removal(
+        "place-unread-ends",
+        UNREAD,
+        f"{SHARD}.scheduling",
+        "may_start",
+        "if listed_ends.may_have_ended(shard, task):",
+        "if False:",
+        f"{UNREAD_TESTS}test_no_task_runs_again_after_more_ends_than_one_list_has",
+    ),
+    removed_checks.Removal(
+        "fence-unread-ends",
+        UNREAD,
+        f"{SHARD}.restarts",
+        "note_fenced",
+        "if not listed_ends.has_all(reply):",
+        "if False:",
+        f"{UNREAD_TESTS}test_no_run_is_lost_whose_end_a_returned_executor_lists_later",
+    ),
+    removed_checks.Removal(
+        "emptied-unread-ends",
+        UNREAD,
+        f"{SHARD}.executor_records",
+        "is_emptied",
+        "and executor.has_listed_all",
+        "and True",
+        f"{UNREAD_TESTS}"
+        "test_a_leaving_executor_stays_recorded_until_all_its_ends_are_read",
+    ),
+    removed_checks.Removal(
+        "idle-unread-ends",
+        UNREAD,
+        f"{SHARD}.sessions",
+        "_is_idle",
+        "executor.reached and executor.has_listed_all",
+        "executor.reached",
+        f"{UNREAD_TESTS}test_a_silent_executor_with_unread_ends_stays_recorded",
+    ),
+    removed_checks.Removal(
+        "lapsed-unread-ends",
+        UNREAD,
+        f"{SHARD}.sessions",
+        "_give_up",
+        "or executor.listing.executor_id in shard.unread_executor_by_id",
+        "or False",
+        f"{UNREAD_TESTS}"
+        "test_tasks_run_again_once_a_silent_executor_with_unread_ends_has_lapsed",
+    ),
+    removed_checks.Removal(
+        "read-after-append",
+        UNREAD,
+        f"{SHARD}.settling.listed_ends",
+        "_forget_once_confirmed",
+        "await proof.confirm(shard)",
+        "pass",
+        f"{UNREAD_TESTS}test_a_list_counts_as_read_after_a_confirmed_append",
+    ),
     removed_checks.Removal(
         "start-and-place-proof",
         START,
--- a/limpetstream/shard/tests/removals_of_times.py
+++ b/limpetstream/shard/tests/removals_of_times.py
@@ -791,8 +791,8 @@
         WAIT,
         f"{SHARD}.scheduling",
         "may_start",
-        "        shard.earlier_runs_settled\n        or",
-        "        True or",
+        "return shard.earlier_runs_settled or (",
+        "return True or (",
         "shard/tests/test_partitions.py::"
         "test_isolated_owner_starts_no_work_that_its_successor_keeps",
     ),
--- a/standins/step_executors.py
+++ b/standins/step_executors.py
@@ -20,6 +20,7 @@
 GANG_WAIT_S = 3.0  # A member of a gang waits so long for the others.
 GANG_LOOK_S = 0.1
 MAX_LEASE_MS = 6000  # A longer lease is shortened to it.
+MAX_LISTED_ENDS = 500  # Of one reply, by the page of the platform.
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,6 +210,7 @@
             processors of its tasks are known.
         world: How runs slow each other; that of ``step_loads`` if None.
         max_lease_ms: Longest lease that it grants; ``MAX_LEASE_MS`` if None.
+        max_listed_ends: Number of ends in one reply to a poll, at most.
     """
 
     listing: messages.Listing
@@ -234,6 +236,7 @@
     )
     world: sharing_world.World | None = None
     max_lease_ms: int | None = None
+    max_listed_ends: int = MAX_LISTED_ENDS
     clock_start_ms: int = 0
     _waiters: set[asyncio.Future[None]] = dataclasses.field(default_factory=set)
 
@@ -417,7 +420,10 @@
             for task, active_run in self.run_by_task.items()
         ]
         return messages.PollReply(
-            self.clock_ms(), self.listing.born_ms, running, list(self.ends)
+            self.clock_ms(),
+            self.listing.born_ms,
+            running,
+            self.ends[: self.max_listed_ends],
         )
 
     def pace(self, task: str, run: int, percent: int, token: int) -> None:
