Bound the memory that accepted jobs take at their owner

Cause: an owner made an object for each task of everything that it had accepted, kept those of finished occurrences, and made them again from the stored ranges. Nothing bounded the number of jobs either.

Change: tasks are counted by step, and have an object from when they are queued until they are done. Released tasks are queued as there is room among the waiting ones of their kind, with their wait since the release; a due occurrence begins once few tasks of its job wait; a finished one is a flag. Instances ask the owner how much of its share of memory jobs take, and refuse large jobs, then all, before it is used up (503, with the time to return).

Two tests build their state differently, as strictly as before: a task that is done has no object whose flag can be taken back, and the tasks of a released step are open to the audit once they were queued.

--- a/limpetstream/organisations/unseen.py
+++ b/limpetstream/organisations/unseen.py
@@ -124,7 +124,7 @@
         return step.count * occurrences
     if job.outcome == messages.COMPLETED:
         return 0
-    done = sum(
+    done = job.finished_occurrences * step.count + sum(
         step.count - occurrence.open_by_step[step_number]
         for occurrence in job.occurrence_by_number.values()
     )
--- a/limpetstream/shard/audits.py
+++ b/limpetstream/shard/audits.py
@@ -75,13 +75,24 @@
 
 
 def released_tasks(shard: state.Shard) -> Iterator[workflow_state.Task]:
-    """Yield the open tasks of released steps, while the shard may change."""
+    """Yield the open tasks that were queued, while the shard may change."""
     for job in list(shard.job_by_id.values()):
         for occurrence in list(job.occurrence_by_number.values()):
             for step_number in list(occurrence.released):
-                if not occurrence.open_by_step[step_number]:
-                    continue
-                yield from occurrence.tasks_by_step[step_number]
+                tasks = occurrence.tasks_by_step[step_number]
+                for task in tasks.existing():
+                    if task.index < tasks.next_index:
+                        yield task
+
+
+def count_open(shard: state.Shard) -> int:
+    """Return the number of open tasks of released steps."""
+    return sum(
+        occurrence.open_by_step[step_number]
+        for job in shard.job_by_id.values()
+        for occurrence in job.occurrence_by_number.values()
+        for step_number in occurrence.released
+    )
 
 
 def find_violation(shard: state.Shard, task: workflow_state.Task) -> str:
--- a/limpetstream/shard/housekeeping.py
+++ b/limpetstream/shard/housekeeping.py
@@ -23,6 +23,7 @@
     unknown_cancels,
     wait_reports,
 )
+from limpetstream.shard.queueing import backlog, job_memory
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
@@ -72,7 +73,11 @@
 
 
 def release_due_occurrences(shard: state.Shard) -> None:
-    """Queue the tasks of occurrences of scheduled jobs that are due."""
+    """Queue the tasks of occurrences of scheduled jobs that are due.
+
+    An occurrence that is due begins once few tasks of its job wait, so that a
+    schedule that is behind holds up no other job.
+    """
     now_ms = shard.clock.wall_ms()
     for job_id, number in list(shard.next_occurrence_by_job.items()):
         job = shard.job_by_id[job_id]
@@ -80,7 +85,12 @@
         while number < submission.occurrences:
             if submission.first_due_ms + number * submission.interval_ms > now_ms:
                 break
-            jobs.enqueue_released(shard, workflow_state.get_occurrence(job, number))
+            if not workflow_state.is_forgotten(job, number):
+                if not backlog.has_room_for_occurrence(
+                    shard.backlog, shard.waiting_tasks, job
+                ):
+                    break
+                jobs.enqueue_released(shard, workflow_state.get_occurrence(job, number))
             number += 1
         if number >= submission.occurrences:
             del shard.next_occurrence_by_job[job_id]
@@ -138,8 +148,9 @@
         job.submission.steps = []
         job.submission.spec = ""
         job.occurrence_by_number.clear()
+        job_memory.note_final(shard.job_memory, job)
     for job_id in expired_job_ids:
-        del shard.job_by_id[job_id]
+        job_memory.note_dropped(shard.job_memory, shard.job_by_id.pop(job_id))
         dropped_submissions.discard(job_id)
         shard.earlier_job_ids.discard(job_id)
         shard.maybe_started_job_ids.discard(job_id)
--- a/limpetstream/shard/job_api.py
+++ b/limpetstream/shard/job_api.py
@@ -26,6 +26,7 @@
     state,
     submission_attempts,
 )
+from limpetstream.shard.queueing import job_memory
 from limpetstream.store import messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records
@@ -126,6 +127,7 @@
         self._stored_jobs = recent_ids.RecentIds()
         self._possibly_stored_jobs = recent_ids.RecentIds()
         self._submission_count_by_job: collections.Counter[str] = collections.Counter()
+        self._room = job_memory.OwnerRoom(self._ask_for_room, clock)
         self._carried_cancels = carried_cancels.CarriedCancels(
             self._cancel_once, self._hand_over, clock
         )
@@ -141,6 +143,7 @@
     def close(self) -> None:
         """End the tasks of this instance."""
         self._carried_cancels.close()
+        self._room.close()
 
     async def submit(
         self,
@@ -169,7 +172,12 @@
         if submission.job_id in self._stored_jobs:
             return  # The request has come before.
         attempts = submission_attempts.Attempts(self._clock)
+        shard = names.shard_of(submission.job_id, self._shard_count)
+        size = job_memory.estimate_bytes(
+            submission, len(records.encode_submission(submission))
+        )
         with self._counting_submission(submission.job_id):
+            self._refuse_if_full(shard, size, submission, attempts)
             try:
                 async with self._closing.bounded():
                     tries = await self._store_job(
@@ -178,6 +186,39 @@
             except TimeoutError:
                 self._raise_failure(submission, attempts, CLOSING)
             self._note_stored(submission, tries)
+            self._room.note_stored(shard, size)
+
+    def _refuse_if_full(
+        self,
+        shard: int,
+        size: int,
+        submission: messages.Submission,
+        attempts: submission_attempts.Attempts,
+    ) -> None:
+        """Refuse a job that the owner of its shard has no memory for.
+
+        Raises:
+            NotRun: As ``submit``.
+            OutcomeUnknown: As ``submit``.
+        """
+        retry_after_s = self._room.retry_after_s(shard, size)
+        if retry_after_s:
+            self._raise_failure(
+                submission,
+                attempts,
+                "the owner has no memory for more jobs",
+                code="too-many-jobs",
+                retry_after_s=retry_after_s,
+            )
+
+    async def _ask_for_room(self, shard: int) -> job_memory.Answer | None:
+        """Ask the owner of a shard how much memory it has left for jobs."""
+        asked_at = self._clock.monotonic()
+        request = peer_messages.PeerRequest("room", shard)
+        reply = await self._ask_repeatedly(request, PEER_TIMEOUT_S, _Asked())
+        if reply is None:
+            return None
+        return job_memory.Answer(reply.count, reply.retry_after_s, asked_at)
 
     def may_be_stored(self, job_id: str, *, own_submissions: int = 0) -> bool:
         """Return whether a submission of a job here has or may have stored it.
@@ -501,6 +542,14 @@
                 return peer_messages.PeerReply(
                     refused="not the owner of the shard", owner=owner
                 )
+            if request.kind == "room":
+                return peer_messages.PeerReply(
+                    known=True,
+                    count=job_memory.used_percent(shard.job_memory),
+                    retry_after_s=job_memory.retry_after_s(
+                        shard.job_memory, self._clock.monotonic()
+                    ),
+                )
             if request.kind == "waiting":
                 return peer_messages.PeerReply(
                     count=queries.count_waiting_jobs(shard, request.queue)
@@ -612,6 +661,9 @@
         submission: messages.Submission,
         attempts: submission_attempts.Attempts,
         reason: str,
+        *,
+        code: str = "store-unavailable",
+        retry_after_s: float = RETRY_AFTER_S,
     ) -> NoReturn:
         job_id = submission.job_id
         # Another request for it may be under way, or have ended meanwhile.
@@ -631,7 +683,7 @@
         )
         if may_be_stored:
             raise errors.OutcomeUnknown(reason)
-        raise errors.NotRun("store-unavailable", reason, retry_after_s=RETRY_AFTER_S)
+        raise errors.NotRun(code, reason, retry_after_s=retry_after_s)
 
     async def _ask_owner(
         self, request: peer_messages.PeerRequest, wait_s: float
--- a/limpetstream/shard/jobs.py
+++ b/limpetstream/shard/jobs.py
@@ -1,7 +1,10 @@
 """Applies changes to jobs: new jobs, ends of runs, final states."""
 
+from collections.abc import Hashable, Iterable
+
 from limpetstream.executors import messages as executor_messages, tracking
 from limpetstream.shard import events, objectives, proof, state, stops
+from limpetstream.shard.queueing import backlog
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records, state as workflow_state
 
@@ -43,11 +46,28 @@
 
 
 def enqueue_released(shard: state.Shard, occurrence: workflow_state.Occurrence) -> None:
-    """Queue the tasks of an occurrence whose preceding steps have finished."""
-    job = occurrence.tasks_by_step[0][0].job
-    tasks = workflow_state.release_ready_tasks(occurrence, job.submission.steps)
-    for task in tasks:
-        enqueue(shard, task)
+    """Queue the tasks of an occurrence whose preceding steps have finished.
+
+    Those that cannot start soon follow once there is room.
+    """
+    steps = occurrence.tasks_by_step[0].job.submission.steps
+    released = workflow_state.release_ready_steps(occurrence, steps)
+    for tasks in released:
+        tasks.released_at = shard.clock.monotonic()
+        shard.backlog.add(tasks)
+    queue_more(shard, {tasks.kind: None for tasks in released})
+
+
+def queue_more(shard: state.Shard, kinds: Iterable[Hashable] | None = None) -> None:
+    """Queue released tasks for which there is room now.
+
+    Args:
+        shard: Shard of the tasks.
+        kinds: Kinds of the tasks; None for all.
+    """
+    taken = backlog.take(shard.backlog, shard.waiting_tasks, kinds)
+    for task, released_at in taken:
+        enqueue(shard, task, ready_at=released_at)
 
 
 def enqueue(
@@ -128,7 +148,7 @@
     failed = end.how == executor_messages.FAILED and not task.step.long_running
     if failed and end.run not in task.failed_runs:
         # Executors are polled in any order, so a later run may be known.
-        task.failed_runs.add(end.run)
+        task.failed_runs |= {end.run}
         task.last_run = max(task.last_run, end.run)
         save_progress(shard, task.job)
         if _has_no_attempts_left(shard, task):
@@ -206,7 +226,7 @@
         shard.waiting_tasks.discard(member)
     enqueue_released(shard, occurrence)
     if workflow_state.is_finished(occurrence):
-        job.finished_occurrences += 1
+        workflow_state.forget_finished(job, occurrence.number)
         if job.finished_occurrences >= max(1, job.submission.occurrences):
             finish(shard, job, messages.COMPLETED)
 
@@ -224,11 +244,14 @@
     shard.next_occurrence_by_job.pop(job.submission.job_id, None)
     shard.interference_model.forget_job(job.submission.job_id)
     save_progress(shard, job)
+    shard.backlog.discard(job)
     for task in workflow_state.tasks_of(job):
         shard.waiting_tasks.discard(task)
         executor = shard.executor_by_id.get(task.run.executor_id) if task.run else None
         if executor is not None and executor.run_by_task.get(task.name) is task.run:
             stops.stop_run(shard, executor, task.run, outcome)
+    if shard.backlog.steps_by_kind:
+        shard.changed.set()  # The next pass queues what has room now.
     if job.early:
         shard.early_job_by_id[job.submission.job_id] = job
     else:
--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -86,7 +86,7 @@
         ),
         silent=sum(executor.silent_since is not None for executor in executors),
         located=shard.earlier_runs_settled,
-        open_tasks=sum(not task.done for task in audits.released_tasks(shard)),
+        open_tasks=audits.count_open(shard),
         waiting=len(shard.waiting_tasks),
         forgotten=audit.violations,
     )
--- a/limpetstream/shard/peer_messages.py
+++ b/limpetstream/shard/peer_messages.py
@@ -31,7 +31,7 @@
 
     Args:
         kind: ``state``, ``cancel``, ``waiting``, ``store``, ``epoch``,
-            ``serves`` or ``carry``.
+            ``serves``, ``carry`` or ``room``.
         shard: Number of the shard that it concerns; 0 for ``carry``.
         job_id: Job for ``state`` and ``cancel``.
         queue: Queue for ``waiting``.
@@ -76,11 +76,12 @@
             ``carry``, whether it has taken the cancels. Versions without
             ``carry`` answer false.
         state: State of the job.
-        count: Number of waiting jobs.
+        count: Number of waiting jobs; for ``room``, how much of the memory for
+            jobs is in use, in percent. Versions without it answer 0.
         refused: Reason why the request failed; empty if it succeeded.
         retry_after_s: For a request that the owner refuses and would go on
             refusing, seconds after which the caller may come back; 0 if it
-            may be tried again at once.
+            may be tried again at once. For ``room``, the same for jobs.
         unknown: Whether a failed ``store`` or ``cancel`` may take effect.
         owner: Name of the member that owns the shard, if another member is
             believed to.
--- /dev/null
+++ b/limpetstream/shard/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which tasks of accepted jobs exist and wait for capacity."""
--- /dev/null
+++ b/limpetstream/shard/queueing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of when tasks of earlier owners run again."""
--- a/limpetstream/shard/recovery.py
+++ b/limpetstream/shard/recovery.py
@@ -18,6 +18,7 @@
     unknown_cancels,
     unreadable,
 )
+from limpetstream.shard.queueing import job_memory
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import messages, records, state as workflow_state
@@ -114,6 +115,8 @@
             jobs.finish(shard, shard.job_by_id[entry.key], messages.CANCELLED)
         else:
             _resume(shard, submission, progress)
+        job = shard.job_by_id[entry.key]
+        job_memory.note_open(shard.job_memory, job, len(entry.value))
 
 
 def restore_final_jobs(
@@ -140,6 +143,7 @@
         )
         records.restore(job, progress)
         shard.job_by_id[job_id] = job
+        job_memory.note_final(shard.job_memory, job)
         jobs.note_inherited_outcome(shard, job)
 
 
@@ -171,10 +175,6 @@
     if job.outcome:
         jobs.note_inherited_outcome(shard, job)
         return
-    job.finished_occurrences = sum(
-        workflow_state.is_finished(occurrence)
-        for occurrence in job.occurrence_by_number.values()
-    )
     jobs.open_job(shard, job)
 
 
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -12,6 +12,7 @@
 from limpetstream.organisations import limits
 from limpetstream.shard import (
     events,
+    jobs,
     owner_load,
     placing,
     preemption,
@@ -133,6 +134,7 @@
         return
     if not proof.is_proven(shard):
         return  # Nothing that is decided now could be sent.
+    jobs.queue_more(shard)
     now = shard.clock.monotonic()
     startable = limits.startable(shard, now)
     due = [task for task in startable if task.not_before <= now]
@@ -159,6 +161,7 @@
             this_pass.has_skipped = True
     if this_pass.has_skipped or not this_pass.is_finished:
         shard.changed.set()  # The next pass continues with them.
+    jobs.queue_more(shard)
     _note_bound(shard, this_pass)
     is_finished = this_pass.is_finished and not is_left_out
     searches.end_pass(shard.searches, is_finished=is_finished)
--- a/limpetstream/shard/shard_server.py
+++ b/limpetstream/shard/shard_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
@@ -29,6 +30,7 @@
     sessions,
     state,
 )
+from limpetstream.shard.queueing import job_memory
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.telemetry import logs
 from limpetstream.workflow import records
@@ -57,6 +59,7 @@
             entry that names no usable executor.
         member: Name of this instance in the group.
         peers: Sends requests to other instances; None if there are none.
+        job_memory_bytes: Memory that the jobs of all shards may take.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         decode_listing: DecodeListing,
         member: str = "",
         peers: peer_messages.Peers | None = None,
+        job_memory_bytes: float = math.inf,
     ) -> None:
         self.shard_by_number: dict[int, state.Shard] = {}
         self._store = store
@@ -84,6 +88,7 @@
         self._decode_listing = decode_listing
         self._member = member
         self._peers = peers
+        self._job_memory_bytes = job_memory_bytes
         self._epoch_by_shard: dict[int, int] = {}
         self._proof_ends_by_shard: dict[int, proof_ends.ProofEnds] = {}
 
@@ -226,6 +231,7 @@
             previous_epoch=claim.previous_epoch,
             previous_member=claim.previous_member,
             lease_records_complete=False,
+            job_memory=job_memory.JobMemory(self._job_memory_bytes / self._shard_count),
         )
         shard.proof_ends.note_stopped(claim.stopped_below)
         if claim.previous_released:
--- a/limpetstream/shard/state.py
+++ b/limpetstream/shard/state.py
@@ -19,6 +19,10 @@
     proof_ends as proof_ends_module,
     searches as searches_module,
 )
+from limpetstream.shard.queueing import (
+    backlog as backlog_module,
+    job_memory as job_memory_module,
+)
 from limpetstream.store import follower, messages as store_messages
 from limpetstream.workflow import (
     capacity_forecast,
@@ -98,6 +102,8 @@
         unread_executor_by_id: Executors that may hold ends of runs by earlier
             owners that they have not listed yet.
         waiting_tasks: Tasks that wait for capacity.
+        job_memory: Memory that the jobs take.
+        backlog: Released tasks that are not among these yet.
         searches: What scheduling passes keep of earlier searches.
         changed: Set when a waiting task may have become placeable; starts a
             scheduling pass.
@@ -214,6 +220,12 @@
     waiting_tasks: waiting_tasks_module.WaitingTasks = dataclasses.field(
         default_factory=waiting_tasks_module.WaitingTasks
     )
+    job_memory: job_memory_module.JobMemory = dataclasses.field(
+        default_factory=job_memory_module.JobMemory
+    )
+    backlog: backlog_module.Backlog = dataclasses.field(
+        default_factory=backlog_module.Backlog
+    )
     searches: searches_module.Searches = dataclasses.field(
         default_factory=searches_module.Searches
     )
--- a/limpetstream/shard/tests/builders.py
+++ b/limpetstream/shard/tests/builders.py
@@ -171,7 +171,7 @@
     )
     job = workflow_state.Job(submission)
     shard.job_by_id[job_id] = job
-    return workflow_state.get_occurrence(job, 0).tasks_by_step[0]
+    return list(workflow_state.get_occurrence(job, 0).tasks_by_step[0])
 
 
 def forget_waiting_tasks(shard: state.Shard) -> None:
--- a/limpetstream/shard/tests/late_ends.py
+++ b/limpetstream/shard/tests/late_ends.py
@@ -82,9 +82,9 @@
         "late-step",
         "step not released",
         f"{SHARD}.jobs",
-        "enqueue_released",
-        "enqueue(shard, task)",
-        f"enqueue(shard, task, {LATE_S})",
+        "queue_more",
+        "enqueue(shard, task, ready_at=released_at)",
+        f"enqueue(shard, task, {LATE_S}, ready_at=released_at)",
         "",
     ),
     removed_checks.Removal(
--- a/limpetstream/shard/tests/test_owner_reports.py
+++ b/limpetstream/shard/tests/test_owner_reports.py
@@ -21,7 +21,9 @@
 
 def make_open_tasks(shard, step, count):
     tasks = builders.make_tasks(shard, builders.copy_step(step, count=count))
-    tasks[0].job.occurrence_by_number[0].released.add(0)
+    occurrence = tasks[0].job.occurrence_by_number[0]
+    occurrence.released.add(0)
+    occurrence.tasks_by_step[0].next_index = count  # All were queued.
     return tasks
 
 
--- a/limpetstream/workflow/records.py
+++ b/limpetstream/workflow/records.py
@@ -129,13 +129,16 @@
     )
     if job.outcome:
         return _encode_content(progress)
-    tasks = list(itertools.islice(_tasks_with_progress(job), MAX_PLAIN_TASKS + 1))
-    if len(tasks) <= MAX_PLAIN_TASKS:
-        progress.task_by_place = _progress_by_place(tasks)
+    places = list(itertools.islice(_done_places(job), MAX_PLAIN_TASKS + 1))
+    open_tasks = _open_tasks_with_progress(job)
+    if len(places) + len(open_tasks) <= MAX_PLAIN_TASKS:
+        progress.task_by_place = dict.fromkeys(places, _DONE)
+        progress.task_by_place.update(_progress_by_place(open_tasks))
         content = _encode_content(progress)
         if len(content) <= MAX_RECORD_BYTES:
             return content
     _set_ranges(progress, job)
+    progress.task_by_place = _progress_by_place(open_tasks)
     content = _encode_content(progress)
     if len(content) > MAX_EXPANDED_BYTES:
         return content
@@ -163,12 +166,26 @@
     return msgspec.json.encode(value)
 
 
-def _tasks_with_progress(job: state.Job) -> Iterator[state.Task]:
-    return (
+def _open_tasks_with_progress(job: state.Job) -> list[state.Task]:
+    return [
         task
         for task in state.tasks_of(job)
-        if task.done or task.ended_run or task.failed_runs
-    )
+        if not task.done and (task.ended_run or task.failed_runs)
+    ]
+
+
+def _done_places(job: state.Job) -> Iterator[str]:
+    """Yield the places of the tasks that are done."""
+    for number in state.finished_numbers(job):
+        for step_number, step in enumerate(job.submission.steps):
+            for index in range(step.count):
+                yield f"{number}.{step_number}.{index}"
+    for number, occurrence in job.occurrence_by_number.items():
+        if state.is_finished(occurrence):
+            continue
+        for step_number, tasks in enumerate(occurrence.tasks_by_step):
+            for index in tasks.done_indexes():
+                yield f"{number}.{step_number}.{index}"
 
 
 def _progress_by_place(tasks: list[state.Task]) -> dict[str, TaskProgress]:
@@ -179,29 +196,19 @@
 
 
 def _set_ranges(progress: Progress, job: state.Job) -> None:
-    """Set the progress of tasks, with ranges of those that are done."""
-    finished, open_tasks = [], []
-    for number, occurrence in sorted(job.occurrence_by_number.items()):
+    """Set the ranges of the tasks that are done."""
+    progress.finished = number_ranges.compress(state.finished_numbers(job))
+    for number, occurrence in job.occurrence_by_number.items():
         if state.is_finished(occurrence):
-            finished.append(number)
             continue
         for step_number, tasks in enumerate(occurrence.tasks_by_step):
-            ranges = number_ranges.compress(task.index for task in tasks if task.done)
+            ranges = number_ranges.compress(tasks.done_indexes())
             if ranges:
                 progress.done_by_step[f"{number}.{step_number}"] = ranges
-            open_tasks += [
-                task
-                for task in tasks
-                if not task.done and (task.ended_run or task.failed_runs)
-            ]
-    progress.finished = number_ranges.compress(finished)
-    progress.task_by_place = _progress_by_place(open_tasks)
 
 
 def _task_progress(task: state.Task) -> TaskProgress:
-    """Return the progress of a task; of one that is done, only that."""
-    if task.done:
-        return _DONE
+    """Return the progress of a task that is not done."""
     return TaskProgress(
         False, sorted(task.failed_runs), task.ended_run, task.checkpoint
     )
@@ -241,20 +248,21 @@
         task = state.find_task(job, int(match[1]), int(match[2]), int(match[3]))
         if task is None:
             continue
-        task.failed_runs = set(stored.failed_runs)
+        task.failed_runs = frozenset(stored.failed_runs)
         task.ended_run = stored.run
         task.last_run = max([task.last_run, stored.run, *stored.failed_runs])
         task.checkpoint = stored.checkpoint
-        if stored.done:
+        if stored.done and not task.done:
             state.mark_done_with_gang(task)
+    for number, occurrence in list(job.occurrence_by_number.items()):
+        if state.is_finished(occurrence):
+            state.forget_finished(job, number)
 
 
 def _restore_ranges(job: state.Job, progress: Progress) -> None:
     end = max(1, job.submission.occurrences)
     for number in number_ranges.expand(progress.finished, end):
-        for tasks in state.get_occurrence(job, number).tasks_by_step:
-            for task in tasks:
-                state.mark_done(task)
+        state.forget_finished(job, number)
     for place, ranges in progress.done_by_step.items():
         match = _STEP.fullmatch(place)
         if match is None:
@@ -262,6 +270,8 @@
         number, step_number = int(match[1]), int(match[2])
         if state.find_task(job, number, step_number, 0) is None:
             continue
+        if state.is_forgotten(job, number):
+            continue
         tasks = state.get_occurrence(job, number).tasks_by_step[step_number]
         for index in number_ranges.expand(ranges, len(tasks)):
             state.mark_done_with_gang(tasks[index])
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 
 from limpetstream.workflow import messages
 
@@ -122,7 +122,7 @@
     name: str
     step: messages.Step
     done: bool = False
-    failed_runs: set[int] = dataclasses.field(default_factory=set)
+    failed_runs: frozenset[int] = frozenset()
     last_run: int = 0
     ended_run: int = 0
     checkpoint: str = ""
@@ -137,6 +137,87 @@
     first_turn_wait_s: float = 0.0
 
 
+class StepTasks:
+    """Tasks of one step of one occurrence, most of which are only counted.
+
+    A task has an object from when it is queued, or something is known of it,
+    until it is done. Reading a task makes its object.
+
+    Args:
+        job: The job.
+        occurrence: Number of the occurrence.
+        number: Number of the step.
+    """
+
+    __slots__ = (
+        "job",
+        "kind",
+        "next_index",
+        "number",
+        "occurrence",
+        "released_at",
+        "step",
+        "_done",
+        "_task_by_index",
+    )
+
+    def __init__(self, job: "Job", occurrence: int, number: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.step = job.submission.steps[number]
+        self.kind = kind_of(job, self.step)
+        self.released_at = -math.inf  # Monotonic time.
+        self.next_index = 0  # Of the first task that was not queued yet.
+        self._done = bytearray()  # A byte for each task; empty while none is.
+        self._task_by_index: dict[int, Task] = {}
+
+    def __len__(self) -> int:
+        return self.step.count
+
+    def __getitem__(self, index: int) -> Task:
+        task = self._task_by_index.get(index)
+        if task is not None:
+            return task
+        if not 0 <= index < self.step.count:
+            raise IndexError(index)
+        task = Task(
+            self.job,
+            self.occurrence,
+            self.number,
+            index,
+            f"{self.job.submission.job_id}.{self.occurrence}.{self.number}.{index}",
+            self.step,
+            done=self.is_done(index),
+            last_run=self.job.last_earlier_run,
+        )
+        if not task.done:
+            self._task_by_index[index] = task
+        return task
+
+    def __iter__(self) -> Iterator[Task]:
+        return map(self.__getitem__, range(self.step.count))
+
+    def is_done(self, index: int) -> bool:
+        """Return whether a task is done."""
+        return bool(self._done) and bool(self._done[index])
+
+    def note_done(self, index: int) -> None:
+        """Note that a task is done, and forget its object."""
+        if not self._done:
+            self._done = bytearray(self.step.count)
+        self._done[index] = 1
+        self._task_by_index.pop(index, None)
+
+    def done_indexes(self) -> list[int]:
+        """Return the indexes of the tasks that are done, in rising order."""
+        return [index for index, is_done in enumerate(self._done) if is_done]
+
+    def existing(self) -> list[Task]:
+        """Return the tasks that have an object; none of them is done."""
+        return list(self._task_by_index.values())
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Occurrence:
     """One pass through the steps of a job.
@@ -151,7 +232,7 @@
 
     number: int
     due_ms: int
-    tasks_by_step: list[list[Task]]
+    tasks_by_step: list[StepTasks]
     open_by_step: list[int]
     released: set[int] = dataclasses.field(default_factory=set)
 
@@ -176,8 +257,12 @@
             have been requested.
         last_earlier_run: Highest run number that earlier owners may have used
             for any task; 0 if they cannot have started the job.
-        occurrence_by_number: Occurrences whose tasks have been created.
-        finished_occurrences: Number of occurrences that have finished.
+        occurrence_by_number: Occurrences that were begun and not forgotten.
+        finished_occurrences: Number of occurrences that were forgotten, as
+            all their tasks are done.
+        finished_flags: Whether an occurrence was forgotten, a byte for each;
+            empty while none was.
+        memory_bytes: Memory that is counted for it at the owner.
         stored: Whether the journal holds a record of this job.
         wait_report_threshold_s: Seconds that a task must have waited for the
             next log line that says what the job waits for.
@@ -197,6 +282,8 @@
         default_factory=dict
     )
     finished_occurrences: int = 0
+    finished_flags: bytearray = dataclasses.field(default_factory=bytearray)
+    memory_bytes: int = 0
     stored: bool = False
     wait_report_threshold_s: float = FIRST_WAIT_REPORT_S
 
@@ -228,13 +315,34 @@
     return now - max(task.ready_at, task.held_back_at)
 
 
+def kind_of(job: Job, step: messages.Step) -> Hashable:
+    """Return what decides whether waiting tasks can be placed.
+
+    Tasks of one kind mostly wait for the same.
+    """
+    submission = job.submission
+    return (
+        submission.queue,
+        submission.organisation,
+        job.last_earlier_run > 0,  # They may wait for runs of earlier owners.
+        step.cpu_millicores,
+        step.memory_mb,
+        step.accelerators,
+        step.required_label,
+        step.fills,
+        step.long_running,
+        step.count if step.gang else 0,
+        submission.job_id if step.max_per_executor else "",
+    )
+
+
 def step_name(task: Task) -> str:
     """Return the part of a task's name that all tasks of its step share."""
     return task.name.rpartition(".")[0]
 
 
 def get_occurrence(job: Job, number: int) -> Occurrence:
-    """Return an occurrence of a job; create it and its tasks on first use."""
+    """Return an occurrence of a job that was not forgotten."""
     occurrence = job.occurrence_by_number.get(number)
     if occurrence is not None:
         return occurrence
@@ -243,19 +351,8 @@
     if submission.occurrences:
         due_ms = submission.first_due_ms + number * submission.interval_ms
     tasks_by_step = [
-        [
-            Task(
-                job,
-                number,
-                step_number,
-                index,
-                f"{submission.job_id}.{number}.{step_number}.{index}",
-                step,
-                last_run=job.last_earlier_run,
-            )
-            for index in range(step.count)
-        ]
-        for step_number, step in enumerate(submission.steps)
+        StepTasks(job, number, step_number)
+        for step_number in range(len(submission.steps))
     ]
     occurrence = Occurrence(
         number, due_ms, tasks_by_step, [step.count for step in submission.steps]
@@ -270,14 +367,44 @@
         return None
     if step >= len(job.submission.steps) or index >= job.submission.steps[step].count:
         return None
+    if is_forgotten(job, occurrence):
+        name = f"{job.submission.job_id}.{occurrence}.{step}.{index}"
+        return Task(
+            job, occurrence, step, index, name, job.submission.steps[step], done=True
+        )
     return get_occurrence(job, occurrence).tasks_by_step[step][index]
 
 
+def is_forgotten(job: Job, number: int) -> bool:
+    """Return whether an occurrence has finished and was forgotten."""
+    return bool(job.finished_flags) and bool(job.finished_flags[number])
+
+
+def forget_finished(job: Job, number: int) -> None:
+    """Forget an occurrence whose tasks are all done, but not that they are."""
+    if not job.finished_flags:
+        job.finished_flags = bytearray(max(1, job.submission.occurrences))
+    job.finished_occurrences += not job.finished_flags[number]
+    job.finished_flags[number] = 1
+    job.occurrence_by_number.pop(number, None)
+
+
+def finished_numbers(job: Job) -> list[int]:
+    """Return the numbers of the finished occurrences, in rising order."""
+    numbers = [number for number, flag in enumerate(job.finished_flags) if flag]
+    numbers += [
+        number
+        for number, occurrence in job.occurrence_by_number.items()
+        if is_finished(occurrence)
+    ]
+    return sorted(numbers)
+
+
 def tasks_of(job: Job) -> Iterator[Task]:
-    """Yield the tasks of a job that have been created."""
+    """Yield the tasks of a job that have an object; none of them is done."""
     for occurrence in job.occurrence_by_number.values():
         for tasks in occurrence.tasks_by_step:
-            yield from tasks
+            yield from tasks.existing()
 
 
 def mark_done_with_gang(task: Task) -> list[Task]:
@@ -289,7 +416,7 @@
     tasks = [task]
     if task.step.gang:
         occurrence = task.job.occurrence_by_number[task.occurrence]
-        tasks = occurrence.tasks_by_step[task.step_number]
+        tasks = list(occurrence.tasks_by_step[task.step_number])
     for member in tasks:
         mark_done(member)
     return tasks
@@ -300,12 +427,13 @@
     if not task.done:
         task.done = True
         occurrence = task.job.occurrence_by_number[task.occurrence]
+        occurrence.tasks_by_step[task.step_number].note_done(task.index)
         occurrence.open_by_step[task.step_number] -= 1
 
 
-def release_ready_tasks(
+def release_ready_steps(
     occurrence: Occurrence, steps: list[messages.Step]
-) -> list[Task]:
+) -> list[StepTasks]:
     """Release the steps whose earlier steps have finished.
 
     Args:
@@ -313,17 +441,17 @@
         steps: Steps of the job.
 
     Returns:
-        Tasks of the newly released steps that are not done.
+        Tasks of each newly released step.
     """
-    tasks: list[Task] = []
+    released: list[StepTasks] = []
     for number, step in enumerate(steps):
         if number in occurrence.released:
             continue
         if any(occurrence.open_by_step[earlier] for earlier in step.after):
             continue
         occurrence.released.add(number)
-        tasks.extend(task for task in occurrence.tasks_by_step[number] if not task.done)
-    return tasks
+        released.append(occurrence.tasks_by_step[number])
+    return released
 
 
 def is_finished(occurrence: Occurrence) -> bool:
--- a/limpetstream/workflow/tests/progress_builders.py
+++ b/limpetstream/workflow/tests/progress_builders.py
@@ -61,13 +61,18 @@
 
 def done_names(job):
     """Return the names of the tasks that are done."""
-    return {task.name for task in state.tasks_of(job) if task.done}
+    names = {
+        f"{job.submission.job_id}.{number}.{step_number}.{index}"
+        for number in state.finished_numbers(job)
+        for step_number, step in enumerate(job.submission.steps)
+        for index in range(step.count)
+    }
+    for occurrence in job.occurrence_by_number.values():
+        for tasks in occurrence.tasks_by_step:
+            names.update(tasks[index].name for index in tasks.done_indexes())
+    return names
 
 
 def finished_numbers(job):
     """Return the numbers of the occurrences that are finished."""
-    return {
-        number
-        for number, occurrence in job.occurrence_by_number.items()
-        if state.is_finished(occurrence)
-    }
+    return set(state.finished_numbers(job))
--- a/limpetstream/workflow/tests/test_stored_progress.py
+++ b/limpetstream/workflow/tests/test_stored_progress.py
@@ -39,7 +39,7 @@
         if task.done or not data.draw(strategies.booleans()):
             continue
         task.ended_run = data.draw(runs)
-        task.failed_runs = data.draw(strategies.sets(runs, max_size=3))
+        task.failed_runs = frozenset(data.draw(strategies.sets(runs, max_size=3)))
         task.checkpoint = data.draw(strategies.text(max_size=4))
         if data.draw(strategies.booleans()):
             state.mark_done_with_gang(task)
@@ -95,8 +95,10 @@
     """Guards against a link full of progress that is written with each end."""
     job = builders.make_job(40, occurrences=0)
     before = len(records.encode_progress(job))
-    builders.finish(job, 0, run=100_001)
-    state.find_task(job, 0, 0, 39).done = False
+    for index in range(39):
+        task = state.find_task(job, 0, 0, index)
+        task.ended_run = task.last_run = 100_001
+        state.mark_done(task)
     assert len(records.encode_progress(job)) - before < 26 * 40
     restored = builders.store_and_restore(job)
     assert builders.done_names(restored) == builders.done_names(job)
--- a/limpetstream/workflow/waiting_tasks.py
+++ b/limpetstream/workflow/waiting_tasks.py
@@ -1,7 +1,9 @@
 """Holds the tasks that wait for capacity."""
 
+import collections
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Hashable, Iterable, Iterator
+from typing import Any
 
 from limpetstream.workflow import state
 
@@ -10,24 +12,31 @@
     """Waiting tasks in the order in which they were added, each at most once.
 
     Adding, removing and looking up a task take the same time however many
-    wait.
+    wait. ``count_by_kind`` and ``count_by_job`` tell how many do.
 
     Args:
         tasks: The first tasks.
     """
 
-    __slots__ = ("_tasks",)
+    __slots__ = ("_tasks", "count_by_job", "count_by_kind")
 
     def __init__(self, tasks: Iterable[state.Task] = ()) -> None:
-        self._tasks: dict[state.Task, None] = dict.fromkeys(tasks)
+        self._tasks: dict[state.Task, None] = {}
+        self.count_by_kind: collections.Counter[Hashable] = collections.Counter()
+        self.count_by_job: collections.Counter[state.Job] = collections.Counter()
+        self.extend(tasks)
 
     def append(self, task: state.Task) -> None:
         """Add a task; no effect if it waits already."""
-        self._tasks[task] = None
+        if task not in self._tasks:
+            self._tasks[task] = None
+            self.count_by_kind[state.kind_of(task.job, task.step)] += 1
+            self.count_by_job[task.job] += 1
 
     def extend(self, tasks: Iterable[state.Task]) -> None:
         """Add several tasks."""
-        self._tasks.update(dict.fromkeys(tasks))
+        for task in tasks:
+            self.append(task)
 
     def remove(self, task: state.Task) -> None:
         """Remove a task.
@@ -36,10 +45,13 @@
             KeyError: The task does not wait.
         """
         del self._tasks[task]
+        _subtract(self.count_by_kind, state.kind_of(task.job, task.step))
+        _subtract(self.count_by_job, task.job)
 
     def discard(self, task: state.Task) -> None:
         """Remove a task; no effect if it does not wait."""
-        self._tasks.pop(task, None)
+        if task in self._tasks:
+            self.remove(task)
 
     def __contains__(self, task: object) -> bool:
         return task in self._tasks
@@ -59,3 +71,10 @@
         return NotImplemented
 
     __hash__ = None  # type: ignore[assignment]
+
+
+def _subtract(counter: collections.Counter[Any], key: object) -> None:
+    """Subtract 1 from a count, and forget a key whose count is 0."""
+    counter[key] -= 1
+    if not counter[key]:
+        del counter[key]
--- a/standins/shard_cluster.py
+++ b/standins/shard_cluster.py
@@ -160,6 +160,7 @@
         decode_listing: Decodes an entry of the executors' topic.
         encode_listing: Encodes an entry of the executors' topic.
         max_lease_ms: Longest lease that executors grant.
+        job_memory_bytes: Memory that accepted jobs may take at an owner.
     """
 
     def __init__(
@@ -172,6 +173,7 @@
         decode_listing: shard_server.DecodeListing = decode_listing,
         encode_listing: Callable[[executor_messages.Listing], bytes] = encode_listing,
         max_lease_ms: int = step_executors.MAX_LEASE_MS,
+        job_memory_bytes: float = math.inf,
     ) -> None:
         self.random = random.Random(seed)
         self.clock: clock_module.Clock = virtual_time.make_clock(loop)
@@ -190,6 +192,7 @@
         self._loop = loop
         self._shards = shards
         self._max_lease_ms = max_lease_ms
+        self._job_memory_bytes = job_memory_bytes
         self._decode_listing = decode_listing
         self._encode_listing = encode_listing
         for number in range(executors):
@@ -272,6 +275,7 @@
             decode_listing=self._decode_listing,
             member=member,
             peers=_FreezableClient(_PeerClient(self, member), gate),
+            job_memory_bytes=self._job_memory_bytes,
         )
         shard_ownership = ownership.Ownership(
             _FreezableClient(store, gate),
