Look at an executor again before a start, and keep its queue short

Change: at most 16 starts wait at an executor, and other tasks stay with the waiting ones. Each try looks again at the data centre, state, entry, service and label of the executor. A withdrawn start releases its room, its task keeps its wait, and the other members of its gang do not wait for it. While appends fail, nothing is placed of a job that is not recorded.

The new tests failed before, and the catalogue of removals has an entry for each check.

--- a/limpetstream/executors/tracking.py
+++ b/limpetstream/executors/tracking.py
@@ -78,6 +78,10 @@
         best_effort_ended_at: Monotonic time at which one of these tasks was
             last found to be gone.
         start_slots: Limits the number of concurrent start requests.
+        unsent_runs: Runs whose start was decided and waits to be sent there.
+        unrecorded_runs: Runs whose start waits until the journal records that
+            their job may have started.
+        turned_away: Whether a task was not placed there because of these runs.
         listed: Whether the list of executors still contains it.
         draining_since: Monotonic time at which its entry was first seen to
             say that it will leave; None before.
@@ -134,6 +138,9 @@
     start_slots: asyncio.Semaphore = dataclasses.field(
         default_factory=lambda: asyncio.Semaphore(MAX_STARTS_AT_ONCE)
     )
+    unsent_runs: set[state.Run] = dataclasses.field(default_factory=set)
+    unrecorded_runs: set[state.Run] = dataclasses.field(default_factory=set)
+    turned_away: bool = False
     listed: bool = True
     draining_since: float | None = None
     leaves_at: float | None = None
--- a/limpetstream/shard/placing.py
+++ b/limpetstream/shard/placing.py
@@ -57,13 +57,18 @@
         shard.searches, key, executors, SEARCH_RETRY_S, context.now
     )
     if not searched:
+        context.held_up_count += searches.is_held_up(shard.searches, key)
         return False
     if task.step.rack_sensitive:
         searched = executors  # The racks of the step's other tasks count.
     executor = placement.choose(searched, task, context, accepts_doubt=accepts_doubt)
     if executor is None:
         searches.note_failure(
-            shard.searches, key, searched_all=searched is executors, now=context.now
+            shard.searches,
+            key,
+            searched_all=searched is executors,
+            now=context.now,
+            is_held_up=context.held_up_count > 0,
         )
         return False
     start_on(shard, executor, task, task.last_run + 1)
@@ -137,7 +142,7 @@
     for executor, run in chosen:
         run.task.last_run = run_number
         run.task.checkpoint = checkpoint
-        shard.spawn(starts.start_run(shard, executor, run))
+        starts.begin(shard, executor, run)
     return True
 
 
@@ -169,4 +174,4 @@
     task.last_run = run_number
     executor.reserve(run)
     shard.forecasts.drop(executor.listing.executor_id)
-    shard.spawn(starts.start_run(shard, executor, run))
+    starts.begin(shard, executor, run)
--- a/limpetstream/shard/queueing/tests/test_backlog.py
+++ b/limpetstream/shard/queueing/tests/test_backlog.py
@@ -81,6 +81,8 @@
         scheduling.run_pass(shard)
         for executor in shard.executor_by_id.values():
             executor.polled_at = shard.clock.monotonic()
+            executor.unsent_runs.clear()
+            executor.unrecorded_runs.clear()
             for run in list(executor.run_by_task.values()):
                 crowd_builders.end_run(shard, executor, run)
     job = shard.job_by_id[crowd_builders.job_id(20)]
--- a/limpetstream/shard/scheduling.py
+++ b/limpetstream/shard/scheduling.py
@@ -19,6 +19,7 @@
     proof,
     searches,
     sessions,
+    starts,
     state,
     turn_order,
     victims,
@@ -245,7 +246,11 @@
     _note_turn(shard, task)
     if not may_start(shard, task):
         return
+    is_recorded = starts.is_recorded(shard, task.job)
+    if not is_recorded and shard.journal.failing_since is not None:
+        return  # The start would wait, and hold room meanwhile.
     context = placement_context(shard, shard.service_of(task.job), this_pass.now)
+    context.is_recorded = is_recorded
     if task.step.fills:
         context.is_service_idle = _use_of_service(this_pass, context).is_idle
     if task.step.gang:
@@ -336,6 +341,8 @@
     accepts_doubt = not (task.step.long_running and this_pass.has_doubt)
     if placing.place(shard, task, context, executors, accepts_doubt=accepts_doubt):
         return [task]
+    if context.held_up_count:
+        return []  # It has room there soon.
     if preemption.may_preempt(shard, task, this_pass.now) and (
         task.step.long_running or this_pass.may_preempt_long_running
     ):
--- a/limpetstream/shard/searches.py
+++ b/limpetstream/shard/searches.py
@@ -23,11 +23,13 @@
         failed_at: Monotonic time at which all executors were last searched.
         round_number: Round of passes in which the search was last made.
         position: Number of executors that had freed capacity until then.
+        is_held_up: Whether one had room, and many starts that are not sent.
     """
 
     failed_at: float
     round_number: int
     position: int
+    is_held_up: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,7 +175,12 @@
 
 
 def note_failure(
-    searches: Searches, key: Hashable, *, searched_all: bool, now: float
+    searches: Searches,
+    key: Hashable,
+    *,
+    searched_all: bool,
+    now: float,
+    is_held_up: bool = False,
 ) -> None:
     """Note that a search has found no executor.
 
@@ -182,14 +189,25 @@
         key: What the search depends on.
         searched_all: Whether it searched all executors.
         now: Monotonic time.
+        is_held_up: Whether one had room, and many starts that are not sent.
     """
     failure = searches.failure_by_key.get(key)
-    failed_at = now if searched_all or failure is None else failure.failed_at
+    if searched_all or failure is None:
+        failed_at = now
+    else:
+        failed_at = failure.failed_at
+        is_held_up = is_held_up or failure.is_held_up
     searches.failure_by_key[key] = Failure(
-        failed_at, searches.round_number, searches.position
+        failed_at, searches.round_number, searches.position, is_held_up
     )
 
 
+def is_held_up(searches: Searches, key: Hashable) -> bool:
+    """Return whether the last search for a key failed by starts that wait."""
+    failure = searches.failure_by_key.get(key)
+    return failure is not None and failure.is_held_up
+
+
 def end_pass(searches: Searches, *, is_finished: bool) -> None:
     """Note the end of a pass; the next round begins if it has finished one."""
     searches.is_continued = not is_finished
--- a/limpetstream/shard/starts.py
+++ b/limpetstream/shard/starts.py
@@ -35,6 +35,22 @@
 TASK_REFUSALS = frozenset({executor_messages.NO_TICKET, executor_messages.INVALID})
 
 
+def begin(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Start a run, for which capacity is reserved, in a task of its own."""
+    if is_recorded(shard, run.task.job):
+        executor.unsent_runs.add(run)
+    else:
+        executor.unrecorded_runs.add(run)
+    shard.spawn(start_run(shard, executor, run))
+
+
+def is_recorded(shard: state.Shard, job: workflow_state.Job) -> bool:
+    """Return whether the journal records that a job may have started."""
+    return job.submission.job_id in shard.maybe_started_job_ids
+
+
 async def start_run(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
@@ -56,8 +72,14 @@
     priority = shard.priority_of(run.task.job)
     rank = priority, run.start_requested_at
     window, slots = shard.send_window, executor.start_slots
-    with window.unsent_start(priority) as note_turn:
+    with (
+        _unsent(shard, executor, run),
+        window.unsent_start(priority) as note_turn,
+    ):
         await _record_job(shard, run.task.job)
+        if run in executor.unrecorded_runs:
+            executor.unrecorded_runs.remove(run)
+            executor.unsent_runs.add(run)
         if run.task.step.long_running:
             await executor_records.admit_long_running(shard, executor)
         # Starts that wait for the link hold no slot of their executor, so that
@@ -67,13 +89,39 @@
             if has_slot:
                 async with slots:
                     note_turn()
+                    _note_turn(shard, executor, run)
                     await _start_in_turn(shard, executor, run)
         if not has_slot:
             async with slots, window.turn(size, rank):
                 note_turn()
+                _note_turn(shard, executor, run)
                 await _start_in_turn(shard, executor, run)
 
 
+@contextlib.contextmanager
+def _unsent(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> Iterator[None]:
+    """Count a start as one that waits, at the longest while this is open."""
+    try:
+        yield
+    finally:
+        executor.unrecorded_runs.discard(run)
+        _note_turn(shard, executor, run)
+
+
+def _note_turn(
+    shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
+) -> None:
+    """Note that a start waits no more; let tasks follow that were held up."""
+    executor.unsent_runs.discard(run)
+    is_short = len(executor.unsent_runs) <= eligibility.MAX_UNSENT_STARTS // 2
+    if executor.turned_away and is_short:
+        executor.turned_away = False
+        executor.has_freed = True
+        shard.changed.set()
+
+
 async def _start_in_turn(
     shard: state.Shard, executor: tracking.Executor, run: workflow_state.Run
 ) -> None:
@@ -171,7 +219,13 @@
         return "the executor's record says that no long-running task is there"
     if not is_sent and run.start_requested_at < executor.doubted_at:
         return "an earlier start there has no answer"
-    return ""
+    # The executor may have been chosen some time ago.
+    return eligibility.reason_against(
+        executor,
+        run.task.step,
+        shard.service_of(run.task.job),
+        shard.view.closed_data_centres,
+    )
 
 
 async def _look(shard: state.Shard, executor: tracking.Executor) -> str:
@@ -369,6 +423,27 @@
         proven_ms_ago=round(proof.age_s(shard) * 1000),
     )
     _requeue(shard, executor, run, run.task.ready_at)
+    if run.task.step.gang:
+        _withdraw_gang(shard, run)
+
+
+def _withdraw_gang(shard: state.Shard, withdrawn: workflow_state.Run) -> None:
+    """Withdraw or stop the other members, which would wait in vain."""
+    task = withdrawn.task
+    occurrence = task.job.occurrence_by_number.get(task.occurrence)
+    if occurrence is None:
+        return
+    for member in occurrence.tasks_by_step[task.step_number].existing():
+        run = member.run
+        if run is None or run.number != withdrawn.number:
+            continue
+        executor = shard.executor_by_id.get(run.executor_id)
+        if executor is None:
+            continue
+        if run.phase == workflow_state.STARTING and run.start_deadline_ms is None:
+            _requeue(shard, executor, run, member.ready_at)
+        else:
+            stops.stop_run(shard, executor, run, "a member of its gang cannot start")
 
 
 def _requeue(
--- a/limpetstream/shard/tests/removals_of_runs.py
+++ b/limpetstream/shard/tests/removals_of_runs.py
@@ -17,10 +17,57 @@
 SETTLE = "settle runs of earlier owners by time"
 RESTART = "a restarted executor"
 
+QUEUE_TESTS = "shard/queueing/tests/test_start_queues.py::"
 UNREAD = "an executor lists more ends than one reply holds"
 UNREAD_TESTS = "shard/settling/tests/test_listed_ends.py::"
 
 REMOVALS = [
+    removed_checks.Removal(
+        "start-suits-no-more",
+        START,
+        f"{SHARD}.starts",
+        "_obstacle",
+        "return eligibility.reason_against(",
+        'return "" and eligibility.reason_against(',
+        f"{QUEUE_TESTS}test_a_withdrawn_start_keeps_its_wait_and_no_room",
+    ),
+    removed_checks.Removal(
+        "start-queue-bound",
+        PLACE,
+        "limpetstream.workflow.eligibility",
+        "has_long_start_queue",
+        "return waiting >= MAX_UNSENT_STARTS",
+        "return False",
+        f"{QUEUE_TESTS}test_an_urgent_task_waits_for_few_starts_of_less_urgent_ones",
+    ),
+    removed_checks.Removal(
+        "held-up-preemption",
+        PLACE,
+        f"{SHARD}.scheduling",
+        "_place_or_preempt",
+        "if context.held_up_count:",
+        "if False:",
+        f"{QUEUE_TESTS}"
+        "test_nothing_is_preempted_for_a_task_that_has_room_behind_other_starts",
+    ),
+    removed_checks.Removal(
+        "withdrawn-gang",
+        START,
+        f"{SHARD}.starts",
+        "_withdraw",
+        "if run.task.step.gang:",
+        "if False:",
+        f"{QUEUE_TESTS}test_all_members_of_a_gang_are_withdrawn_together",
+    ),
+    removed_checks.Removal(
+        "start-while-unrecorded",
+        PLACE,
+        f"{SHARD}.scheduling",
+        "_give_turn",
+        "if not is_recorded and shard.journal.failing_since is not None:",
+        "if False:",
+        f"{QUEUE_TESTS}test_no_start_is_decided_that_the_journal_cannot_record",
+    ),
     removed_checks.Removal(
         "place-unread-ends",
         UNREAD,
--- a/limpetstream/shard/tests/test_pass_cost.py
+++ b/limpetstream/shard/tests/test_pass_cost.py
@@ -46,11 +46,13 @@
 
 
 def advance(shard, loop, seconds):
-    """Advance virtual time; polls and a proof of ownership are recent."""
+    """Advance virtual time; polls and proofs are recent, and starts sent."""
     loop._virtual.now += seconds
     shard.ownership_proven_at = loop.time()
     for executor in shard.executor_by_id.values():
         executor.polled_at = loop.time()
+        executor.unsent_runs.clear()
+        executor.unrecorded_runs.clear()
 
 
 def fill(shard, step, count, *, queue="batch", started=-0.2):
--- a/limpetstream/workflow/eligibility.py
+++ b/limpetstream/workflow/eligibility.py
@@ -20,6 +20,9 @@
 IN_DOUBT_PENALTY_CORES = 10_000.0
 # Less than that: such an executor comes before those in doubt.
 LONGEST_LEASE_PENALTY_CORES = 5_000.0
+# Starts that wait at one executor. What changes meanwhile reaches only tasks
+# that are not placed yet.
+MAX_UNSENT_STARTS = 16
 # Longer than a start in doubt may hold its task (design.md, 11.8).
 IN_DOUBT_S = 10.0
 
@@ -36,6 +39,9 @@
             that was sent at this time or later.
         interference_model: How images slow each other down on one executor.
         forecasts: Forecasts of what best-effort work can expect.
+        is_recorded: Whether the journal records that the job may have started.
+        held_up_count: Number of executors that had room, but too many starts
+            that are not sent yet.
         is_service_idle: Whether so little of the service is in use that
             best-effort work soon takes any executor; set where it is placed.
         eligible_count: Number of executors that were found to have room.
@@ -49,6 +55,8 @@
     min_polled_at: float
     interference_model: interference.InterferenceModel
     forecasts: capacity_forecast.ForecastCache
+    is_recorded: bool = True
+    held_up_count: int = 0
     is_service_idle: bool = False
     eligible_count: int = 0
     scored_count: int = 0
@@ -153,6 +161,63 @@
         and executor.listing.service == service
         and is_available(executor, context)
         and (not is_constrained or meets_constraints(executor, task))
+        and not _is_held_up(executor, task, context)
     ]
     context.eligible_count += len(eligible)
     return eligible
+
+
+def _is_held_up(
+    executor: tracking.Executor, task: state.Task, context: PlacementContext
+) -> bool:
+    """Return whether a start would wait for many others; note it if so.
+
+    A gang starts as a whole, however many starts that takes.
+    """
+    if task.step.gang or not has_long_start_queue(executor, context):
+        return False
+    executor.turned_away = True
+    context.held_up_count += 1
+    return True
+
+
+def has_long_start_queue(
+    executor: tracking.Executor, context: PlacementContext
+) -> bool:
+    """Return whether many starts wait at an executor.
+
+    Those that wait for the journal hold up only others that would.
+    """
+    waiting = len(executor.unsent_runs)
+    if not context.is_recorded:
+        waiting += len(executor.unrecorded_runs)
+    return waiting >= MAX_UNSENT_STARTS
+
+
+def reason_against(
+    executor: tracking.Executor,
+    step: messages.Step,
+    service: str,
+    closed_data_centres: Collection[str],
+) -> str:
+    """Return why an executor no longer suits a task that was placed there.
+
+    Args:
+        executor: The executor.
+        step: Step of the task.
+        service: Service that the configuration sends the task to.
+        closed_data_centres: Data centres that get no new work.
+
+    Returns:
+        The reason; empty if it still suits the task.
+    """
+    listing = executor.listing
+    if listing.data_centre in closed_data_centres:
+        return "the data centre is closed"
+    if not executor.listed or listing.state != executor_messages.READY:
+        return "the executor is leaving"
+    if listing.service != service:
+        return "the executor works for another service"
+    if step.required_label and step.required_label not in listing.labels:
+        return "the executor has another label"
+    return ""
--- a/limpetstream/workflow/wait_reasons.py
+++ b/limpetstream/workflow/wait_reasons.py
@@ -74,6 +74,8 @@
         return "accelerators"
     if not executor.fits(step):
         return "processors"
+    if len(executor.unsent_runs) >= eligibility.MAX_UNSENT_STARTS:
+        return "starts wait there"
     return ""
 
 
