Bound the waiting tasks of many schedules together

Each schedule that is behind could begin occurrences with up to 512 waiting tasks, however many schedules there were. Now the bound of all waiting tasks counts as well, and one occurrence of each may begin in any case. The kind of a task is made once for each step, and a cancel counts no steps of others.

The new test fails without the bound. Each kind may have four waiting tasks beyond the bound, in place of 16: 5,000 kinds would have taken 48 MB.

--- a/limpetstream/shard/queueing/backlog.py
+++ b/limpetstream/shard/queueing/backlog.py
@@ -19,7 +19,7 @@
 MAX_WAITING_OF_KIND = 2048
 # Each kind may have so many waiting tasks, whatever the others have: tasks
 # that cannot be placed hold up no others.
-MIN_WAITING_OF_KIND = 16
+MIN_WAITING_OF_KIND = 4
 # A due occurrence begins while its job has fewer waiting tasks.
 MAX_WAITING_OF_SCHEDULE = 512
 TURN_TASKS = 64  # Of one step, before there must be room again.
@@ -32,11 +32,18 @@
     that have ended stay there until their turn, or until they are half of all.
     """
 
-    __slots__ = ("_numbers", "_stale_count", "count_by_job", "steps_by_kind")
+    __slots__ = (
+        "_numbers",
+        "_open_count",
+        "_stale_count",
+        "count_by_job",
+        "steps_by_kind",
+    )
 
     def __init__(self) -> None:
         self.steps_by_kind: dict[Hashable, list[tuple[int, int, state.StepTasks]]] = {}
         self.count_by_job: collections.Counter[state.Job] = collections.Counter()
+        self._open_count = 0
         self._stale_count = 0
         self._numbers = itertools.count()
 
@@ -45,11 +52,14 @@
         row = tasks.job.submission.accepted_ms, next(self._numbers), tasks
         heapq.heappush(self.steps_by_kind.setdefault(tasks.kind, []), row)
         self.count_by_job[tasks.job] += 1
+        self._open_count += 1
 
     def discard(self, job: state.Job) -> None:
         """Remove all steps of a job that has ended."""
-        self._stale_count += self.count_by_job.pop(job, 0)
-        if self._stale_count > self.count_by_job.total():
+        count = self.count_by_job.pop(job, 0)
+        self._open_count -= count
+        self._stale_count += count
+        if self._stale_count > self._open_count:
             self._stale_count = 0
             for kind, rows in list(self.steps_by_kind.items()):
                 rows[:] = [row for row in rows if row[2].job in self.count_by_job]
@@ -65,6 +75,7 @@
             if not rows:
                 del self.steps_by_kind[kind]
             if tasks.job in self.count_by_job:
+                self._open_count -= 1
                 self.count_by_job[tasks.job] -= 1
                 if not self.count_by_job[tasks.job]:
                     del self.count_by_job[tasks.job]
@@ -122,7 +133,13 @@
 def has_room_for_occurrence(
     backlog: Backlog, waiting: waiting_tasks.WaitingTasks, job: state.Job
 ) -> bool:
-    """Return whether few tasks of a job wait, so that more may be released."""
+    """Return whether the next due occurrence of a job may begin.
+
+    Few of its tasks wait, and few in all; one occurrence may begin anyhow.
+    """
     if job in backlog.count_by_job:
         return False
-    return waiting.count_by_job[job] < MAX_WAITING_OF_SCHEDULE
+    count = waiting.count_by_job[job]
+    if len(waiting) >= MAX_WAITING:
+        return count == 0
+    return count < MAX_WAITING_OF_SCHEDULE
--- a/limpetstream/shard/queueing/tests/test_backlog.py
+++ b/limpetstream/shard/queueing/tests/test_backlog.py
@@ -237,3 +237,18 @@
     assert {task.job.submission.job_id for task in shard.waiting_tasks} == {
         crowd_builders.job_id(2)
     }
+
+
+def test_many_schedules_that_are_behind_share_the_bound():
+    """Guards against a bound for each schedule alone."""
+    shard = crowd_builders.make_shard()
+    schedules = [
+        crowd_builders.make_schedule(number, occurrences=600) for number in range(100)
+    ]
+    for number, schedule in enumerate(schedules):
+        schedule.steps = [
+            builders.copy_step(crowd_builders.TASK, count=1, cpu_millicores=number)
+        ]
+    crowd_builders.load(shard, schedules)
+    assert len(shard.waiting_tasks) <= backlog.MAX_WAITING + len(schedules)
+    assert len(shard.waiting_tasks.count_by_job) == len(schedules)
--- a/limpetstream/workflow/state.py
+++ b/limpetstream/workflow/state.py
@@ -93,6 +93,7 @@
         index: Number of the task within the step.
         name: ``JOB.OCCURRENCE.STEP.INDEX``.
         step: The step.
+        kind: What decides whether it can be placed; see ``kind_of``.
         done: Whether a run has ended as done.
         failed_runs: Numbers of the runs that have ended as failed.
         last_run: Highest number of a run that was requested or seen.
@@ -121,6 +122,7 @@
     index: int
     name: str
     step: messages.Step
+    kind: Hashable = None
     done: bool = False
     failed_runs: frozenset[int] = frozenset()
     last_run: int = 0
@@ -188,6 +190,7 @@
             index,
             f"{self.job.submission.job_id}.{self.occurrence}.{self.number}.{index}",
             self.step,
+            self.kind,
             done=self.is_done(index),
             last_run=self.job.last_earlier_run,
         )
--- a/limpetstream/workflow/waiting_tasks.py
+++ b/limpetstream/workflow/waiting_tasks.py
@@ -30,7 +30,7 @@
         """Add a task; no effect if it waits already."""
         if task not in self._tasks:
             self._tasks[task] = None
-            self.count_by_kind[state.kind_of(task.job, task.step)] += 1
+            self.count_by_kind[task.kind] += 1
             self.count_by_job[task.job] += 1
 
     def extend(self, tasks: Iterable[state.Task]) -> None:
@@ -45,7 +45,7 @@
             KeyError: The task does not wait.
         """
         del self._tasks[task]
-        _subtract(self.count_by_kind, state.kind_of(task.job, task.step))
+        _subtract(self.count_by_kind, task.kind)
         _subtract(self.count_by_job, task.job)
 
     def discard(self, task: state.Task) -> None:
