--- a/limpetstream/shard/owner_reports.py
+++ b/limpetstream/shard/owner_reports.py
@@ -6,6 +6,7 @@
 from limpetstream.executors import messages as executor_messages
 from limpetstream.organisations import limits, reports as organisation_reports
 from limpetstream.shard import audits, events, owner_load, state
+from limpetstream.shard.queueing import job_memory
 from limpetstream.telemetry import logs
 from limpetstream.workflow import state as workflow_state
 
@@ -88,6 +89,7 @@
         located=shard.earlier_runs_settled,
         open_tasks=audits.count_open(shard),
         waiting=len(shard.waiting_tasks),
+        job_memory_percent=job_memory.used_percent(shard.job_memory),
         forgotten=audit.violations,
     )
 
--- a/limpetstream/shard/queueing/backlog.py
+++ b/limpetstream/shard/queueing/backlog.py
@@ -13,8 +13,8 @@
 
 from limpetstream.workflow import state, waiting_tasks
 
-# Bounds of the waiting tasks, each of which takes about 0.6 KB. A gang is
-# queued whole, and tasks that have run come back, so there may be more.
+# Bounds of the waiting tasks. A gang is queued whole, and tasks that have run
+# come back, so there may be more.
 MAX_WAITING = 16_384
 MAX_WAITING_OF_KIND = 2048
 # Each kind may have so many waiting tasks, whatever the others have: tasks
