--- a/limpetstream/shard/queueing/tests/test_start_queues.py
+++ b/limpetstream/shard/queueing/tests/test_start_queues.py
@@ -7,7 +7,7 @@
 import loguru
 import pytest
 
-from limpetstream.shard import jobs, scheduling, starts
+from limpetstream.shard import jobs, placing, scheduling, starts
 from limpetstream.shard.queueing.tests import start_builders
 from limpetstream.shard.tests import builders, schedules
 from limpetstream.workflow import eligibility, messages, state as workflow_state
@@ -32,8 +32,11 @@
     start_builders.move_to_other_service(cluster, "x0")
 
 
+@pytest.mark.parametrize("long_running", [False, True])
 @pytest.mark.parametrize("change", [close_data_centre, drain, move_to_other_service])
-def test_no_start_is_sent_long_after_its_executor_became_unsuitable(change):
+def test_no_start_is_sent_long_after_its_executor_became_unsuitable(
+    change, long_running
+):
     """Guards against starts in a data centre that is to be emptied (EVAC).
 
     review/14: starts that had been decided waited for one another, and nothing
@@ -41,7 +44,7 @@
     """
 
     async def scenario(cluster):
-        sent = await start_builders.place_job(cluster)
+        sent = await start_builders.place_job(cluster, long_running=long_running)
         assert any(executor_id == "x0" for _, _, executor_id in sent)
         change(cluster)
         changed_at = asyncio.get_running_loop().time()
@@ -213,3 +216,19 @@
     shard.journal.failing_since = None
     scheduling.run_pass(shard)
     assert not len(shard.waiting_tasks)
+
+
+def test_no_second_try_is_sent_to_a_closed_data_centre():
+    """Guards against a start that is repeated after its first try was sent."""
+    scene = builders.PolledShard()
+    shard = scene.shard
+    executor = scene.executor("x0")
+    scene.client.unanswered.add(("start", "x0"))
+    placing.start_on(shard, executor, builders.make_tasks(shard, builders.SHORT)[0], 1)
+    scene.advance(0.2)
+    assert scene.client.starts == ["x0"]
+    shard.view.closed_data_centres = frozenset({executor.listing.data_centre})
+    scene.advance(2.0)
+    assert scene.client.starts == ["x0"]
+    assert scene.client.stops
+    scene.close()
