--- a/limpetstream/settings/reference.py
+++ b/limpetstream/settings/reference.py
@@ -9,6 +9,7 @@
 
 from limpetstream.border import bounded_server
 from limpetstream.settings import schema
+from limpetstream.shard.queueing import job_memory
 from limpetstream.workflow import checks
 
 HEADER = """# Settings reference
@@ -41,7 +42,8 @@
 They hold for each server of an instance (`border/bounded_server`). No client that
 stays within the limits of the interfaces meets them. How many connections, and how
 much memory of requests, depends on the machine: see "Memory of requests" in
-OPERATIONS.md.
+OPERATIONS.md. Accepted jobs may take a fifth of the memory of their owner's
+machine until they are final (design.md, 11.16); more are refused with 503.
 
 """
 CLOSED = "the connection is closed"
@@ -53,6 +55,12 @@
     ("time without a request", bounded_server.IDLE_TIMEOUT_S, "s", CLOSED),
     ("steps of a job", checks.MAX_STEPS, "", "400"),
     ("label, rack or image", checks.MAX_NAME_CHARACTERS, "characters", "400"),
+    (
+        "a job, while half of that fifth is in use",
+        job_memory.LARGE_JOB_BYTES,
+        "bytes of memory",
+        "503",
+    ),
 )
 
 
